Set down the shape: folders, core types and one path end to end

Cause: the repository was empty.

The path: a caller's completion over libevhtp, planned and followed by pure decisions, sent to an engine stand-in over evhttp, streamed back; records follow a log in the store's stand-in; SIGTERM finishes every answer.

Ruled out: a task for each side of a request, since every token would cost a message and a wake-up and no decision needs the separation.

Found and mended while trying it: an exchange with a caller that was destroyed before the library let go of its request never reported its release, so that a drain waited for ever; the exchange now lives as long as the request.

--- /dev/null
+++ b/src/core/changeid.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "core/identifier.h"
+
+namespace cowsliphead
+{
+
+/// The identifier that a writer gives to one change of the records.
+using ChangeId = Identifier<struct ChangeIdTag>;
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/core/result.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <system_error>
+
+#include <tl/expected.hpp>
+
+namespace cowsliphead
+{
+
+/// A value, or the typed reason why there is none.
+template <typename T>
+using Result = tl::expected<T, std::error_code>;
+
+/// Builds the failing side of a Result. Thread safety: any thread.
+template <typename Code>
+tl::unexpected<std::error_code> failure(Code code)
+{
+    return tl::unexpected<std::error_code>(make_error_code(code));
+}
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/core/revision.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <cstdint>
+
+namespace cowsliphead
+{
+
+/// Number of a change in the log of records; 0 stands before the first change. A daemon's revision never goes back.
+using Revision = std::uint64_t;
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/decide/step/dispatchstep.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <cstdint>
+
+namespace cowsliphead
+{
+
+/// Send the request to an endpoint that has not failed it yet.
+struct DispatchStep {
+    /// 1 for the first attempt.
+    std::uint32_t attempt_ = 1;
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/endpoint/endpointpool.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "core/endpointid.h"
+#include "decide/endpointload.h"
+#include "http/httpcallevents.h"
+
+namespace cowsliphead
+{
+
+class EventLoop;
+class HttpCall;
+class HttpClient;
+struct EndpointRecord;
+struct HttpRequest;
+
+/// The connections of one task to all endpoints, with the work that is under way at each.
+class EndpointPool
+{
+public:
+    /// Precondition: the loop outlives the pool. Thread safety: the loop's task only.
+    explicit EndpointPool(EventLoop &loop);
+    ~EndpointPool();
+    EndpointPool(const EndpointPool &) = delete;
+    EndpointPool &operator=(const EndpointPool &) = delete;
+
+    /// Sends a request. Each call must be paired with one release(). Thread safety: the loop's task only.
+    std::shared_ptr<HttpCall> call(const EndpointRecord &endpoint, const HttpRequest &request, HttpCallEvents events);
+
+    /// The call has ended or was cancelled. Thread safety: the loop's task only.
+    void release(const EndpointId &endpoint);
+
+    /// Thread safety: the loop's task only.
+    EndpointLoad load(const EndpointId &endpoint) const;
+
+private:
+    struct Slot {
+        std::string host_;
+        std::uint16_t port_ = 0;
+        std::unique_ptr<HttpClient> client_;
+        std::uint32_t inFlight_ = 0;
+    };
+
+    HttpClient &clientFor(const EndpointRecord &endpoint);
+
+    EventLoop &loop_;
+    std::map<EndpointId, Slot> slots_;
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/http/httpcall.cpp
@@ -0,0 +1,215 @@
+#include "http/httpcall.h"
+
+#include <utility>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include "core/errorcode.h"
+#include "http/httpconnection.h"
+#include "http/httprequest.h"
+#include "task/eventloop.h"
+
+namespace cowsliphead
+{
+
+namespace
+{
+
+evhttp_cmd_type commandOf(HttpMethod method)
+{
+    switch (method) {
+    case HttpMethod::Get:
+        return EVHTTP_REQ_GET;
+    case HttpMethod::Head:
+        return EVHTTP_REQ_HEAD;
+    case HttpMethod::Put:
+        return EVHTTP_REQ_PUT;
+    case HttpMethod::Delete:
+        return EVHTTP_REQ_DELETE;
+    case HttpMethod::Patch:
+        return EVHTTP_REQ_PATCH;
+    case HttpMethod::Options:
+        return EVHTTP_REQ_OPTIONS;
+    case HttpMethod::Post:
+    case HttpMethod::Other:
+        break;
+    }
+    return EVHTTP_REQ_POST;
+}
+
+std::error_code errorOf(int evhttpError)
+{
+    if (evhttpError == EVREQ_HTTP_TIMEOUT) {
+        return ErrorCode::EndpointTimedOut;
+    }
+    if (evhttpError == EVREQ_HTTP_INVALID_HEADER || evhttpError == EVREQ_HTTP_DATA_TOO_LONG) {
+        return ErrorCode::EndpointAnswerMalformed;
+    }
+    return ErrorCode::EndpointLost;
+}
+
+HttpResponseHead readHead(evhttp_request *request)
+{
+    HttpResponseHead head;
+    head.status_ = evhttp_request_get_response_code(request);
+    const auto *fields = evhttp_request_get_input_headers(request);
+    for (const auto *field = fields->tqh_first; field != nullptr; field = field->next.tqe_next) {
+        head.headers_.emplace_back(field->key, field->value);
+    }
+    return head;
+}
+
+void writeRequest(evhttp_request *target, const HttpRequest &source)
+{
+    auto *fields = evhttp_request_get_output_headers(target);
+    for (const auto &[name, value] : source.headers_) {
+        evhttp_add_header(fields, name.c_str(), value.c_str());
+    }
+    evbuffer_add(evhttp_request_get_output_buffer(target), source.body_.data(), source.body_.size());
+}
+
+} // namespace
+
+HttpCall::HttpCall(EventLoop &loop, std::unique_ptr<HttpConnection> connection, HttpCallEvents events, ReturnConnection returnConnection)
+    : loop_(loop)
+    , connection_(std::move(connection))
+    , events_(std::move(events))
+    , returnConnection_(std::move(returnConnection))
+{
+}
+
+HttpCall::~HttpCall() = default;
+
+void HttpCall::start(const HttpRequest &request)
+{
+    self_ = shared_from_this();
+    request_ = evhttp_request_new(&HttpCall::onCompleted, this);
+    evhttp_request_set_header_cb(request_, &HttpCall::onHeadRead);
+    evhttp_request_set_chunked_cb(request_, &HttpCall::onChunkRead);
+    evhttp_request_set_error_cb(request_, [](evhttp_request_error error, void *self) { onFailed(error, self); });
+    writeRequest(request_, request);
+    watchOutput();
+    const auto target = request.query_.empty() ? request.path_ : request.path_ + "?" + request.query_;
+    if (evhttp_make_request(connection_->handle(), request_, commandOf(request.method_), target.c_str()) != 0) {
+        // libevent has freed the request and calls back no more; the owner hears of it as of any other failure.
+        request_ = nullptr;
+        loop_.defer([call = self_] { call->end(nullptr); });
+    }
+}
+
+void HttpCall::cancel()
+{
+    events_ = {};
+    if (self_) {
+        // libevent may be calling back at this moment, so the connection is closed later.
+        loop_.defer([call = self_] { call->abandon(); });
+    }
+}
+
+bool HttpCall::wasOffered() const
+{
+    return wasOffered_;
+}
+
+int HttpCall::onHeadRead(evhttp_request *request, void *self)
+{
+    auto *call = static_cast<HttpCall *>(self);
+    call->headSeen_ = true;
+    if (call->events_.onHead_) {
+        call->events_.onHead_(readHead(request));
+    }
+    return 0;
+}
+
+void HttpCall::onChunkRead(evhttp_request *request, void *self)
+{
+    auto *call = static_cast<HttpCall *>(self);
+    auto *buffer = evhttp_request_get_input_buffer(request);
+    const auto length = evbuffer_get_length(buffer);
+    if (length > 0 && call->events_.onData_) {
+        const auto *data = reinterpret_cast<const char *>(evbuffer_pullup(buffer, -1));
+        call->events_.onData_(std::string_view(data, length));
+    }
+}
+
+void HttpCall::onCompleted(evhttp_request *request, void *self)
+{
+    static_cast<HttpCall *>(self)->end(request);
+}
+
+void HttpCall::onFailed(int error, void *self)
+{
+    auto *call = static_cast<HttpCall *>(self);
+    call->error_ = errorOf(error);
+}
+
+void HttpCall::onOutputChanged(evbuffer * /*buffer*/, const evbuffer_cb_info *info, void *self)
+{
+    if (info->n_deleted > 0) {
+        static_cast<HttpCall *>(self)->wasOffered_ = true;
+    }
+}
+
+void HttpCall::end(evhttp_request *request)
+{
+    if (!connection_) {
+        return;
+    }
+    const auto self = std::exchange(self_, nullptr);
+    const bool hasAnswer = request != nullptr && headSeen_ && !error_;
+    const bool isReusable = hasAnswer && mayBeReused(request);
+    request_ = nullptr;
+    unwatchOutput();
+    const auto onEnd = std::exchange(events_, {}).onEnd_;
+    if (isReusable) {
+        returnConnection_(std::move(connection_));
+    } else {
+        // libevent is still using the connection, so it is freed later.
+        loop_.defer([connection = std::shared_ptr<HttpConnection>(std::move(connection_))] {});
+    }
+    if (!onEnd) {
+        return;
+    }
+    if (hasAnswer) {
+        onEnd({});
+    } else {
+        onEnd(tl::unexpected(HttpCallFailure{ error_ ? error_ : make_error_code(ErrorCode::EndpointLost), wasOffered_ }));
+    }
+}
+
+void HttpCall::abandon()
+{
+    if (!connection_) {
+        return;
+    }
+    const auto self = std::exchange(self_, nullptr);
+    unwatchOutput();
+    if (request_ != nullptr) {
+        evhttp_cancel_request(std::exchange(request_, nullptr));
+    }
+    connection_.reset();
+}
+
+void HttpCall::watchOutput()
+{
+    auto *output = bufferevent_get_output(evhttp_connection_get_bufferevent(connection_->handle()));
+    evbuffer_add_cb(output, &HttpCall::onOutputChanged, this);
+}
+
+void HttpCall::unwatchOutput()
+{
+    auto *output = bufferevent_get_output(evhttp_connection_get_bufferevent(connection_->handle()));
+    evbuffer_remove_cb(output, &HttpCall::onOutputChanged, this);
+}
+
+bool HttpCall::mayBeReused(evhttp_request *request) const
+{
+    const auto *fields = evhttp_request_get_input_headers(request);
+    const char *connection = evhttp_find_header(fields, "Connection");
+    return connection == nullptr || !isSameHeader(connection, "close");
+}
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/http/httpclient.cpp
@@ -0,0 +1,57 @@
+#include "http/httpclient.h"
+
+#include <utility>
+
+#include "http/httpcall.h"
+#include "http/httpconnection.h"
+#include "http/httprequest.h"
+#include "task/eventloop.h"
+
+namespace cowsliphead
+{
+
+HttpClient::HttpClient(EventLoop &loop, std::string host, std::uint16_t port, std::chrono::milliseconds timeout)
+    : loop_(loop)
+    , host_(std::move(host))
+    , port_(port)
+    , timeout_(timeout)
+    , idle_(std::make_shared<IdleConnections>())
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+std::shared_ptr<HttpCall> HttpClient::call(const HttpRequest &request, HttpCallEvents events)
+{
+    auto returnConnection = [idle = std::weak_ptr(idle_), &loop = loop_](std::unique_ptr<HttpConnection> connection) {
+        if (const auto connections = idle.lock()) {
+            connections->push_back(std::move(connection));
+        } else {
+            loop.defer([late = std::shared_ptr<HttpConnection>(std::move(connection))] {});
+        }
+    };
+    auto call = std::make_shared<HttpCall>(loop_, takeConnection(), std::move(events), std::move(returnConnection));
+    auto addressed = request;
+    if (headerValue(addressed.headers_, "Host").empty()) {
+        addressed.headers_.emplace_back("Host", host_ + ":" + std::to_string(port_));
+    }
+    call->start(addressed);
+    return call;
+}
+
+std::size_t HttpClient::idleConnectionCount() const
+{
+    return idle_->size();
+}
+
+std::unique_ptr<HttpConnection> HttpClient::takeConnection()
+{
+    if (idle_->empty()) {
+        return std::make_unique<HttpConnection>(loop_, host_, port_, timeout_);
+    }
+    auto connection = std::move(idle_->back());
+    idle_->pop_back();
+    return connection;
+}
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/http/httpconnection.cpp
@@ -0,0 +1,30 @@
+#include "http/httpconnection.h"
+
+#include <event2/http.h>
+
+#include "task/eventloop.h"
+#include "task/timevalue.h"
+
+namespace cowsliphead
+{
+
+HttpConnection::HttpConnection(EventLoop &loop, const std::string &host, std::uint16_t port, std::chrono::milliseconds timeout)
+    : connection_(evhttp_connection_base_new(loop.base(), nullptr, host.c_str(), port))
+{
+    const timeval value = toTimeValue(timeout);
+    evhttp_connection_set_timeout_tv(connection_.get(), &value);
+}
+
+HttpConnection::~HttpConnection() = default;
+
+evhttp_connection *HttpConnection::handle() const
+{
+    return connection_.get();
+}
+
+void HttpConnection::FreeConnection::operator()(evhttp_connection *connection) const
+{
+    evhttp_connection_free(connection);
+}
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/http/httpresponsehead.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "http/httpheaders.h"
+
+namespace cowsliphead
+{
+
+/// Status and header fields of a response.
+struct HttpResponseHead {
+    int status_ = 200;
+    HttpHeaders headers_;
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/http/httpstatus.h
@@ -0,0 +1,23 @@
+#pragma once
+
+namespace cowsliphead::httpstatus
+{
+
+constexpr int Ok = 200;
+constexpr int BadRequest = 400;
+constexpr int Unauthorized = 401;
+constexpr int Forbidden = 403;
+constexpr int NotFound = 404;
+constexpr int MethodNotAllowed = 405;
+constexpr int RequestTimeout = 408;
+constexpr int Conflict = 409;
+constexpr int PreconditionFailed = 412;
+constexpr int PayloadTooLarge = 413;
+constexpr int UnprocessableContent = 422;
+constexpr int TooManyRequests = 429;
+constexpr int InternalServerError = 500;
+constexpr int BadGateway = 502;
+constexpr int ServiceUnavailable = 503;
+constexpr int GatewayTimeout = 504;
+
+} // namespace cowsliphead::httpstatus
--- /dev/null
+++ b/src/logs/eventcatalogue.cpp
@@ -0,0 +1,34 @@
+#include "logs/eventcatalogue.h"
+
+#include <algorithm>
+#include <array>
+
+#include "logs/eventdescription.h"
+
+namespace cowsliphead
+{
+
+namespace
+{
+
+constexpr auto Catalogue = std::to_array<EventDescription>({
+    { LogEvent::DaemonStarted, LogLevel::Info, "daemon_started", "The daemon listens for callers." },
+    { LogEvent::DrainStarted, LogLevel::Info, "drain_started", "The daemon takes no new work and finishes what it has." },
+    { LogEvent::DaemonStopped, LogLevel::Info, "daemon_stopped", "All answers are written out, and the daemon ends." },
+    { LogEvent::RecordsAdvanced, LogLevel::Debug, "records_advanced", "The daemon's records are at a newer revision." },
+    { LogEvent::StoreNotAnswering, LogLevel::Warning, "store_not_answering", "The platform's store did not answer; the daemon tries again." },
+});
+
+}
+
+std::span<const EventDescription> eventCatalogue()
+{
+    return Catalogue;
+}
+
+const EventDescription &describeEvent(LogEvent event)
+{
+    return *std::find_if(Catalogue.begin(), Catalogue.end(), [event](const EventDescription &known) { return known.event_ == event; });
+}
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/logs/log.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <initializer_list>
+
+#include "logs/logevent.h"
+#include "logs/logfield.h"
+
+namespace cowsliphead
+{
+
+/// Writes an event to the log. No field may hold a caller's key. Thread safety: any thread.
+void logEvent(LogEvent event, std::initializer_list<LogField> fields = {});
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/logs/logevent.h
@@ -0,0 +1,30 @@
+#pragma once
+
+namespace cowsliphead
+{
+
+/// The numbered events of the log. A number is never used for anything else; docs/EVENTS.md says what each one means.
+enum class LogEvent {
+    // 100 to 199: the daemon
+    DaemonStarted = 100,
+    DrainStarted = 101,
+    DaemonStopped = 102,
+
+    // 200 to 299: callers and requests
+
+    // 300 to 399: endpoints
+
+    // 400 to 499: records and their spreading
+    RecordsAdvanced = 400,
+    StoreNotAnswering = 401,
+
+    // 500 to 599: claims
+
+    // 600 to 699: duties and leases
+
+    // 700 to 799: usage and reports
+
+    // 800 to 899: peers and membership
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/logs/logformat.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace cowsliphead
+{
+
+/// How the log's lines look.
+enum class LogFormat {
+    Text,
+    Json,
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/operate/commands.h
@@ -0,0 +1,21 @@
+#pragma once
+
+namespace cowsliphead::commands
+{
+
+/// Runs a daemon, or with --embedded a daemon and its stand-ins. Returns an exit code.
+int serve(int argc, char **argv);
+
+/// Checks a settings file. Returns an exit code.
+int config(int argc, char **argv);
+
+/// Writes, withdraws and shows records. Returns an exit code.
+int record(int argc, char **argv);
+
+/// Creates a key. Returns an exit code.
+int key(int argc, char **argv);
+
+/// Runs a stand-in. Returns an exit code.
+int standin(int argc, char **argv);
+
+} // namespace cowsliphead::commands
--- /dev/null
+++ b/src/operate/configcommand.cpp
@@ -0,0 +1,46 @@
+#include <iostream>
+
+#include <cxxopts.hpp>
+
+#include "operate/commands.h"
+#include "operate/exitcode.h"
+#include "operate/parsesettings.h"
+#include "operate/readfile.h"
+
+namespace cowsliphead::commands
+{
+
+int config(int argc, char **argv)
+{
+    cxxopts::Options options("cowsliphead config", "Checks a settings file. Exit codes: 0 in order, 2 wrong input.");
+    auto add = options.add_options();
+    add("action", "check", cxxopts::value<std::string>());
+    add("file", "Settings file, - for standard input", cxxopts::value<std::string>());
+    add("h,help", "Show this help");
+    options.parse_positional({ "action", "file" });
+    options.positional_help("check FILE");
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") > 0) {
+        std::cout << options.help();
+        return exitcode::Success;
+    }
+    if (parsed.count("file") == 0 || parsed["action"].as<std::string>() != "check") {
+        std::cerr << options.help();
+        return exitcode::WrongInput;
+    }
+    const auto file = parsed["file"].as<std::string>();
+    const auto text = readFile(file);
+    if (!text) {
+        std::cerr << file << ": " << text.error().message() << "\n";
+        return exitcode::WrongInput;
+    }
+    const auto settings = parseSettings(*text);
+    if (!settings) {
+        std::cerr << file << ": " << settings.error().describe() << "\n";
+        return exitcode::WrongInput;
+    }
+    std::cout << file << ": in order\n";
+    return exitcode::Success;
+}
+
+} // namespace cowsliphead::commands
--- /dev/null
+++ b/src/operate/daemon.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstdint>
+
+#include "core/result.h"
+#include "duty/followerbehaviour.h"
+#include "operate/daemonsettings.h"
+#include "serve/servebehaviour.h"
+#include "task/task.h"
+
+namespace cowsliphead
+{
+
+/// The tasks of one daemon and the addresses that join them.
+class Daemon
+{
+public:
+    /// Starts all tasks. Returns the port towards callers. Precondition: called once. Thread safety: owner only.
+    /// Errors: ListenFailed.
+    Result<std::uint16_t> start(const DaemonSettings &settings);
+
+    /// Takes no new work, and returns once all answers are written out. Thread safety: owner only.
+    void drain();
+
+private:
+    Task<ServeBehaviour> serve_;
+    Task<FollowerBehaviour> follower_;
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/operate/parsesettings.cpp
@@ -0,0 +1,84 @@
+#include "operate/parsesettings.h"
+
+#include <limits>
+
+#include <nlohmann/json.hpp>
+
+#include "records/fieldreader.h"
+#include "records/jsontext.h"
+
+namespace cowsliphead
+{
+
+namespace
+{
+
+constexpr std::uint64_t LargestPort = std::numeric_limits<std::uint16_t>::max();
+constexpr std::uint64_t LargestBody = std::uint64_t(1) << 30U;
+constexpr std::uint64_t MostRequests = 1000000;
+
+using SectionMistake = std::optional<Mistake>;
+
+std::uint16_t readPort(FieldReader &fields, std::uint64_t smallest)
+{
+    const auto port = fields.numberOr("port", 0, smallest, LargestPort);
+    if (port < smallest) {
+        fields.report("port", "nothing", "a port number");
+    }
+    return static_cast<std::uint16_t>(port);
+}
+
+SectionMistake readCallers(const nlohmann::json &section, ServeSettings &settings)
+{
+    FieldReader fields(section, "/callers", ErrorCode::SettingsMalformed);
+    settings.address_ = fields.textOr("address", settings.address_);
+    settings.port_ = readPort(fields, 0);
+    settings.limits_.maxBodyBytes_ = fields.numberOr("maxBodyBytes", settings.limits_.maxBodyBytes_, 1, LargestBody);
+    settings.limits_.maxConcurrentRequests_ = fields.numberOr("maxConcurrentRequests", settings.limits_.maxConcurrentRequests_, 1, MostRequests);
+    settings.limits_.readTimeout_ = fields.millisecondsOr("readTimeoutMs", settings.limits_.readTimeout_);
+    settings.limits_.writeTimeout_ = fields.millisecondsOr("writeTimeoutMs", settings.limits_.writeTimeout_);
+    fields.refuseOthers();
+    return fields.mistake();
+}
+
+SectionMistake readStore(const nlohmann::json &section, StoreSettings &settings)
+{
+    FieldReader fields(section, "/store", ErrorCode::SettingsMalformed);
+    settings.host_ = fields.textOr("host", settings.host_);
+    settings.port_ = readPort(fields, 1);
+    settings.timeout_ = fields.millisecondsOr("timeoutMs", settings.timeout_);
+    fields.refuseOthers();
+    return fields.mistake();
+}
+
+} // namespace
+
+tl::expected<DaemonSettings, Mistake> parseSettings(const std::string &text)
+{
+    const auto document = parseJsonText(text, ErrorCode::SettingsMalformed);
+    if (!document) {
+        return tl::unexpected(document.error());
+    }
+    DaemonSettings settings;
+    FieldReader fields(*document, {}, ErrorCode::SettingsMalformed);
+    settings.serve_.instance_ = InstanceId(fields.text("instance"));
+    settings.serve_.failureDomain_ = FailureDomain(fields.text("failureDomain"));
+    const auto *callers = fields.object("callers");
+    const auto *store = fields.object("store");
+    if (store == nullptr) {
+        fields.report("store", "nothing", "an object");
+    }
+    fields.refuseOthers();
+    if (fields.mistake()) {
+        return tl::unexpected(*fields.mistake());
+    }
+    if (const auto mistake = callers == nullptr ? SectionMistake() : readCallers(*callers, settings.serve_)) {
+        return tl::unexpected(*mistake);
+    }
+    if (const auto mistake = readStore(*store, settings.store_)) {
+        return tl::unexpected(*mistake);
+    }
+    return settings;
+}
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/operate/servecommand.cpp
@@ -0,0 +1,95 @@
+#include <iostream>
+
+#include <cxxopts.hpp>
+
+#include "logs/logsetup.h"
+#include "operate/commands.h"
+#include "operate/daemon.h"
+#include "operate/embedded.h"
+#include "operate/exitcode.h"
+#include "operate/parsesettings.h"
+#include "operate/readfile.h"
+#include "operate/stopsignal.h"
+
+namespace cowsliphead::commands
+{
+
+namespace
+{
+
+void setUpLoggingFrom(const cxxopts::ParseResult &parsed)
+{
+    const auto format = parsed["log-format"].as<std::string>() == "json" ? LogFormat::Json : LogFormat::Text;
+    setUpLogging(format, parsed.count("verbose") > 0 ? LogLevel::Debug : LogLevel::Info);
+}
+
+int serveEmbedded(std::uint16_t port)
+{
+    const StopSignal stopSignal;
+    Embedded embedded;
+    const auto access = embedded.start(port);
+    if (!access) {
+        std::cerr << "cowsliphead: cannot start: " << access.error().message() << "\n";
+        return exitcode::Failed;
+    }
+    std::cout << access->toJson() << std::endl;
+    std::cerr << access->curlLine() << std::endl;
+    stopSignal.wait();
+    embedded.drain();
+    return exitcode::Success;
+}
+
+int serveFrom(const std::string &file)
+{
+    const auto text = readFile(file);
+    if (!text) {
+        std::cerr << "cowsliphead: " << file << ": " << text.error().message() << "\n";
+        return exitcode::WrongInput;
+    }
+    const auto settings = parseSettings(*text);
+    if (!settings) {
+        std::cerr << "cowsliphead: " << file << ": " << settings.error().describe() << "\n";
+        return exitcode::WrongInput;
+    }
+    const StopSignal stopSignal;
+    Daemon daemon;
+    const auto port = daemon.start(*settings);
+    if (!port) {
+        std::cerr << "cowsliphead: cannot start: " << port.error().message() << "\n";
+        return exitcode::Failed;
+    }
+    std::cout << R"({"port":)" << *port << "}" << std::endl;
+    stopSignal.wait();
+    daemon.drain();
+    return exitcode::Success;
+}
+
+} // namespace
+
+int serve(int argc, char **argv)
+{
+    cxxopts::Options options("cowsliphead serve", "Runs a daemon. Exit codes: 0 stopped by a signal, 1 cannot start, 2 wrong input.");
+    auto add = options.add_options();
+    add("config", "Settings file, JSON with comments", cxxopts::value<std::string>());
+    add("embedded", "Run with a store, two engines and a plain service as tasks of this process");
+    add("port", "Port towards callers with --embedded; 0: a free one", cxxopts::value<std::uint16_t>()->default_value("8080"));
+    add("log-format", "text or json", cxxopts::value<std::string>()->default_value("text"));
+    add("verbose", "Log debugging events too");
+    add("h,help", "Show this help");
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") > 0) {
+        std::cout << options.help();
+        return exitcode::Success;
+    }
+    setUpLoggingFrom(parsed);
+    if (parsed.count("embedded") > 0) {
+        return serveEmbedded(parsed["port"].as<std::uint16_t>());
+    }
+    if (parsed.count("config") == 0) {
+        std::cerr << options.help();
+        return exitcode::WrongInput;
+    }
+    return serveFrom(parsed["config"].as<std::string>());
+}
+
+} // namespace cowsliphead::commands
--- /dev/null
+++ b/src/records/changecodec.cpp
@@ -0,0 +1,47 @@
+#include "records/changecodec.h"
+
+#include <nlohmann/json.hpp>
+
+#include "core/errorcode.h"
+
+namespace cowsliphead
+{
+
+namespace
+{
+
+constexpr const char *PutWord = "put";
+constexpr const char *WithdrawWord = "withdraw";
+
+} // namespace
+
+std::string encodeChange(const Change &change)
+{
+    const nlohmann::json document = {
+        { "change", change.changeId_.value() },
+        { "action", change.action_ == ChangeAction::Put ? PutWord : WithdrawWord },
+        { "kind", change.key_.kind_ },
+        { "name", change.key_.name_ },
+        { "text", change.text_ },
+    };
+    return document.dump();
+}
+
+Result<Change> decodeChange(Revision revision, const std::string &text)
+{
+    try {
+        const auto document = nlohmann::json::parse(text);
+        Change change;
+        change.revision_ = revision;
+        change.changeId_ = ChangeId(document.at("change").get<std::string>());
+        change.action_ = document.at("action").get<std::string>() == WithdrawWord ? ChangeAction::Withdraw : ChangeAction::Put;
+        change.key_.kind_ = document.at("kind").get<std::string>();
+        change.key_.name_ = document.at("name").get<std::string>();
+        change.text_ = document.at("text").get<std::string>();
+        return change;
+    } catch (const nlohmann::json::exception &) {
+        return failure(ErrorCode::CodecMalformed);
+    }
+}
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/records/jsontext.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string>
+
+#include <nlohmann/json_fwd.hpp>
+#include <tl/expected.hpp>
+
+#include "core/errorcode.h"
+#include "records/mistake.h"
+
+namespace cowsliphead
+{
+
+/// Parses JSON with comments. Errors: a Mistake of the given code, with line and column. Thread safety: any thread.
+tl::expected<nlohmann::json, Mistake> parseJsonText(const std::string &text, ErrorCode code);
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/records/logkey.cpp
@@ -0,0 +1,33 @@
+#include "records/logkey.h"
+
+#include <charconv>
+
+namespace cowsliphead
+{
+
+namespace
+{
+
+constexpr std::size_t RevisionDigits = 20;
+
+}
+
+std::string logKey(Revision revision)
+{
+    const auto digits = std::to_string(revision);
+    return LogPrefix + std::string(RevisionDigits - digits.size(), '0') + digits;
+}
+
+Revision revisionOfLogKey(const std::string &key)
+{
+    const std::string prefix = LogPrefix;
+    if (!key.starts_with(prefix)) {
+        return 0;
+    }
+    Revision revision = 0;
+    const auto *end = key.data() + key.size();
+    const auto parsed = std::from_chars(key.data() + prefix.size(), end, revision);
+    return parsed.ptr == end && parsed.ec == std::errc() ? revision : 0;
+}
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/records/mistake.cpp
@@ -0,0 +1,11 @@
+#include "records/mistake.h"
+
+namespace cowsliphead
+{
+
+std::string Mistake::describe() const
+{
+    return code_.message() + " at " + place_ + ": found " + found_ + ", expected " + expected_;
+}
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/records/modelrecord.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string>
+
+#include "core/modelid.h"
+
+namespace cowsliphead
+{
+
+/// A model, and the version of it that new requests get.
+struct ModelRecord {
+    ModelId model_;
+    std::string version_;
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/serve/activerequest.cpp
@@ -0,0 +1,235 @@
+#include "serve/activerequest.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "caller/callerexchange.h"
+#include "caller/errorresponse.h"
+#include "core/errorcode.h"
+#include "decide/attemptfailure.h"
+#include "decide/requestfacts.h"
+#include "endpoint/endpointheaders.h"
+#include "endpoint/forwardedrequest.h"
+#include "http/httpcall.h"
+#include "http/httpstatus.h"
+#include "records/recordset.h"
+#include "serve/servingcontext.h"
+
+namespace cowsliphead
+{
+
+namespace
+{
+
+bool serves(const EndpointRecord &endpoint, const RequestTarget &target)
+{
+    if (endpoint.isDraining_) {
+        return false;
+    }
+    if (target.model_.isEmpty()) {
+        return endpoint.kind_ == EndpointKind::Service && endpoint.service_ == target.service_;
+    }
+    return endpoint.kind_ == EndpointKind::Engine && std::find(endpoint.models_.begin(), endpoint.models_.end(), target.model_) != endpoint.models_.end();
+}
+
+bool isRefusal(int status)
+{
+    return status == httpstatus::ServiceUnavailable || status == httpstatus::TooManyRequests;
+}
+
+} // namespace
+
+ActiveRequest::ActiveRequest(
+    ServingContext &context, RequestPlan plan, const RequestFacts &facts, HttpRequest request, std::shared_ptr<CallerExchange> exchange)
+    : context_(context)
+    , plan_(std::move(plan))
+    , machine_(plan_.traits_)
+    , request_(std::move(request))
+    , key_(facts.key_)
+    , isStreamed_(facts.isStreamed_)
+    , exchange_(std::move(exchange))
+    , sequence_(context.nextRequest_++)
+    , silence_(context.loop_, [this] { onSilence(); })
+{
+}
+
+ActiveRequest::~ActiveRequest()
+{
+    if (call_) {
+        call_->cancel();
+    }
+}
+
+void ActiveRequest::start(OnEnd onEnd)
+{
+    onEnd_ = std::move(onEnd);
+    exchange_->onCallerLeft([this] { onCallerLeft(); });
+    take(machine_.begin(context_.clock_.now()));
+}
+
+void ActiveRequest::take(const RequestStep &step)
+{
+    std::visit([this](const auto &known) { carryOut(known); }, step);
+}
+
+void ActiveRequest::carryOut(const WaitStep & /*step*/)
+{
+}
+
+void ActiveRequest::carryOut(const ClaimStep & /*step*/)
+{
+    take(machine_.claimRefused(make_error_code(ErrorCode::StoreUnavailable)));
+}
+
+void ActiveRequest::carryOut(const DispatchStep &step)
+{
+    const auto *endpoint = chooseEndpoint();
+    if (endpoint == nullptr) {
+        take(machine_.noEndpoint());
+        return;
+    }
+    send(*endpoint, step.attempt_);
+}
+
+void ActiveRequest::carryOut(const CompleteStep & /*step*/)
+{
+    if (isStreamed_) {
+        exchange_->endChunks();
+    } else {
+        exchange_->reply(callerHead(), answerBody_);
+    }
+    finish();
+}
+
+void ActiveRequest::carryOut(const FailStep &step)
+{
+    if (exchange_->isStarted()) {
+        exchange_->abort();
+    } else {
+        exchange_->reply(errorHead(step.code_, step.outcome_), errorBody(step.code_));
+    }
+    finish();
+}
+
+const EndpointRecord *ActiveRequest::chooseEndpoint() const
+{
+    std::vector<const EndpointRecord *> candidates;
+    for (const auto *endpoint : context_.records_->allOf<EndpointRecord>()) {
+        if (serves(*endpoint, plan_.target_) && !failedEndpoints_.contains(endpoint->endpoint_)) {
+            candidates.push_back(endpoint);
+        }
+    }
+    return context_.chooser_.choose(candidates, [this](const EndpointId &endpoint) { return context_.pool_.load(endpoint); });
+}
+
+void ActiveRequest::send(const EndpointRecord &endpoint, std::uint32_t attempt)
+{
+    endpoint_ = endpoint.endpoint_;
+    attemptId_ = context_.incarnation_ + "-" + std::to_string(sequence_) + "-" + std::to_string(attempt);
+    answerHead_ = {};
+    answerBody_.clear();
+    HttpCallEvents events;
+    events.onHead_ = [this](const HttpResponseHead &head) { onHead(head); };
+    events.onData_ = [this](std::string_view data) { onData(data); };
+    events.onEnd_ = [this](const tl::expected<void, HttpCallFailure> &end) { onEnd(end); };
+    call_ = context_.pool_.call(endpoint, forwardedRequest(request_, endpoint, key_, attemptId_), std::move(events));
+    silence_.startOnce(plan_.firstByteTimeout_);
+}
+
+void ActiveRequest::onHead(const HttpResponseHead &head)
+{
+    answerHead_ = head;
+    if (headerValue(head.headers_, endpointheaders::RequestId) != attemptId_) {
+        failAttempt({ make_error_code(ErrorCode::EndpointAnswerMalformed), true, false });
+        return;
+    }
+    const bool isEngine = !plan_.target_.model_.isEmpty();
+    if (isEngine && isRefusal(head.status_)) {
+        failAttempt({ make_error_code(ErrorCode::EndpointRefused), true, true });
+    } else if (isEngine && head.status_ >= httpstatus::InternalServerError) {
+        failAttempt({ make_error_code(ErrorCode::EndpointLost), true, false });
+    } else if (head.status_ != httpstatus::Ok) {
+        isStreamed_ = false;
+    }
+}
+
+void ActiveRequest::onData(std::string_view data)
+{
+    silence_.startOnce(plan_.silenceTimeout_);
+    if (isStreamed_) {
+        forwardStreamed(data);
+    } else {
+        answerBody_.append(data);
+    }
+}
+
+void ActiveRequest::forwardStreamed(std::string_view data)
+{
+    if (!exchange_->isStarted()) {
+        machine_.answerStarted();
+        exchange_->startChunks(callerHead());
+    }
+    exchange_->sendChunk(data);
+}
+
+void ActiveRequest::onEnd(const tl::expected<void, HttpCallFailure> &end)
+{
+    if (!end) {
+        failAttempt({ end.error().code_, end.error().wasOffered_, false });
+        return;
+    }
+    releaseEndpoint();
+    take(machine_.answerEnded());
+}
+
+void ActiveRequest::onSilence()
+{
+    const bool wasOffered = call_->wasOffered();
+    failAttempt({ make_error_code(ErrorCode::EndpointTimedOut), wasOffered, false });
+}
+
+void ActiveRequest::onCallerLeft()
+{
+    finish();
+}
+
+void ActiveRequest::failAttempt(const AttemptFailure &attempt)
+{
+    failedEndpoints_.insert(endpoint_);
+    releaseEndpoint();
+    const bool mayRetry = !exchange_->isStarted();
+    take(machine_.attemptFailed(attempt, mayRetry, context_.clock_.now()));
+}
+
+void ActiveRequest::releaseEndpoint()
+{
+    silence_.cancel();
+    if (call_) {
+        std::exchange(call_, nullptr)->cancel();
+        context_.pool_.release(endpoint_);
+    }
+}
+
+HttpResponseHead ActiveRequest::callerHead() const
+{
+    HttpResponseHead head;
+    head.status_ = answerHead_.status_;
+    const auto contentType = headerValue(answerHead_.headers_, "Content-Type");
+    if (!contentType.empty()) {
+        head.headers_.emplace_back("Content-Type", contentType);
+    }
+    head.headers_.emplace_back(OutcomeHeader, outcomeName(Outcome::Run));
+    return head;
+}
+
+void ActiveRequest::finish()
+{
+    releaseEndpoint();
+    exchange_->onCallerLeft(nullptr);
+    if (const auto onEnd = std::exchange(onEnd_, nullptr)) {
+        onEnd();
+    }
+}
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/serve/servebehaviour.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <memory>
+#include <variant>
+
+#include "caller/callerserver.h"
+#include "core/result.h"
+#include "records/recordsnapshot.h"
+#include "serve/drainrequest.h"
+#include "serve/servesettings.h"
+#include "serve/servingcontext.h"
+
+namespace cowsliphead
+{
+
+class ActiveRequest;
+class EventLoop;
+struct RequestFacts;
+
+/// Takes in callers' requests and answers them from endpoints. A task's behaviour; it owns all sockets of both sides.
+class ServeBehaviour
+{
+public:
+    using Message = std::variant<RecordSnapshot, DrainRequest>;
+
+    /// Precondition: the loop outlives the behaviour. Thread safety: the loop's task only.
+    ServeBehaviour(EventLoop &loop, const ServeSettings &settings);
+    ~ServeBehaviour();
+
+    /// Returns the port. Errors: ListenFailed. Thread safety: the loop's task only.
+    Result<std::uint16_t> listen();
+
+    /// Thread safety: the loop's task only.
+    void receive(Message message);
+
+private:
+    void handle(HttpRequest request, const std::shared_ptr<CallerExchange> &exchange);
+    void begin(const RequestFacts &facts, HttpRequest request, const std::shared_ptr<CallerExchange> &exchange);
+    void refuse(CallerExchange &exchange, std::error_code code) const;
+    void listModels(const HttpRequest &request, CallerExchange &exchange) const;
+    void take(RecordSnapshot records);
+    void take(DrainRequest request);
+    void stopIfDrained();
+
+    ServeSettings settings_;
+    ServingContext context_;
+    std::list<std::unique_ptr<ActiveRequest>> active_;
+    bool isDraining_ = false;
+    CallerServer server_;
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/serve/servesettings.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "caller/callerlimits.h"
+#include "core/failuredomain.h"
+#include "core/instanceid.h"
+
+namespace cowsliphead
+{
+
+/// Where the serving task listens, and who it is.
+struct ServeSettings {
+    InstanceId instance_;
+    FailureDomain failureDomain_;
+    std::string address_ = "127.0.0.1";
+    std::uint16_t port_ = 0;
+    CallerLimits limits_;
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/serve/servingcontext.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "core/failuredomain.h"
+#include "core/systemclock.h"
+#include "decide/endpointchooser.h"
+#include "endpoint/endpointpool.h"
+#include "records/recordsnapshot.h"
+
+namespace cowsliphead
+{
+
+class EventLoop;
+
+/// What the requests of one serving task share. It belongs to that task.
+struct ServingContext {
+    EventLoop &loop_;
+    SystemClock clock_;
+    RecordSnapshot records_;
+    EndpointPool pool_;
+    EndpointChooser chooser_;
+    FailureDomain failureDomain_;
+
+    /// Identifies this run of the instance, so that no two attempts of the fleet have the same identifier.
+    std::string incarnation_;
+    std::uint64_t nextRequest_ = 1;
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/store/storereply.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <functional>
+
+#include "core/result.h"
+
+namespace cowsliphead
+{
+
+/// Called once with what the store answered. StoreUnavailable means that a write may or may not have taken effect.
+template <typename T>
+using StoreReply = std::function<void(Result<T>)>;
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/task/eventloop.cpp
@@ -0,0 +1,61 @@
+#include "task/eventloop.h"
+
+#include <utility>
+
+#include <event2/event.h>
+
+namespace cowsliphead
+{
+
+EventLoop::EventLoop()
+    : base_(event_base_new())
+    , deferredEvent_(evtimer_new(base_.get(), &EventLoop::onDeferred, this))
+{
+}
+
+EventLoop::~EventLoop()
+{
+    // Deferred actions may own objects of this loop, which have to go before it.
+    deferred_.clear();
+}
+
+void EventLoop::run()
+{
+    event_base_loop(base_.get(), EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+void EventLoop::stop()
+{
+    event_base_loopbreak(base_.get());
+}
+
+void EventLoop::defer(std::function<void()> action)
+{
+    deferred_.push_back(std::move(action));
+    event_active(deferredEvent_.get(), EV_TIMEOUT, 0);
+}
+
+event_base *EventLoop::base() const
+{
+    return base_.get();
+}
+
+void EventLoop::onDeferred(int /*descriptor*/, short /*what*/, void *self)
+{
+    const auto actions = std::exchange(static_cast<EventLoop *>(self)->deferred_, {});
+    for (const auto &action : actions) {
+        action();
+    }
+}
+
+void EventLoop::FreeBase::operator()(event_base *base) const
+{
+    event_base_free(base);
+}
+
+void EventLoop::FreeEvent::operator()(event *deferredEvent) const
+{
+    event_free(deferredEvent);
+}
+
+} // namespace cowsliphead
--- /dev/null
+++ b/tests/store/memorystoretest.cpp
@@ -0,0 +1,85 @@
+#include <boost/test/unit_test.hpp>
+
+#include "core/errorcode.h"
+#include "core/virtualclock.h"
+#include "store/memorystore.h"
+
+using namespace cowsliphead;
+
+namespace
+{
+
+struct Fixture {
+    Result<StoreRevision> write(const std::string &key, StoreRevision expected, const LeaseId &lease = {})
+    {
+        StoreWrite write;
+        write.key_ = key;
+        write.value_ = "value";
+        write.expectedRevision_ = expected;
+        write.lease_ = lease;
+        return store_.compareAndSwap(write, clock_.now());
+    }
+
+    VirtualClock clock_;
+    MemoryStore store_;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_store)
+
+BOOST_FIXTURE_TEST_SUITE(compares_and_swaps, Fixture)
+
+BOOST_AUTO_TEST_CASE(so_that_only_the_first_of_two_creates)
+{
+    BOOST_TEST(write("a", 0).has_value());
+    BOOST_TEST(write("a", 0).error() == ErrorCode::StoreConflict);
+}
+
+BOOST_AUTO_TEST_CASE(so_that_an_old_revision_changes_nothing)
+{
+    const auto first = write("a", 0);
+    BOOST_TEST(write("a", *first).has_value());
+    BOOST_TEST(write("a", *first).error() == ErrorCode::StoreConflict);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(lets_a_lease_lapse, Fixture)
+
+BOOST_AUTO_TEST_CASE(and_its_keys_go_with_it)
+{
+    const auto lease = store_.grantLease(std::chrono::seconds(5), clock_.now());
+    write("duty", 0, lease);
+    clock_.advance(std::chrono::seconds(6));
+    BOOST_TEST(!store_.read("duty", clock_.now()).has_value());
+    BOOST_TEST(store_.renewLease(lease, clock_.now()).error() == ErrorCode::StoreLeaseUnknown);
+}
+
+BOOST_AUTO_TEST_CASE(unless_it_is_renewed)
+{
+    const auto lease = store_.grantLease(std::chrono::seconds(5), clock_.now());
+    write("duty", 0, lease);
+    clock_.advance(std::chrono::seconds(4));
+    BOOST_TEST(store_.renewLease(lease, clock_.now()).has_value());
+    clock_.advance(std::chrono::seconds(4));
+    BOOST_TEST(store_.read("duty", clock_.now()).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(tells_a_watch, Fixture)
+
+BOOST_AUTO_TEST_CASE(what_was_written_since_in_the_order_of_the_writes)
+{
+    const auto first = write("log/1", 0);
+    write("other", 0);
+    write("log/2", 0);
+    const auto answer = store_.changesSince("log/", *first, clock_.now());
+    BOOST_REQUIRE(answer.entries_.size() == 1);
+    BOOST_TEST(answer.entries_.front().key_ == "log/2");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
