Scenarios: stories in Lua against separate processes

Cause: the path was shown only inside one process. A small language on Lua 5.4 starts, pauses, kills and asks processes of the program, and a first story serves through a store, two engines and two daemons, withdraws a key and stops a daemon in mid-stream.

Ruled out: a shell script, which cannot look into a stream under way.

--- /dev/null
+++ b/tests/scenarios/luajson.cpp
@@ -0,0 +1,85 @@
+#include "scenarios/luajson.h"
+
+#include <lua.hpp>
+#include <nlohmann/json.hpp>
+
+namespace cowsliphead::scenarios
+{
+
+namespace
+{
+
+nlohmann::json tableFromLua(lua_State *lua, int place)
+{
+    const auto length = lua_rawlen(lua, place);
+    if (length > 0) {
+        auto list = nlohmann::json::array();
+        for (lua_Integer index = 1; index <= static_cast<lua_Integer>(length); ++index) {
+            lua_rawgeti(lua, place, index);
+            list.push_back(jsonFromLua(lua, lua_gettop(lua)));
+            lua_pop(lua, 1);
+        }
+        return list;
+    }
+    auto object = nlohmann::json::object();
+    lua_pushnil(lua);
+    while (lua_next(lua, place) != 0) {
+        lua_pushvalue(lua, -2);
+        object[lua_tostring(lua, -1)] = jsonFromLua(lua, lua_gettop(lua) - 1);
+        lua_pop(lua, 2);
+    }
+    return object;
+}
+
+} // namespace
+
+nlohmann::json jsonFromLua(lua_State *lua, int place)
+{
+    switch (lua_type(lua, place)) {
+    case LUA_TBOOLEAN:
+        return lua_toboolean(lua, place) != 0;
+    case LUA_TNUMBER:
+        if (lua_isinteger(lua, place) != 0) {
+            const auto number = lua_tointeger(lua, place);
+            return number >= 0 ? nlohmann::json(static_cast<std::uint64_t>(number)) : nlohmann::json(number);
+        }
+        return lua_tonumber(lua, place);
+    case LUA_TSTRING:
+        return std::string(lua_tostring(lua, place));
+    case LUA_TTABLE:
+        return tableFromLua(lua, lua_absindex(lua, place));
+    default:
+        return nullptr;
+    }
+}
+
+void pushJson(lua_State *lua, const nlohmann::json &value)
+{
+    if (value.is_boolean()) {
+        lua_pushboolean(lua, value.get<bool>() ? 1 : 0);
+    } else if (value.is_number_integer()) {
+        lua_pushinteger(lua, value.get<lua_Integer>());
+    } else if (value.is_number()) {
+        lua_pushnumber(lua, value.get<double>());
+    } else if (value.is_string()) {
+        const auto &text = value.get_ref<const std::string &>();
+        lua_pushlstring(lua, text.data(), text.size());
+    } else if (value.is_array()) {
+        lua_newtable(lua);
+        lua_Integer index = 0;
+        for (const auto &element : value) {
+            pushJson(lua, element);
+            lua_rawseti(lua, -2, ++index);
+        }
+    } else if (value.is_object()) {
+        lua_newtable(lua);
+        for (const auto &[name, element] : value.items()) {
+            pushJson(lua, element);
+            lua_setfield(lua, -2, name.c_str());
+        }
+    } else {
+        lua_pushnil(lua);
+    }
+}
+
+} // namespace cowsliphead::scenarios
--- /dev/null
+++ b/tests/scenarios/scenariostest.cpp
@@ -0,0 +1,29 @@
+#include <boost/test/unit_test.hpp>
+
+#include "scenarios/scenario.h"
+
+using namespace cowsliphead::scenarios;
+
+namespace
+{
+
+void tell(const std::string &story)
+{
+    const auto failure = runStory(story);
+    BOOST_TEST(!failure.has_value(), story + ": " + failure.value_or(""));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_small_site_of_separate_processes)
+
+BOOST_AUTO_TEST_SUITE(with_two_daemons)
+
+BOOST_AUTO_TEST_CASE(serves_withdraws_a_key_and_stops_without_a_cut)
+{
+    tell("separate_processes");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/scenarios/world.cpp
@@ -0,0 +1,149 @@
+#include "scenarios/world.h"
+
+#include <nlohmann/json.hpp>
+
+#include "http/httprequest.h"
+#include "operate/createkey.h"
+#include "operate/operatorclient.h"
+#include "task/timer.h"
+
+namespace cowsliphead::scenarios
+{
+
+namespace
+{
+
+constexpr const char *Loopback = "127.0.0.1";
+constexpr std::chrono::milliseconds CheckInterval{ 5 };
+constexpr std::chrono::minutes SilenceLimit{ 2 };
+
+HttpMethod methodFromName(const std::string &name)
+{
+    for (const auto method : { HttpMethod::Get, HttpMethod::Head, HttpMethod::Put, HttpMethod::Delete, HttpMethod::Patch, HttpMethod::Options }) {
+        if (name == httpMethodName(method)) {
+            return method;
+        }
+    }
+    return HttpMethod::Post;
+}
+
+HttpRequest requestFrom(const nlohmann::json &description)
+{
+    HttpRequest request;
+    request.method_ = methodFromName(description.value("method", "POST"));
+    request.path_ = description.value("path", "/v1/chat/completions");
+    request.query_ = description.value("query", "");
+    if (description.contains("key")) {
+        request.headers_.emplace_back("Authorization", "Bearer " + description["key"].get<std::string>());
+    }
+    if (description.contains("headers")) {
+        for (const auto &[name, value] : description["headers"].items()) {
+            request.headers_.emplace_back(name, value.get<std::string>());
+        }
+    }
+    request.body_ = description.contains("json") ? description["json"].dump() : description.value("body", "");
+    return request;
+}
+
+} // namespace
+
+World::World(std::string program)
+    : program_(std::move(program))
+{
+}
+
+World::~World()
+{
+    for (const auto &exchange : exchanges_) {
+        exchange->call_->cancel();
+    }
+}
+
+std::size_t World::start(const std::vector<std::string> &arguments, const std::string &input)
+{
+    processes_.push_back(std::make_unique<ChildProcess>(program_, arguments, input));
+    return processes_.size() - 1;
+}
+
+ChildProcess &World::process(std::size_t number)
+{
+    return *processes_.at(number);
+}
+
+void World::useStore(std::uint16_t port)
+{
+    store_.port_ = port;
+}
+
+std::uint64_t World::put(const std::string &text)
+{
+    OperatorClient client(store_);
+    const auto revision = client.put(text);
+    if (!revision) {
+        throw std::system_error(revision.error().code_, revision.error().describe());
+    }
+    return *revision;
+}
+
+std::uint64_t World::withdraw(const std::string &kind, const std::string &name)
+{
+    OperatorClient client(store_);
+    const auto revision = client.withdraw(RecordKey{ kind, name });
+    if (!revision) {
+        throw std::system_error(revision.error(), kind + "/" + name);
+    }
+    return *revision;
+}
+
+std::string World::createKey(const std::string &account)
+{
+    const auto created = cowsliphead::createKey(AccountId(account));
+    put(created.recordText_);
+    return created.key_;
+}
+
+std::size_t World::open(const nlohmann::json &description)
+{
+    const auto number = exchanges_.size();
+    auto *exchange = exchanges_.emplace_back(std::make_unique<Exchange>()).get();
+    exchange->client_ = std::make_unique<HttpClient>(loop_, Loopback, description.at("port").get<std::uint16_t>(), SilenceLimit);
+    HttpCallEvents events;
+    events.onHead_ = [exchange](const HttpResponseHead &head) { exchange->head_ = head; };
+    events.onData_ = [exchange](std::string_view data) { exchange->body_.append(data); };
+    events.onEnd_ = [exchange](const tl::expected<void, HttpCallFailure> &end) {
+        exchange->isEnded_ = true;
+        exchange->isWhole_ = end.has_value();
+    };
+    exchange->call_ = exchange->client_->call(requestFrom(description), std::move(events));
+    return number;
+}
+
+Exchange &World::exchange(std::size_t number)
+{
+    return *exchanges_.at(number);
+}
+
+void World::leave(std::size_t number)
+{
+    exchange(number).call_->cancel();
+}
+
+bool World::waitUntil(const std::function<bool()> &condition, std::chrono::milliseconds limit)
+{
+    const auto deadline = std::chrono::steady_clock::now() + limit;
+    bool holds = condition();
+    if (holds) {
+        return true;
+    }
+    Timer check(loop_, [&] {
+        holds = condition();
+        if (holds || std::chrono::steady_clock::now() >= deadline) {
+            loop_.stop();
+        }
+    });
+    check.startRepeating(CheckInterval);
+    loop_.run();
+    return holds;
+}
+
+} // namespace cowsliphead::scenarios
