Metrics and traces: a span for each hop, Prometheus text on its own listener

Cause: nothing told an operator what a daemon does. Each task keeps its own counters and Boost.Histogram distributions; a metrics task asks them by message and answers GET /metrics, so no counter is shared between threads. Requests and attempts end as spans that a trace task writes as OTLP/JSON to a file or a collector; W3C traceparent goes on to the endpoint.

Ruled out: one registry behind a lock, which the shape forbids.

--- /dev/null
+++ b/src/metrics/metrictext.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string>
+
+#include "metrics/metriclabels.h"
+
+namespace cowsliphead
+{
+
+/// The help and type lines of a family. Thread safety: any thread.
+std::string metricHeader(const std::string &name, const std::string &help, const std::string &type);
+
+/// The labels in braces, with their values escaped; empty if there are none. Thread safety: any thread.
+std::string labelText(const MetricLabels &labels);
+
+} // namespace cowsliphead
--- a/src/operate/daemon.h
+++ b/src/operate/daemon.h
@@ -4,9 +4,11 @@
 
 #include "core/result.h"
 #include "duty/followerbehaviour.h"
+#include "metrics/metricsbehaviour.h"
 #include "operate/daemonsettings.h"
 #include "serve/servebehaviour.h"
 #include "task/task.h"
+#include "traces/tracebehaviour.h"
 
 namespace cowsliphead
 {
@@ -23,8 +25,12 @@
     void drain();
 
 private:
+    Result<std::uint16_t> startMetrics(const MetricsSettings &settings);
+
     Task<ServeBehaviour> serve_;
     Task<FollowerBehaviour> follower_;
+    Task<MetricsBehaviour> metrics_;
+    Task<TraceBehaviour> traces_;
 };
 
 } // namespace cowsliphead
--- a/src/operate/daemonsettings.h
+++ b/src/operate/daemonsettings.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "metrics/metricssettings.h"
 #include "serve/servesettings.h"
 #include "store/storesettings.h"
+#include "traces/tracesettings.h"
 
 namespace cowsliphead
 {
@@ -10,6 +12,8 @@
 struct DaemonSettings {
     ServeSettings serve_;
     StoreSettings store_;
+    MetricsSettings metrics_;
+    TraceSettings traces_;
 };
 
 } // namespace cowsliphead
--- a/src/operate/parsesettings.cpp
+++ b/src/operate/parsesettings.cpp
@@ -51,6 +51,26 @@
     return fields.mistake();
 }
 
+SectionMistake readMetrics(const nlohmann::json &section, MetricsSettings &settings)
+{
+    FieldReader fields(section, "/metrics", ErrorCode::SettingsMalformed);
+    settings.isEnabled_ = true;
+    settings.address_ = fields.textOr("address", settings.address_);
+    settings.port_ = readPort(fields, 0);
+    fields.refuseOthers();
+    return fields.mistake();
+}
+
+SectionMistake readTraces(const nlohmann::json &section, TraceSettings &settings)
+{
+    FieldReader fields(section, "/traces", ErrorCode::SettingsMalformed);
+    settings.file_ = fields.textOr("file", {});
+    settings.collectorHost_ = fields.textOr("collectorHost", {});
+    settings.collectorPort_ = static_cast<std::uint16_t>(fields.numberOr("collectorPort", settings.collectorPort_, 1, LargestPort));
+    fields.refuseOthers();
+    return fields.mistake();
+}
+
 } // namespace
 
 tl::expected<DaemonSettings, Mistake> parseSettings(const std::string &text)
@@ -65,6 +85,8 @@
     settings.serve_.failureDomain_ = FailureDomain(fields.text("failureDomain"));
     const auto *callers = fields.object("callers");
     const auto *store = fields.object("store");
+    const auto *metrics = fields.object("metrics");
+    const auto *traces = fields.object("traces");
     if (store == nullptr) {
         fields.report("store", "nothing", "an object");
     }
@@ -78,6 +100,12 @@
     if (const auto mistake = readStore(*store, settings.store_)) {
         return tl::unexpected(*mistake);
     }
+    if (const auto mistake = metrics == nullptr ? SectionMistake() : readMetrics(*metrics, settings.metrics_)) {
+        return tl::unexpected(*mistake);
+    }
+    if (const auto mistake = traces == nullptr ? SectionMistake() : readTraces(*traces, settings.traces_)) {
+        return tl::unexpected(*mistake);
+    }
     return settings;
 }
 
--- a/src/serve/activerequest.cpp
+++ b/src/serve/activerequest.cpp
@@ -33,6 +33,9 @@
     return endpoint.kind_ == EndpointKind::Engine && std::find(endpoint.models_.begin(), endpoint.models_.end(), target.model_) != endpoint.models_.end();
 }
 
+/// W3C's header field for the place in a trace.
+constexpr const char *TraceHeader = "traceparent";
+
 bool isRefusal(int status)
 {
     return status == httpstatus::ServiceUnavailable || status == httpstatus::TooManyRequests;
@@ -49,6 +52,7 @@
     , key_(facts.key_)
     , isStreamed_(facts.isStreamed_)
     , exchange_(std::move(exchange))
+    , telemetry_(context, plan_.account_, headerValue(request_.headers_, TraceHeader))
     , sequence_(context.nextRequest_++)
     , silence_(context.loop_, [this] { onSilence(); })
 {
@@ -97,9 +101,10 @@
     if (isStreamed_) {
         exchange_->endChunks();
     } else {
+        telemetry_.answerStarted();
         exchange_->reply(callerHead(), answerBody_);
     }
-    finish();
+    finish(Outcome::Run, {});
 }
 
 void ActiveRequest::carryOut(const FailStep &step)
@@ -109,7 +114,7 @@
     } else {
         exchange_->reply(errorHead(step.code_, step.outcome_), errorBody(step.code_));
     }
-    finish();
+    finish(step.outcome_, step.code_);
 }
 
 const EndpointRecord *ActiveRequest::chooseEndpoint() const
@@ -133,7 +138,10 @@
     events.onHead_ = [this](const HttpResponseHead &head) { onHead(head); };
     events.onData_ = [this](std::string_view data) { onData(data); };
     events.onEnd_ = [this](const tl::expected<void, HttpCallFailure> &end) { onEnd(end); };
-    call_ = context_.pool_.call(endpoint, forwardedRequest(request_, endpoint, key_, attemptId_), std::move(events));
+    auto forwarded = forwardedRequest(request_, endpoint, key_, attemptId_);
+    std::erase_if(forwarded.headers_, [](const auto &field) { return isSameHeader(field.first, TraceHeader); });
+    forwarded.headers_.emplace_back(TraceHeader, telemetry_.attemptStarted(endpoint.endpoint_));
+    call_ = context_.pool_.call(endpoint, forwarded, std::move(events));
     silence_.startOnce(plan_.firstByteTimeout_);
 }
 
@@ -168,6 +176,7 @@
 {
     if (!exchange_->isStarted()) {
         machine_.answerStarted();
+        telemetry_.answerStarted();
         exchange_->startChunks(callerHead());
     }
     exchange_->sendChunk(data);
@@ -179,7 +188,7 @@
         failAttempt({ end.error().code_, end.error().wasOffered_, false });
         return;
     }
-    releaseEndpoint();
+    releaseEndpoint({});
     take(machine_.answerEnded());
 }
 
@@ -191,23 +200,24 @@
 
 void ActiveRequest::onCallerLeft()
 {
-    finish();
+    finish(machine_.mayHaveRun() || call_ ? Outcome::Unknown : Outcome::NotRun, make_error_code(ErrorCode::CallerLeft));
 }
 
 void ActiveRequest::failAttempt(const AttemptFailure &attempt)
 {
     failedEndpoints_.insert(endpoint_);
-    releaseEndpoint();
+    releaseEndpoint(attempt.code_);
     const bool mayRetry = !exchange_->isStarted();
     take(machine_.attemptFailed(attempt, mayRetry, context_.clock_.now()));
 }
 
-void ActiveRequest::releaseEndpoint()
+void ActiveRequest::releaseEndpoint(std::error_code code)
 {
     silence_.cancel();
     if (call_) {
         std::exchange(call_, nullptr)->cancel();
         context_.pool_.release(endpoint_);
+        telemetry_.attemptEnded(code);
     }
 }
 
@@ -223,9 +233,10 @@
     return head;
 }
 
-void ActiveRequest::finish()
+void ActiveRequest::finish(Outcome outcome, std::error_code code)
 {
-    releaseEndpoint();
+    releaseEndpoint(code);
+    telemetry_.requestEnded(outcome, code);
     exchange_->onCallerLeft(nullptr);
     if (const auto onEnd = std::exchange(onEnd_, nullptr)) {
         onEnd();
--- a/src/serve/activerequest.h
+++ b/src/serve/activerequest.h
@@ -12,6 +12,7 @@
 #include "http/httpcallfailure.h"
 #include "http/httprequest.h"
 #include "http/httpresponsehead.h"
+#include "serve/requesttelemetry.h"
 #include "task/timer.h"
 
 #include <tl/expected.hpp>
@@ -57,10 +58,10 @@
     void onSilence();
     void onCallerLeft();
     void failAttempt(const AttemptFailure &attempt);
-    void releaseEndpoint();
+    void releaseEndpoint(std::error_code code);
     void forwardStreamed(std::string_view data);
     HttpResponseHead callerHead() const;
-    void finish();
+    void finish(Outcome outcome, std::error_code code);
 
     ServingContext &context_;
     RequestPlan plan_;
@@ -71,6 +72,7 @@
     std::shared_ptr<CallerExchange> exchange_;
     OnEnd onEnd_;
 
+    RequestTelemetry telemetry_;
     std::uint64_t sequence_;
     std::string attemptId_;
     std::shared_ptr<HttpCall> call_;
--- a/src/serve/servebehaviour.cpp
+++ b/src/serve/servebehaviour.cpp
@@ -14,6 +14,7 @@
 #include "decide/requestplanner.h"
 #include "http/httprequest.h"
 #include "http/httpstatus.h"
+#include "metrics/gauge.h"
 #include "records/recordset.h"
 #include "serve/activerequest.h"
 #include "task/eventloop.h"
@@ -28,7 +29,7 @@
 
 }
 
-ServeBehaviour::ServeBehaviour(EventLoop &loop, const ServeSettings &settings)
+ServeBehaviour::ServeBehaviour(EventLoop &loop, const ServeSettings &settings, Address<Span> spans)
     : settings_(settings)
     , context_{ .loop_ = loop,
                 .clock_ = {},
@@ -36,7 +37,9 @@
                 .pool_ = EndpointPool(loop),
                 .chooser_ = EndpointChooser(std::random_device()()),
                 .failureDomain_ = settings.failureDomain_,
-                .incarnation_ = settings.instance_.value() + "-" + randomHex(IncarnationBytes) }
+                .incarnation_ = settings.instance_.value() + "-" + randomHex(IncarnationBytes),
+                .metrics_ = {},
+                .spans_ = std::move(spans) }
     , server_(loop, settings.limits_, [this](HttpRequest request, const std::shared_ptr<CallerExchange> &exchange) { handle(std::move(request), exchange); })
 {
 }
@@ -90,12 +93,13 @@
     });
 }
 
-void ServeBehaviour::refuse(CallerExchange &exchange, std::error_code code) const
+void ServeBehaviour::refuse(CallerExchange &exchange, std::error_code code)
 {
+    context_.metrics_.requests_.increment({ { "account", "" }, { "outcome", outcomeName(Outcome::NotRun) }, { "error", code.message() } });
     exchange.reply(errorHead(code, Outcome::NotRun), errorBody(code));
 }
 
-void ServeBehaviour::listModels(const HttpRequest &request, CallerExchange &exchange) const
+void ServeBehaviour::listModels(const HttpRequest &request, CallerExchange &exchange)
 {
     const auto facts = readRequestFacts(request);
     const auto account = authorize(*context_.records_, facts->key_);
@@ -125,6 +129,13 @@
     stopIfDrained();
 }
 
+void ServeBehaviour::take(const MetricsQuery &query)
+{
+    const auto inFlight = gaugeText("cowsliphead_requests_in_flight", "Requests that have not ended.", active_.size());
+    const auto revision = gaugeText("cowsliphead_records_revision", "Revision of the records in force.", context_.records_->revision());
+    query.answerTo_.send(MetricsReport{ query.query_, context_.metrics_.toText() + inFlight + revision });
+}
+
 void ServeBehaviour::stopIfDrained()
 {
     if (isDraining_ && server_.isIdle()) {
--- a/src/serve/servebehaviour.h
+++ b/src/serve/servebehaviour.h
@@ -7,6 +7,7 @@
 
 #include "caller/callerserver.h"
 #include "core/result.h"
+#include "metrics/metricsquery.h"
 #include "records/recordsnapshot.h"
 #include "serve/drainrequest.h"
 #include "serve/servesettings.h"
@@ -23,10 +24,10 @@
 class ServeBehaviour
 {
 public:
-    using Message = std::variant<RecordSnapshot, DrainRequest>;
+    using Message = std::variant<RecordSnapshot, DrainRequest, MetricsQuery>;
 
-    /// Precondition: the loop outlives the behaviour. Thread safety: the loop's task only.
-    ServeBehaviour(EventLoop &loop, const ServeSettings &settings);
+    /// spans is where ended spans go. Precondition: the loop outlives the behaviour. Thread safety: the loop's task only.
+    ServeBehaviour(EventLoop &loop, const ServeSettings &settings, Address<Span> spans);
     ~ServeBehaviour();
 
     /// Returns the port. Errors: ListenFailed. Thread safety: the loop's task only.
@@ -38,10 +39,11 @@
 private:
     void handle(HttpRequest request, const std::shared_ptr<CallerExchange> &exchange);
     void begin(const RequestFacts &facts, HttpRequest request, const std::shared_ptr<CallerExchange> &exchange);
-    void refuse(CallerExchange &exchange, std::error_code code) const;
-    void listModels(const HttpRequest &request, CallerExchange &exchange) const;
+    void refuse(CallerExchange &exchange, std::error_code code);
+    void listModels(const HttpRequest &request, CallerExchange &exchange);
     void take(RecordSnapshot records);
     void take(DrainRequest request);
+    void take(const MetricsQuery &query);
     void stopIfDrained();
 
     ServeSettings settings_;
--- a/src/serve/servingcontext.h
+++ b/src/serve/servingcontext.h
@@ -8,6 +8,9 @@
 #include "decide/endpointchooser.h"
 #include "endpoint/endpointpool.h"
 #include "records/recordsnapshot.h"
+#include "serve/servemetrics.h"
+#include "task/address.h"
+#include "traces/span.h"
 
 namespace cowsliphead
 {
@@ -26,6 +29,10 @@
     /// Identifies this run of the instance, so that no two attempts of the fleet have the same identifier.
     std::string incarnation_;
     std::uint64_t nextRequest_ = 1;
+    ServeMetrics metrics_;
+
+    /// Where ended spans go; nowhere if traces are off.
+    Address<Span> spans_;
 };
 
 } // namespace cowsliphead
--- a/tests/scenarios/scenario.cpp
+++ b/tests/scenarios/scenario.cpp
@@ -203,7 +203,7 @@
     luaL_openlibs(lua.get());
     addWords(lua.get(), world);
     const std::string folder = COWSLIPHEAD_SOURCE_DIR "/tests/scenarios/";
-    if (const auto failure = runFile(lua.get(), folder + "words.lua")) {
+    if (auto failure = runFile(lua.get(), folder + "words.lua")) {
         return failure;
     }
     return runFile(lua.get(), folder + "stories/" + name + ".lua");
