Draining in two steps, and stories of a rolling restart and a leaving endpoint

Cause: a stopping daemon closed its listener at once and refused what came on open connections, so a caller sent there by a balancer that had not noticed yet was turned away or reset. DrainMachine decides: announce (healthz 503) and serve on, close the listener, end once nothing has come for a while.

Ruled out: ending as soon as no answer is under way, since a request on an open connection may be on its way.

Found on the way: the runner asked a waiting condition inside its event loop, so a condition that waited itself ran the loop within the loop; it is now asked between two runs.

--- a/src/caller/callerexchange.cpp
+++ b/src/caller/callerexchange.cpp
@@ -105,6 +105,13 @@
     evhtp_connection_free(connection);
 }
 
+void CallerExchange::closeConnectionAfter()
+{
+    if (request_ != nullptr) {
+        evhtp_request_set_keepalive(request_, 0);
+    }
+}
+
 bool CallerExchange::isStarted() const
 {
     return isStarted_;
--- a/src/caller/callerexchange.h
+++ b/src/caller/callerexchange.h
@@ -40,6 +40,9 @@
     /// Closes the connection, so that the caller sees that the response is not whole. Thread safety: the server's task only.
     void abort();
 
+    /// The connection takes no further request after this one. Precondition: nothing was sent before. Thread safety: the server's task only.
+    void closeConnectionAfter();
+
     /// True once a head was sent. Thread safety: the server's task only.
     bool isStarted() const;
 
--- a/src/serve/servebehaviour.cpp
+++ b/src/serve/servebehaviour.cpp
@@ -27,7 +27,10 @@
 
 constexpr int IncarnationBytes = 8;
 
-}
+/// Where the platform's balancer asks whether to send new connections here.
+constexpr const char *HealthPath = "/healthz";
+
+} // namespace
 
 ServeBehaviour::ServeBehaviour(EventLoop &loop, const ServeSettings &settings, Address<Span> spans)
     : settings_(settings)
@@ -40,6 +43,8 @@
                 .incarnation_ = settings.instance_.value() + "-" + randomHex(IncarnationBytes),
                 .metrics_ = {},
                 .spans_ = std::move(spans) }
+    , drain_(settings.drain_)
+    , drainCheck_(loop, [this] { checkDrain(); })
     , server_(loop, settings.limits_, [this](HttpRequest request, const std::shared_ptr<CallerExchange> &exchange) { handle(std::move(request), exchange); })
 {
 }
@@ -58,10 +63,14 @@
 
 void ServeBehaviour::handle(HttpRequest request, const std::shared_ptr<CallerExchange> &exchange)
 {
-    if (isDraining_) {
-        refuse(*exchange, make_error_code(ErrorCode::Draining));
+    if (request.path_ == HealthPath) {
+        health(*exchange);
         return;
     }
+    drain_.requestArrived(context_.clock_.now());
+    if (drain_.isDraining()) {
+        exchange->closeConnectionAfter();
+    }
     if (active_.size() >= settings_.limits_.maxConcurrentRequests_) {
         refuse(*exchange, make_error_code(ErrorCode::AccountOverLimit));
         return;
@@ -123,10 +132,9 @@
 
 void ServeBehaviour::take(DrainRequest /*request*/)
 {
-    isDraining_ = true;
-    server_.stopListening();
-    server_.onIdle([this] { context_.loop_.defer([this] { stopIfDrained(); }); });
-    stopIfDrained();
+    drain_.begin(context_.clock_.now());
+    server_.onIdle([this] { context_.loop_.defer([this] { checkDrain(); }); });
+    checkDrain();
 }
 
 void ServeBehaviour::take(const MetricsQuery &query)
@@ -136,10 +144,26 @@
     query.answerTo_.send(MetricsReport{ query.query_, context_.metrics_.toText() + inFlight + revision });
 }
 
-void ServeBehaviour::stopIfDrained()
+void ServeBehaviour::health(CallerExchange &exchange) const
 {
-    if (isDraining_ && server_.isIdle()) {
+    const bool isLeaving = drain_.isDraining();
+    const HttpResponseHead head{ isLeaving ? httpstatus::ServiceUnavailable : httpstatus::Ok, { { "Content-Type", "application/json" } } };
+    exchange.reply(head, isLeaving ? R"({"status":"draining"})" : R"({"status":"serving"})");
+}
+
+void ServeBehaviour::checkDrain()
+{
+    const auto now = context_.clock_.now();
+    if (drain_.mayEnd(now, server_.isIdle())) {
         context_.loop_.stop();
+        return;
+    }
+    if (drain_.mayCloseListener(now)) {
+        server_.stopListening();
+    }
+    if (const auto wait = drain_.nextCheck(now, server_.isIdle())) {
+        // Rounded up, so that the check does not come too early and repeat at once.
+        drainCheck_.startOnce(std::chrono::ceil<std::chrono::milliseconds>(*wait));
     }
 }
 
--- a/src/serve/servebehaviour.h
+++ b/src/serve/servebehaviour.h
@@ -7,11 +7,13 @@
 
 #include "caller/callerserver.h"
 #include "core/result.h"
+#include "decide/drainmachine.h"
 #include "metrics/metricsquery.h"
 #include "records/recordsnapshot.h"
 #include "serve/drainrequest.h"
 #include "serve/servesettings.h"
 #include "serve/servingcontext.h"
+#include "task/timer.h"
 
 namespace cowsliphead
 {
@@ -44,12 +46,14 @@
     void take(RecordSnapshot records);
     void take(DrainRequest request);
     void take(const MetricsQuery &query);
-    void stopIfDrained();
+    void health(CallerExchange &exchange) const;
+    void checkDrain();
 
     ServeSettings settings_;
     ServingContext context_;
     std::list<std::unique_ptr<ActiveRequest>> active_;
-    bool isDraining_ = false;
+    DrainMachine drain_;
+    Timer drainCheck_;
     CallerServer server_;
 };
 
--- a/src/serve/servesettings.h
+++ b/src/serve/servesettings.h
@@ -6,6 +6,7 @@
 #include "caller/callerlimits.h"
 #include "core/failuredomain.h"
 #include "core/instanceid.h"
+#include "decide/drainpolicy.h"
 
 namespace cowsliphead
 {
@@ -17,6 +18,7 @@
     std::string address_ = "127.0.0.1";
     std::uint16_t port_ = 0;
     CallerLimits limits_;
+    DrainPolicy drain_;
 };
 
 } // namespace cowsliphead
--- a/tests/scenarios/scenariostest.cpp
+++ b/tests/scenarios/scenariostest.cpp
@@ -26,4 +26,18 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(whose_parts_are_replaced)
+
+BOOST_AUTO_TEST_CASE(cuts_no_request_when_each_daemon_is_restarted)
+{
+    tell("rolling_restart");
+}
+
+BOOST_AUTO_TEST_CASE(gives_a_leaving_endpoint_no_new_work)
+{
+    tell("leaving_endpoint");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/scenarios/stories/leaving_endpoint.lua
@@ -0,0 +1,30 @@
+-- An operator drains an engine: its streams end whole, and after a few seconds it gets no new work.
+
+local site = a_small_site{decode_us = 1000}
+local daemon = start_daemon("a1", "a")
+eventually_serves(daemon, site.key)
+
+local streams = {}
+for each = 1, 8 do
+    streams[each] = ask_later(daemon, site.key, completion(400, true))
+end
+eventually("all streams have begun", function()
+    for _, stream in ipairs(streams) do
+        if #tokens_of(look(stream)) < 3 then return false end
+    end
+    return true
+end)
+
+put_engine("engine1", site.engines[1], "a", {draining = true})
+for _, stream in ipairs(streams) do
+    expect_whole_stream(answer_of(stream), 400)
+end
+
+-- Once the record is in force, the engine is not asked any more: killing it is not noticed.
+eventually("the drained engine is not needed", function()
+    return ask(daemon, site.key, completion(1)).status == 200
+end)
+kill(site.engines[1])
+for _ = 1, 20 do
+    expect_equal(ask(daemon, site.key, completion(1)).status, 200, "a request after the engine has gone")
+end
--- a/tests/scenarios/words.lua
+++ b/tests/scenarios/words.lua
@@ -45,7 +45,7 @@
 
 -- Starts a daemon; fields of settings replace the usual ones.
 function start_daemon(name, domain, settings)
-    local all = {instance = name, failureDomain = domain, callers = {port = 0},
+    local all = {instance = name, failureDomain = domain, callers = {port = 0, drainAnnounceMs = 300, drainQuietMs = 200},
         store = {host = "127.0.0.1", port = store_port, timeoutMs = 1000}}
     for field, value in pairs(settings or {}) do
         all[field] = value
--- a/tests/scenarios/world.cpp
+++ b/tests/scenarios/world.cpp
@@ -131,19 +131,16 @@
 bool World::waitUntil(const std::function<bool()> &condition, std::chrono::milliseconds limit)
 {
     const auto deadline = std::chrono::steady_clock::now() + limit;
-    bool holds = condition();
-    if (holds) {
-        return true;
-    }
-    Timer check(loop_, [&] {
-        holds = condition();
-        if (holds || std::chrono::steady_clock::now() >= deadline) {
-            loop_.stop();
+    // The condition may itself wait, so it is asked between two runs of the loop and not inside one.
+    Timer interval(loop_, [this] { loop_.stop(); });
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() >= deadline) {
+            return false;
         }
-    });
-    check.startRepeating(CheckInterval);
-    loop_.run();
-    return holds;
+        interval.startOnce(CheckInterval);
+        loop_.run();
+    }
+    return true;
 }
 
 } // namespace cowsliphead::scenarios
