--- a/src/caller/callerserver.cpp
+++ b/src/caller/callerserver.cpp
@@ -90,6 +90,13 @@
     return portOfSocket(evconnlistener_get_fd(server_->server));
 }
 
+void CallerServer::useTls(TlsContext context)
+{
+    // Each open connection holds a reference to the context that it began with.
+    tls_ = std::move(context);
+    server_->ssl_ctx = tls_->handle();
+}
+
 void CallerServer::stopListening()
 {
     if (isListening_) {
@@ -127,6 +134,8 @@
 
 void CallerServer::FreeServer::operator()(evhtp_t *server) const
 {
+    // The context belongs to the CallerServer.
+    server->ssl_ctx = nullptr;
     evhtp_free(server);
 }
 
--- a/src/caller/callerserver.h
+++ b/src/caller/callerserver.h
@@ -4,11 +4,13 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <evhtp/evhtp.h>
 
 #include "caller/callerlimits.h"
+#include "caller/tlscontext.h"
 #include "core/result.h"
 
 namespace cowsliphead
@@ -34,6 +36,9 @@
     /// Errors: ListenFailed.
     Result<std::uint16_t> listen(const std::string &address, std::uint16_t port);
 
+    /// New connections speak TLS with this certificate from now on; open ones keep theirs. Thread safety: the loop's task only.
+    void useTls(TlsContext context);
+
     /// Takes no new connection; open ones go on. Thread safety: the loop's task only.
     void stopListening();
 
@@ -55,6 +60,7 @@
     Handler handler_;
     std::function<void()> idle_;
     std::size_t openRequests_ = 0;
+    std::optional<TlsContext> tls_;
     std::unique_ptr<evhtp_t, FreeServer> server_;
     bool isListening_ = false;
 };
--- a/src/core/errorcode.cpp
+++ b/src/core/errorcode.cpp
@@ -104,6 +104,8 @@
         return "caller_left";
     case ErrorCode::RecordsNotLoaded:
         return "records_not_loaded";
+    case ErrorCode::TlsFilesUnusable:
+        return "tls_files_unusable";
     }
     return "unknown_error";
 }
--- a/src/logs/eventcatalogue.cpp
+++ b/src/logs/eventcatalogue.cpp
@@ -15,6 +15,8 @@
     { LogEvent::DaemonStarted, LogLevel::Info, "daemon_started", "The daemon listens for callers." },
     { LogEvent::DrainStarted, LogLevel::Info, "drain_started", "The daemon takes no new work and finishes what it has." },
     { LogEvent::DaemonStopped, LogLevel::Info, "daemon_stopped", "All answers are written out, and the daemon ends." },
+    { LogEvent::TlsReloaded, LogLevel::Info, "tls_reloaded", "New connections get the certificate that the files hold now." },
+    { LogEvent::TlsReloadFailed, LogLevel::Error, "tls_reload_failed", "The certificate files are unusable; new connections get the certificate from before." },
     { LogEvent::RecordsAdvanced, LogLevel::Debug, "records_advanced", "The daemon's records are at a newer revision." },
     { LogEvent::StoreNotAnswering, LogLevel::Warning, "store_not_answering", "The platform's store did not answer; the daemon tries again." },
 });
--- a/src/logs/logevent.h
+++ b/src/logs/logevent.h
@@ -9,6 +9,8 @@
     DaemonStarted = 100,
     DrainStarted = 101,
     DaemonStopped = 102,
+    TlsReloaded = 103,
+    TlsReloadFailed = 104,
 
     // 200 to 299: callers and requests
 
--- a/src/operate/daemon.cpp
+++ b/src/operate/daemon.cpp
@@ -33,6 +33,11 @@
     return port;
 }
 
+void Daemon::reloadTls()
+{
+    serve_.send(TlsReload{});
+}
+
 void Daemon::drain()
 {
     logEvent(LogEvent::DrainStarted);
--- a/src/operate/daemon.h
+++ b/src/operate/daemon.h
@@ -18,9 +18,12 @@
 {
 public:
     /// Starts all tasks. Returns the port towards callers. Precondition: called once. Thread safety: owner only.
-    /// Errors: ListenFailed.
+    /// Errors: ListenFailed, TlsFilesUnusable.
     Result<std::uint16_t> start(const DaemonSettings &settings);
 
+    /// Reads certificate and key files again. Thread safety: owner only.
+    void reloadTls();
+
     /// Takes no new work, and returns once all answers are written out. Thread safety: owner only.
     void drain();
 
--- a/src/operate/parsesettings.cpp
+++ b/src/operate/parsesettings.cpp
@@ -37,6 +37,11 @@
     settings.limits_.maxConcurrentRequests_ = fields.numberOr("maxConcurrentRequests", settings.limits_.maxConcurrentRequests_, 1, MostRequests);
     settings.limits_.readTimeout_ = fields.millisecondsOr("readTimeoutMs", settings.limits_.readTimeout_);
     settings.limits_.writeTimeout_ = fields.millisecondsOr("writeTimeoutMs", settings.limits_.writeTimeout_);
+    settings.tls_.certificate_ = fields.textOr("tlsCertificate", {});
+    settings.tls_.key_ = fields.textOr("tlsKey", {});
+    if (settings.tls_.certificate_.empty() != settings.tls_.key_.empty()) {
+        fields.report("tlsKey", "one of two files", "tlsCertificate and tlsKey, or neither");
+    }
     settings.drain_.announce_ = fields.millisecondsOr("drainAnnounceMs", settings.drain_.announce_);
     settings.drain_.quiet_ = fields.millisecondsOr("drainQuietMs", settings.drain_.quiet_);
     fields.refuseOthers();
--- a/src/operate/servecommand.cpp
+++ b/src/operate/servecommand.cpp
@@ -59,7 +59,7 @@
         return exitcode::Failed;
     }
     std::cout << R"({"port":)" << *port << "}" << std::endl;
-    stopSignal.wait();
+    stopSignal.wait([&daemon] { daemon.reloadTls(); });
     daemon.drain();
     return exitcode::Success;
 }
--- a/src/operate/stopsignal.cpp
+++ b/src/operate/stopsignal.cpp
@@ -16,6 +16,7 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     return signals;
 }
 
@@ -29,10 +30,17 @@
 }
 
 void StopSignal::wait() const
+{
+    wait([] {});
+}
+
+void StopSignal::wait(const std::function<void()> &onHangUp) const
 {
     const auto signals = stopSignals();
     int received = 0;
-    sigwait(&signals, &received);
+    while (sigwait(&signals, &received) == 0 && received == SIGHUP) {
+        onHangUp();
+    }
 }
 
 } // namespace cowsliphead
--- a/src/operate/stopsignal.h
+++ b/src/operate/stopsignal.h
@@ -1,17 +1,22 @@
 #pragma once
 
+#include <functional>
+
 namespace cowsliphead
 {
 
-/// Waits for SIGTERM or SIGINT.
+/// Waits for SIGTERM or SIGINT, and for SIGHUP where that asks for something.
 class StopSignal
 {
 public:
-    /// From now on both signals wait for wait(). Precondition: called before any task is started, so that all inherit it.
+    /// From now on these signals wait for wait(). Precondition: called before any task is started, so that all inherit it.
     StopSignal();
 
     /// Returns once one of the signals has come. Thread safety: one thread only.
     void wait() const;
+
+    /// The same, and calls back for each SIGHUP. Thread safety: one thread only.
+    void wait(const std::function<void()> &onHangUp) const;
 };
 
 } // namespace cowsliphead
--- a/src/serve/servebehaviour.cpp
+++ b/src/serve/servebehaviour.cpp
@@ -14,6 +14,7 @@
 #include "decide/requestplanner.h"
 #include "http/httprequest.h"
 #include "http/httpstatus.h"
+#include "logs/log.h"
 #include "metrics/gauge.h"
 #include "records/recordset.h"
 #include "serve/activerequest.h"
@@ -53,6 +54,9 @@
 
 Result<std::uint16_t> ServeBehaviour::listen()
 {
+    if (const auto loaded = loadTls(); !loaded) {
+        return tl::unexpected(loaded.error());
+    }
     return server_.listen(settings_.address_, settings_.port_);
 }
 
@@ -144,6 +148,25 @@
     query.answerTo_.send(MetricsReport{ query.query_, context_.metrics_.toText() + inFlight + revision });
 }
 
+void ServeBehaviour::take(TlsReload /*request*/)
+{
+    const auto loaded = loadTls();
+    logEvent(loaded ? LogEvent::TlsReloaded : LogEvent::TlsReloadFailed);
+}
+
+Result<void> ServeBehaviour::loadTls()
+{
+    if (settings_.tls_.isEmpty()) {
+        return {};
+    }
+    auto context = TlsContext::load(settings_.tls_);
+    if (!context) {
+        return tl::unexpected(context.error());
+    }
+    server_.useTls(std::move(*context));
+    return {};
+}
+
 void ServeBehaviour::health(CallerExchange &exchange) const
 {
     const bool isLeaving = drain_.isDraining();
--- a/src/serve/servebehaviour.h
+++ b/src/serve/servebehaviour.h
@@ -13,6 +13,7 @@
 #include "serve/drainrequest.h"
 #include "serve/servesettings.h"
 #include "serve/servingcontext.h"
+#include "serve/tlsreload.h"
 #include "task/timer.h"
 
 namespace cowsliphead
@@ -26,13 +27,13 @@
 class ServeBehaviour
 {
 public:
-    using Message = std::variant<RecordSnapshot, DrainRequest, MetricsQuery>;
+    using Message = std::variant<RecordSnapshot, DrainRequest, MetricsQuery, TlsReload>;
 
     /// spans is where ended spans go. Precondition: the loop outlives the behaviour. Thread safety: the loop's task only.
     ServeBehaviour(EventLoop &loop, const ServeSettings &settings, Address<Span> spans);
     ~ServeBehaviour();
 
-    /// Returns the port. Errors: ListenFailed. Thread safety: the loop's task only.
+    /// Returns the port. Errors: ListenFailed, TlsFilesUnusable. Thread safety: the loop's task only.
     Result<std::uint16_t> listen();
 
     /// Thread safety: the loop's task only.
@@ -46,6 +47,8 @@
     void take(RecordSnapshot records);
     void take(DrainRequest request);
     void take(const MetricsQuery &query);
+    void take(TlsReload request);
+    Result<void> loadTls();
     void health(CallerExchange &exchange) const;
     void checkDrain();
 
--- a/src/serve/servesettings.h
+++ b/src/serve/servesettings.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "caller/callerlimits.h"
+#include "caller/tlsfiles.h"
 #include "core/failuredomain.h"
 #include "core/instanceid.h"
 #include "decide/drainpolicy.h"
@@ -18,6 +19,7 @@
     std::string address_ = "127.0.0.1";
     std::uint16_t port_ = 0;
     CallerLimits limits_;
+    TlsFiles tls_;
     DrainPolicy drain_;
 };
 
