Fair admission: weighted token shares, early refusal, adaptive concurrency; an experiment

FairQueue is start-time fair queueing by tokens over weight; AdmissionGate is work-conserving and refuses at once what cannot meet its deadline; ConcurrencyLimit follows refusals.

Ruled out: deficit round robin, whose quantum would have to follow the largest request; a share fixed for each account, which leaves capacity idle.

Not yet wired into the serving task.

--- /dev/null
+++ b/src/decide/admission/admissionrequest.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstdint>
+
+#include "core/accountid.h"
+#include "decide/admission/waiting.h"
+
+namespace cowsliphead
+{
+
+/// A request that asks for capacity.
+template <typename Ticket>
+struct AdmissionRequest {
+    AccountId account_;
+    std::uint32_t weight_ = 1;
+
+    /// Requests of the account that may wait at once; 0 means no limit.
+    std::size_t maxWaiting_ = 0;
+    Waiting<Ticket> waiting_;
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/decide/admission/waiting.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "core/time.h"
+#include "decide/admission/tokencost.h"
+
+namespace cowsliphead
+{
+
+/// A request that waits for capacity.
+template <typename Ticket>
+struct Waiting {
+    Ticket ticket_;
+    TokenCost cost_ = 1;
+
+    /// When it is to be refused rather than to wait on.
+    MonotonicTime deadline_;
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/experiment/accountload.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+
+#include "core/accountid.h"
+
+namespace cowsliphead
+{
+
+/// What one client account asks of the fleet in an experiment.
+struct AccountLoad {
+    AccountId account_;
+    std::uint32_t weight_ = 1;
+    double requestsPerSecond_ = 0;
+    double meanTokens_ = 100;
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/experiment/fairnessexperiment.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include <algorithm>
+#include <memory>
+#include <queue>
+#include <random>
+#include <tuple>
+#include <vector>
+
+#include "core/virtualclock.h"
+#include "decide/admission/admissiongate.h"
+#include "experiment/accountservice.h"
+#include "experiment/fairnesssetup.h"
+#include "experiment/fairshares.h"
+
+namespace cowsliphead
+{
+
+/// Runs the daemons' admission gates against a load in virtual time. Queue is the order under test.
+template <template <typename> typename Queue>
+class FairnessExperiment
+{
+public:
+    /// Thread safety: owner only.
+    explicit FairnessExperiment(const FairnessSetup &setup)
+        : setup_(setup)
+        , random_(setup.seed_)
+    {
+        for (std::size_t daemon = 0; daemon < setup_.daemons_; ++daemon) {
+            gates_.push_back(std::make_unique<Gate>(std::max<std::size_t>(1, setup_.slots_ / setup_.daemons_)));
+        }
+    }
+
+    /// How each account fared. Precondition: called once. Thread safety: owner only.
+    std::vector<AccountService> run()
+    {
+        for (const auto &load : setup_.loads_) {
+            services_.push_back({ load.account_ });
+        }
+        for (std::size_t index = 0; index < setup_.loads_.size(); ++index) {
+            scheduleArrival(index);
+        }
+        const auto end = clock_.now() + setup_.duration_;
+        while (!events_.empty() && std::get<MonotonicTime>(events_.top()) < end) {
+            const auto [time, kind, subject] = events_.top();
+            events_.pop();
+            clock_.advance(time - clock_.now());
+            kind == Kind::Arrival ? arrive(subject) : finish(subject);
+        }
+        const auto seconds = std::chrono::duration<double>(setup_.duration_).count();
+        const auto tokenSeconds = std::chrono::duration<double>(setup_.timePerToken_).count();
+        setDueTokens(setup_, seconds * static_cast<double>(setup_.slots_) / tokenSeconds, services_);
+        return services_;
+    }
+
+private:
+    using Ticket = std::size_t;
+    using Gate = AdmissionGate<Ticket, Queue>;
+
+    enum class Kind {
+        Arrival,
+        End,
+    };
+
+    struct Request {
+        std::size_t load_ = 0;
+        std::size_t daemon_ = 0;
+        TokenCost cost_ = 1;
+        MonotonicTime deadline_;
+    };
+
+    /// Time, kind, and the load of an arrival or the request of an end.
+    using Event = std::tuple<MonotonicTime, Kind, std::size_t>;
+
+    void scheduleArrival(std::size_t load)
+    {
+        std::exponential_distribution<double> gap(setup_.loads_[load].requestsPerSecond_);
+        const auto wait = std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::duration<double>(gap(random_)));
+        events_.emplace(clock_.now() + wait, Kind::Arrival, load);
+    }
+
+    void arrive(std::size_t index)
+    {
+        scheduleArrival(index);
+        const auto &load = setup_.loads_[index];
+        std::exponential_distribution<double> tokens(1.0 / load.meanTokens_);
+        std::uniform_int_distribution<std::size_t> daemon(0, setup_.daemons_ - 1);
+        const Request request{ index, daemon(random_), static_cast<TokenCost>(1 + tokens(random_)), clock_.now() + setup_.patience_ };
+        requests_.push_back(request);
+        services_[index].wantedTokens_ += static_cast<double>(request.cost_);
+        const Ticket ticket = requests_.size() - 1;
+        const auto verdict = gates_[request.daemon_]->arrive({ load.account_, load.weight_, 0, { ticket, request.cost_, request.deadline_ } }, clock_.now());
+        if (verdict == AdmissionVerdict::Admitted) {
+            begin(ticket);
+        } else if (verdict != AdmissionVerdict::Queued) {
+            ++services_[index].refused_;
+        }
+    }
+
+    void begin(Ticket ticket)
+    {
+        events_.emplace(clock_.now() + setup_.timePerToken_ * requests_[ticket].cost_, Kind::End, ticket);
+    }
+
+    void finish(Ticket ticket)
+    {
+        const auto request = requests_[ticket];
+        auto &gate = *gates_[request.daemon_];
+        gate.finished(request.cost_, clock_.now());
+        services_[request.load_].servedTokens_ += static_cast<double>(request.cost_);
+        while (const auto next = gate.next()) {
+            if (next->deadline_ > clock_.now()) {
+                begin(next->ticket_);
+            } else {
+                gate.failed(false);
+                ++services_[requests_[next->ticket_].load_].expired_;
+            }
+        }
+    }
+
+    FairnessSetup setup_;
+    std::mt19937_64 random_;
+    VirtualClock clock_;
+    std::vector<std::unique_ptr<Gate>> gates_;
+    std::vector<Request> requests_;
+    std::vector<AccountService> services_;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+};
+
+} // namespace cowsliphead
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -16,8 +16,8 @@
 const std::map<std::string, std::function<int(int, char **)>> &commandTable()
 {
     static const std::map<std::string, std::function<int(int, char **)>> table{
-        { "serve", commands::serve }, { "config", commands::config },   { "record", commands::record },
-        { "key", commands::key },     { "standin", commands::standin },
+        { "serve", commands::serve },   { "config", commands::config }, { "experiment", commands::experiment },
+        { "record", commands::record }, { "key", commands::key },       { "standin", commands::standin },
     };
     return table;
 }
--- a/src/operate/commands.h
+++ b/src/operate/commands.h
@@ -12,6 +12,9 @@
 /// Writes, withdraws and shows records. Returns an exit code.
 int record(int argc, char **argv);
 
+/// Runs an experiment in virtual time. Returns an exit code.
+int experiment(int argc, char **argv);
+
 /// Creates a key. Returns an exit code.
 int key(int argc, char **argv);
 
--- /dev/null
+++ b/tests/admission/fairqueuetest.cpp
@@ -0,0 +1,161 @@
+#include <map>
+#include <string>
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include "core/virtualclock.h"
+#include "decide/admission/admissiongate.h"
+#include "decide/admission/fairqueue.h"
+
+using namespace cowsliphead;
+
+namespace
+{
+
+using Ticket = int;
+
+const AccountId press("press");
+const AccountId mill("mill");
+
+Waiting<Ticket> waitingFor(Ticket ticket, TokenCost cost)
+{
+    return { ticket, cost, VirtualClock().now() + std::chrono::hours(1) };
+}
+
+AdmissionRequest<Ticket> requestOf(const AccountId &account, Ticket ticket, std::chrono::milliseconds patience)
+{
+    return { account, 1, 0, { ticket, 100, VirtualClock().now() + patience } };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(accounts_that_wait_for_capacity)
+
+BOOST_AUTO_TEST_SUITE(while_one_floods)
+
+RC_BOOST_PROP(get_their_weighted_share_of_the_tokens_within_one_request, ())
+{
+    constexpr TokenCost LargestCost = 500;
+    const auto weights = *rc::gen::pair(rc::gen::inRange(1U, 10U), rc::gen::inRange(1U, 10U));
+    FairQueue<Ticket> queue;
+    for (int ticket = 0; ticket < 400; ++ticket) {
+        queue.push(press, weights.first, waitingFor(ticket, *rc::gen::inRange<TokenCost>(1, LargestCost)));
+        queue.push(mill, weights.second, waitingFor(1000 + ticket, *rc::gen::inRange<TokenCost>(1, LargestCost)));
+    }
+    double pressShare = 0;
+    double millShare = 0;
+    while (queue.size(press) > 0 && queue.size(mill) > 0) {
+        const auto taken = queue.pop();
+        (taken->ticket_ < 1000 ? pressShare : millShare) += static_cast<double>(taken->cost_) / (taken->ticket_ < 1000 ? weights.first : weights.second);
+        RC_ASSERT(std::abs(pressShare - millShare) <= 2.0 * LargestCost);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(save_nothing_up_by_staying_away)
+{
+    FairQueue<Ticket> queue;
+    for (int ticket = 0; ticket < 100; ++ticket) {
+        queue.push(press, 1, waitingFor(ticket, 10));
+    }
+    for (int taken = 0; taken < 50; ++taken) {
+        queue.pop();
+    }
+    for (int ticket = 0; ticket < 10; ++ticket) {
+        queue.push(mill, 1, waitingFor(1000 + ticket, 10));
+    }
+    int millTaken = 0;
+    for (int taken = 0; taken < 10; ++taken) {
+        millTaken += queue.pop()->ticket_ >= 1000 ? 1 : 0;
+    }
+    BOOST_TEST(millTaken >= 4);
+    BOOST_TEST(millTaken <= 6);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(under_any_sequence_of_arrivals_and_ends)
+
+RC_BOOST_PROP(never_wait_while_capacity_is_idle_and_none_is_lost, (const std::vector<std::uint8_t> &events))
+{
+    constexpr std::size_t Slots = 3;
+    VirtualClock clock;
+    AdmissionGate<Ticket> gate(Slots);
+    std::size_t inFlight = 0;
+    std::size_t waiting = 0;
+    Ticket next = 0;
+    for (const auto event : events) {
+        clock.advance(std::chrono::milliseconds(event));
+        if (event % 3 != 0) {
+            const auto verdict = gate.arrive(requestOf(AccountId(std::to_string(event % 5)), ++next, std::chrono::hours(2)), clock.now());
+            inFlight += verdict == AdmissionVerdict::Admitted ? 1 : 0;
+            waiting += verdict == AdmissionVerdict::Queued ? 1 : 0;
+        } else if (inFlight > 0) {
+            gate.finished(100, clock.now());
+            --inFlight;
+        }
+        while (gate.next()) {
+            ++inFlight;
+            --waiting;
+        }
+        RC_ASSERT(inFlight <= Slots);
+        RC_ASSERT(waiting == gate.waitingCount());
+        RC_ASSERT(waiting == 0 || inFlight == Slots);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(that_cannot_be_served_in_time)
+
+BOOST_AUTO_TEST_CASE(are_refused_at_once)
+{
+    VirtualClock clock;
+    AdmissionGate<Ticket> gate(1);
+    gate.arrive(requestOf(press, 1, std::chrono::hours(1)), clock.now());
+    for (int served = 0; served < 10; ++served) {
+        clock.advance(std::chrono::milliseconds(100));
+        gate.finished(100, clock.now());
+        gate.arrive(requestOf(press, 2, std::chrono::hours(1)), clock.now());
+    }
+    for (int waiting = 0; waiting < 20; ++waiting) {
+        gate.arrive(requestOf(press, 100 + waiting, std::chrono::hours(1)), clock.now());
+    }
+    // Twenty requests of a hundred tokens at a thousand a second wait already.
+    const auto verdict = gate.arrive({ press, 1, 0, { 200, 100, clock.now() + std::chrono::seconds(1) } }, clock.now());
+    BOOST_TEST(static_cast<int>(verdict) == static_cast<int>(AdmissionVerdict::DeadlineUnreachable));
+    const auto patient = gate.arrive({ press, 1, 0, { 201, 100, clock.now() + std::chrono::seconds(10) } }, clock.now());
+    BOOST_TEST(static_cast<int>(patient) == static_cast<int>(AdmissionVerdict::Queued));
+}
+
+BOOST_AUTO_TEST_CASE(are_given_back_once_their_deadline_has_passed)
+{
+    VirtualClock clock;
+    AdmissionGate<Ticket> gate(1);
+    gate.arrive(requestOf(press, 1, std::chrono::hours(1)), clock.now());
+    gate.arrive(requestOf(press, 2, std::chrono::milliseconds(50)), clock.now());
+    clock.advance(std::chrono::milliseconds(51));
+    int expired = 0;
+    gate.expire(clock.now(), [&](const Waiting<Ticket> &late) { expired += late.ticket_; });
+    BOOST_TEST(expired == 2);
+    BOOST_TEST(gate.waitingCount() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(whose_endpoints_refuse)
+
+BOOST_AUTO_TEST_CASE(send_fewer_at_once_and_more_again_later)
+{
+    ConcurrencyLimit limit(100);
+    limit.refused();
+    BOOST_TEST(limit.limit() == 90);
+    for (int answered = 0; answered < 2000; ++answered) {
+        limit.accepted();
+    }
+    BOOST_TEST(limit.limit() == 100);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
