Early refusal follows each account's own rate

The estimate divided the backlog ahead by the whole rate, but accounts without a backlog go on asking and take their share first; and at the edge half of the estimates err to the wrong side.

--- a/src/decide/admission/admissiongate.h
+++ b/src/decide/admission/admissiongate.h
@@ -4,11 +4,11 @@
 #include <optional>
 
 #include "core/time.h"
+#include "decide/admission/accountrates.h"
 #include "decide/admission/admissionrequest.h"
 #include "decide/admission/admissionverdict.h"
 #include "decide/admission/concurrencylimit.h"
 #include "decide/admission/fairqueue.h"
-#include "decide/admission/servicerate.h"
 
 namespace cowsliphead
 {
@@ -37,8 +37,8 @@
         if (request.maxWaiting_ > 0 && queue_.size(request.account_) >= request.maxWaiting_) {
             return AdmissionVerdict::TooManyWaiting;
         }
-        const auto wait = rate_.timeFor(queue_.costAhead(request.account_, request.weight_));
-        if (wait && now + *wait >= request.waiting_.deadline_) {
+        const auto wait = rates_.timeFor(request.account_, queue_.costOf(request.account_), queue_.costAhead(request.account_, request.weight_));
+        if (wait && *wait > PatienceShare * (request.waiting_.deadline_ - now)) {
             return AdmissionVerdict::DeadlineUnreachable;
         }
         queue_.push(request.account_, request.weight_, request.waiting_);
@@ -59,10 +59,10 @@
     }
 
     /// An admitted request has ended with an answer. Thread safety: owner task only.
-    void finished(TokenCost cost, MonotonicTime now)
+    void finished(const AccountId &account, TokenCost cost, MonotonicTime now)
     {
         --inFlight_;
-        rate_.served(cost, now);
+        rates_.served(account, cost, now);
         limit_.accepted();
     }
 
@@ -101,9 +101,13 @@
     }
 
 private:
+    /// How much of the time until its deadline a request may be expected to wait. The estimate is not exact, and whoever waits to
+    /// the end in vain fares worse than who is refused at once.
+    static constexpr double PatienceShare = 0.8;
+
     ConcurrencyLimit limit_;
     Queue<Ticket> queue_;
-    ServiceRate rate_;
+    AccountRates rates_;
     std::size_t inFlight_ = 0;
 };
 
--- a/src/decide/admission/fairqueue.h
+++ b/src/decide/admission/fairqueue.h
@@ -87,11 +87,17 @@
         return lane == lanes_.end() ? 0 : lane->second.waiting_.size();
     }
 
+    /// The cost of one account's requests that wait. Thread safety: owner task only.
+    double costOf(const AccountId &account) const
+    {
+        const auto lane = lanes_.find(account);
+        return lane == lanes_.end() ? 0.0 : static_cast<double>(lane->second.cost_);
+    }
+
     /// The cost that is served before a new request of the account, if all accounts go on as they are. Thread safety: owner task only.
     double costAhead(const AccountId &account, std::uint32_t weight) const
     {
-        const auto own = lanes_.find(account);
-        const auto ownCost = own == lanes_.end() ? 0.0 : static_cast<double>(own->second.cost_);
+        const auto ownCost = costOf(account);
         double ahead = ownCost;
         for (const auto &[other, lane] : lanes_) {
             if (other != account) {
--- a/src/experiment/fairnessexperiment.h
+++ b/src/experiment/fairnessexperiment.h
@@ -106,15 +106,11 @@
     {
         const auto request = requests_[ticket];
         auto &gate = *gates_[request.daemon_];
-        gate.finished(request.cost_, clock_.now());
+        gate.finished(setup_.loads_[request.load_].account_, request.cost_, clock_.now());
         services_[request.load_].servedTokens_ += static_cast<double>(request.cost_);
+        gate.expire(clock_.now(), [this](const Waiting<Ticket> &late) { ++services_[requests_[late.ticket_].load_].expired_; });
         while (const auto next = gate.next()) {
-            if (next->deadline_ > clock_.now()) {
-                begin(next->ticket_);
-            } else {
-                gate.failed(false);
-                ++services_[requests_[next->ticket_].load_].expired_;
-            }
+            begin(next->ticket_);
         }
     }
 
--- a/src/experiment/fifoqueue.h
+++ b/src/experiment/fifoqueue.h
@@ -37,6 +37,15 @@
         return taken;
     }
 
+    /// Calls back with each waiting request whose deadline has passed, and takes it out. Thread safety: owner task only.
+    template <typename Expired>
+    void expire(MonotonicTime now, const Expired &expired)
+    {
+        while (!waiting_.empty() && waiting_.front().second.deadline_ <= now) {
+            expired(*pop());
+        }
+    }
+
     /// Thread safety: owner task only.
     std::size_t size() const
     {
@@ -49,6 +58,12 @@
         return static_cast<std::size_t>(std::count_if(waiting_.begin(), waiting_.end(), [&](const auto &candidate) { return candidate.first == account; }));
     }
 
+    /// In this order an account has no backlog of its own. Thread safety: owner task only.
+    double costOf(const AccountId & /*account*/) const
+    {
+        return 0;
+    }
+
     /// The cost that is served before a new request. Thread safety: owner task only.
     double costAhead(const AccountId & /*account*/, std::uint32_t /*weight*/) const
     {
--- a/tests/admission/fairqueuetest.cpp
+++ b/tests/admission/fairqueuetest.cpp
@@ -91,7 +91,7 @@
             inFlight += verdict == AdmissionVerdict::Admitted ? 1 : 0;
             waiting += verdict == AdmissionVerdict::Queued ? 1 : 0;
         } else if (inFlight > 0) {
-            gate.finished(100, clock.now());
+            gate.finished(press, 100, clock.now());
             --inFlight;
         }
         while (gate.next()) {
@@ -115,7 +115,7 @@
     gate.arrive(requestOf(press, 1, std::chrono::hours(1)), clock.now());
     for (int served = 0; served < 10; ++served) {
         clock.advance(std::chrono::milliseconds(100));
-        gate.finished(100, clock.now());
+        gate.finished(press, 100, clock.now());
         gate.arrive(requestOf(press, 2, std::chrono::hours(1)), clock.now());
     }
     for (int waiting = 0; waiting < 20; ++waiting) {
