--- /dev/null
+++ b/tests/duty/simulateddaemon.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <string>
+
+#include "duty/reporter.h"
+#include "simulatedplatform.h"
+#include "simulatedstore.h"
+#include "skewedclock.h"
+#include "usage/usagewriter.h"
+
+namespace cowsliphead
+{
+
+/// A daemon as the proofs see it: it counts usage and is a candidate for the reporter's duty.
+class SimulatedDaemon
+{
+public:
+    static constexpr std::chrono::milliseconds WindowLength{ 10000 };
+
+    SimulatedDaemon(MemoryStore &store, const VirtualClock &clock, SimulatedPlatform &platform, const std::string &incarnation, int number)
+        : clock_(clock, 1.0 + RateStep * number)
+        , store_(store, clock)
+        , platform_(platform, LatencyStep * number)
+        , writer_(store_, clock_, writerSettings(incarnation))
+        , reporter_(store_, clock_, platform_, reporterSettings(), LeasePolicy(), incarnation)
+    {
+    }
+
+    SimulatedStore &store()
+    {
+        return store_;
+    }
+
+    const Reporter<SimulatedStore, SkewedClock, PlatformLink> &reporter() const
+    {
+        return reporter_;
+    }
+
+    const UsageWriter<SimulatedStore, SkewedClock> &writer() const
+    {
+        return writer_;
+    }
+
+    void count(const UsageSubject &subject, const UsageFigures &figures)
+    {
+        last_ = { ++sequence_, subject, figures };
+        counted_[subject] += figures;
+        writer_.take(last_);
+    }
+
+    void handInAgain()
+    {
+        if (sequence_ > 0) {
+            writer_.take(last_);
+        }
+    }
+
+    const UsageSums &counted() const
+    {
+        return counted_;
+    }
+
+    void run()
+    {
+        if (isPaused_) {
+            return;
+        }
+        deliver();
+        writer_.flush();
+        reporter_.tick();
+        deliver();
+    }
+
+    void setPaused(bool isPaused)
+    {
+        isPaused_ = isPaused;
+    }
+
+private:
+    static constexpr double RateStep = 0.002;
+    static constexpr std::chrono::milliseconds LatencyStep{ 500 };
+    static constexpr int MostTurns = 50;
+
+    static UsageWriterSettings writerSettings(const std::string &incarnation)
+    {
+        UsageWriterSettings settings;
+        settings.incarnation_ = incarnation;
+        settings.windowLength_ = WindowLength;
+        settings.settleLimit_ = 3 * WindowLength;
+        return settings;
+    }
+
+    static ReporterSettings reporterSettings()
+    {
+        ReporterSettings settings;
+        settings.windowLength_ = WindowLength;
+        settings.sealDelay_ = std::chrono::seconds(2);
+        settings.freezeAfter_ = 2;
+        settings.eraseAfter_ = 6;
+        return settings;
+    }
+
+    void deliver()
+    {
+        for (int turn = 0; turn < MostTurns; ++turn) {
+            const bool hadStoreAnswer = store_.deliver();
+            if (!platform_.deliver() && !hadStoreAnswer) {
+                return;
+            }
+        }
+    }
+
+    SkewedClock clock_;
+    SimulatedStore store_;
+    PlatformLink platform_;
+    UsageWriter<SimulatedStore, SkewedClock> writer_;
+    Reporter<SimulatedStore, SkewedClock, PlatformLink> reporter_;
+    UsageSums counted_;
+    UsageEntry last_;
+    std::uint64_t sequence_ = 0;
+    bool isPaused_ = false;
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/tests/duty/simulatedstore.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <utility>
+
+#include "core/errorcode.h"
+#include "core/virtualclock.h"
+#include "standin/storefault.h"
+#include "store/memorystore.h"
+#include "store/storereply.h"
+
+namespace cowsliphead
+{
+
+/// One process's way to the store that all share: answers come when the process runs, late, or not at all. Models Store.
+class SimulatedStore
+{
+public:
+    SimulatedStore(MemoryStore &store, const VirtualClock &clock)
+        : store_(store)
+        , clock_(clock)
+    {
+    }
+
+    /// Slow: writes take effect only after their caller was told that the store is not available.
+    void setFault(StoreFault fault)
+    {
+        fault_ = fault;
+    }
+
+    /// Lets what the network held back take effect.
+    void releaseLateWrites()
+    {
+        for (const auto &write : std::exchange(late_, {})) {
+            write();
+        }
+    }
+
+    /// Hands the answers to the process. Returns false if there was none.
+    bool deliver()
+    {
+        const auto due = std::exchange(due_, {});
+        for (const auto &answer : due) {
+            answer();
+        }
+        return !due.empty();
+    }
+
+    std::uint64_t callCount() const
+    {
+        return calls_;
+    }
+
+    void compareAndSwap(const StoreWrite &write, StoreReply<StoreRevision> reply)
+    {
+        change<StoreRevision>([this, write] { return store_.compareAndSwap(write, clock_.now()); }, std::move(reply));
+    }
+
+    void read(const std::string &key, StoreReply<std::optional<StoreEntry>> reply)
+    {
+        ask<std::optional<StoreEntry>>([this, key] { return store_.read(key, clock_.now()); }, std::move(reply));
+    }
+
+    void list(const std::string &prefix, const std::string &after, std::size_t limit, StoreReply<std::vector<StoreEntry>> reply)
+    {
+        ask<std::vector<StoreEntry>>([this, prefix, after, limit] { return store_.list(prefix, after, limit, clock_.now()); }, std::move(reply));
+    }
+
+    void watch(const std::string &prefix, StoreRevision after, std::chrono::milliseconds /*wait*/, StoreReply<WatchAnswer> reply)
+    {
+        ask<WatchAnswer>([this, prefix, after] { return store_.changesSince(prefix, after, clock_.now()); }, std::move(reply));
+    }
+
+    void grantLease(std::chrono::milliseconds duration, StoreReply<LeaseId> reply)
+    {
+        change<LeaseId>([this, duration] { return Result<LeaseId>(store_.grantLease(duration, clock_.now())); }, std::move(reply));
+    }
+
+    void renewLease(const LeaseId &lease, StoreReply<LeaseId> reply)
+    {
+        change<LeaseId>([this, lease] { return store_.renewLease(lease, clock_.now()); }, std::move(reply));
+    }
+
+    void revokeLease(const LeaseId &lease, StoreReply<LeaseId> reply)
+    {
+        change<LeaseId>([this, lease] { return store_.revokeLease(lease, clock_.now()); }, std::move(reply));
+    }
+
+private:
+    template <typename T>
+    void answer(Result<T> result, StoreReply<T> reply)
+    {
+        due_.push_back([result = std::move(result), reply = std::move(reply)] { reply(result); });
+    }
+
+    template <typename T, typename Ask>
+    void ask(Ask ask, StoreReply<T> reply)
+    {
+        ++calls_;
+        const bool isDown = fault_ == StoreFault::Down;
+        answer<T>(isDown ? Result<T>(failure(ErrorCode::StoreUnavailable)) : Result<T>(ask()), std::move(reply));
+    }
+
+    template <typename T, typename Change>
+    void change(Change change, StoreReply<T> reply)
+    {
+        ++calls_;
+        Result<T> result = failure(ErrorCode::StoreUnavailable);
+        if (fault_ == StoreFault::None) {
+            result = change();
+        } else if (fault_ == StoreFault::LoseAnswers) {
+            change();
+        } else if (fault_ == StoreFault::Slow) {
+            late_.push_back([change] { change(); });
+        }
+        answer<T>(std::move(result), std::move(reply));
+    }
+
+    MemoryStore &store_;
+    const VirtualClock &clock_;
+    StoreFault fault_ = StoreFault::None;
+    std::deque<std::function<void()>> due_;
+    std::deque<std::function<void()>> late_;
+    std::uint64_t calls_ = 0;
+};
+
+} // namespace cowsliphead
