--- a/src/core/errorcode.cpp
+++ b/src/core/errorcode.cpp
@@ -104,6 +104,10 @@
         return "caller_left";
     case ErrorCode::RecordsNotLoaded:
         return "records_not_loaded";
+    case ErrorCode::PlatformUnavailable:
+        return "platform_unavailable";
+    case ErrorCode::PlatformRefused:
+        return "platform_refused";
     }
     return "unknown_error";
 }
--- a/src/core/errorcode.h
+++ b/src/core/errorcode.h
@@ -40,6 +40,8 @@
     Draining,
     CallerLeft,
     RecordsNotLoaded,
+    PlatformUnavailable,
+    PlatformRefused,
 };
 
 /// The category of ErrorCode. Thread safety: any thread.
--- a/src/logs/eventcatalogue.cpp
+++ b/src/logs/eventcatalogue.cpp
@@ -17,6 +17,7 @@
     { LogEvent::DaemonStopped, LogLevel::Info, "daemon_stopped", "All answers are written out, and the daemon ends." },
     { LogEvent::RecordsAdvanced, LogLevel::Debug, "records_advanced", "The daemon's records are at a newer revision." },
     { LogEvent::StoreNotAnswering, LogLevel::Warning, "store_not_answering", "The platform's store did not answer; the daemon tries again." },
+    { LogEvent::UsageLeftBehind, LogLevel::Warning, "usage_left_behind", "The store did not take the last usage before the daemon had to end." },
 });
 
 }
--- a/src/logs/logevent.h
+++ b/src/logs/logevent.h
@@ -23,6 +23,7 @@
     // 600 to 699: duties and leases
 
     // 700 to 799: usage and reports
+    UsageLeftBehind = 700,
 
     // 800 to 899: peers and membership
 };
--- a/src/operate/daemon.h
+++ b/src/operate/daemon.h
@@ -4,9 +4,11 @@
 
 #include "core/result.h"
 #include "duty/followerbehaviour.h"
+#include "duty/reporterbehaviour.h"
 #include "operate/daemonsettings.h"
 #include "serve/servebehaviour.h"
 #include "task/task.h"
+#include "usage/usagebehaviour.h"
 
 namespace cowsliphead
 {
@@ -23,8 +25,12 @@
     void drain();
 
 private:
+    void startUsage(const DaemonSettings &settings);
+
     Task<ServeBehaviour> serve_;
     Task<FollowerBehaviour> follower_;
+    Task<UsageBehaviour> usage_;
+    Task<ReporterBehaviour> reporter_;
 };
 
 } // namespace cowsliphead
--- a/src/operate/daemonsettings.h
+++ b/src/operate/daemonsettings.h
@@ -2,6 +2,8 @@
 
 #include "serve/servesettings.h"
 #include "store/storesettings.h"
+#include "usage/platformsettings.h"
+#include "usage/usagesettings.h"
 
 namespace cowsliphead
 {
@@ -10,6 +12,8 @@
 struct DaemonSettings {
     ServeSettings serve_;
     StoreSettings store_;
+    UsageSettings usage_;
+    PlatformSettings platform_;
 };
 
 } // namespace cowsliphead
--- a/src/operate/parsesettings.cpp
+++ b/src/operate/parsesettings.cpp
@@ -16,6 +16,7 @@
 constexpr std::uint64_t LargestPort = std::numeric_limits<std::uint16_t>::max();
 constexpr std::uint64_t LargestBody = std::uint64_t(1) << 30U;
 constexpr std::uint64_t MostRequests = 1000000;
+constexpr std::uint64_t MostUsageShards = 256;
 
 using SectionMistake = std::optional<Mistake>;
 
@@ -51,6 +52,27 @@
     return fields.mistake();
 }
 
+SectionMistake readUsage(const nlohmann::json &section, UsageSettings &settings)
+{
+    FieldReader fields(section, "/usage", ErrorCode::SettingsMalformed);
+    settings.shardCount_ = static_cast<std::uint32_t>(fields.numberOr("shards", settings.shardCount_, 1, MostUsageShards));
+    settings.windowLength_ = fields.millisecondsOr("windowMs", settings.windowLength_);
+    settings.flushInterval_ = fields.millisecondsOr("flushMs", settings.flushInterval_);
+    settings.sealDelay_ = fields.millisecondsOr("sealDelayMs", settings.sealDelay_);
+    fields.refuseOthers();
+    return fields.mistake();
+}
+
+SectionMistake readPlatform(const nlohmann::json &section, PlatformSettings &settings)
+{
+    FieldReader fields(section, "/platform", ErrorCode::SettingsMalformed);
+    settings.host_ = fields.textOr("host", settings.host_);
+    settings.port_ = readPort(fields, 1);
+    settings.timeout_ = fields.millisecondsOr("timeoutMs", settings.timeout_);
+    fields.refuseOthers();
+    return fields.mistake();
+}
+
 } // namespace
 
 tl::expected<DaemonSettings, Mistake> parseSettings(const std::string &text)
@@ -65,6 +87,8 @@
     settings.serve_.failureDomain_ = FailureDomain(fields.text("failureDomain"));
     const auto *callers = fields.object("callers");
     const auto *store = fields.object("store");
+    const auto *usage = fields.object("usage");
+    const auto *platform = fields.object("platform");
     if (store == nullptr) {
         fields.report("store", "nothing", "an object");
     }
@@ -78,6 +102,12 @@
     if (const auto mistake = readStore(*store, settings.store_)) {
         return tl::unexpected(*mistake);
     }
+    if (const auto mistake = usage == nullptr ? SectionMistake() : readUsage(*usage, settings.usage_)) {
+        return tl::unexpected(*mistake);
+    }
+    if (const auto mistake = platform == nullptr ? SectionMistake() : readPlatform(*platform, settings.platform_)) {
+        return tl::unexpected(*mistake);
+    }
     return settings;
 }
 
--- a/src/operate/standincommand.cpp
+++ b/src/operate/standincommand.cpp
@@ -6,6 +6,7 @@
 #include "operate/exitcode.h"
 #include "operate/stopsignal.h"
 #include "standin/enginestandin.h"
+#include "standin/platformstandin.h"
 #include "standin/servicestandin.h"
 #include "standin/storestandin.h"
 #include "task/listening.h"
@@ -49,7 +50,7 @@
 {
     cxxopts::Options options("cowsliphead standin", "Runs a stand-in. Exit codes: 0 stopped by a signal, 1 cannot start, 2 wrong input.");
     auto add = options.add_options();
-    add("what", "store, engine or service", cxxopts::value<std::string>()->default_value(""));
+    add("what", "store, platform, engine or service", cxxopts::value<std::string>()->default_value(""));
     add("address", "Address to listen on", cxxopts::value<std::string>()->default_value("127.0.0.1"));
     add("port", "Port to listen on; 0: a free one", cxxopts::value<std::uint16_t>()->default_value("0"));
     add("name", "Name of the engine or service", cxxopts::value<std::string>()->default_value("standin"));
@@ -58,7 +59,7 @@
     add("decode-us", "Engine: microseconds for each answer token", cxxopts::value<std::uint32_t>()->default_value("1000"));
     add("h,help", "Show this help");
     options.parse_positional({ "what" });
-    options.positional_help("store|engine|service");
+    options.positional_help("store|platform|engine|service");
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0) {
         std::cout << options.help();
@@ -68,6 +69,9 @@
     if (what == "store") {
         return run<StoreStandin>(parsed, [](EventLoop &loop) { return std::make_unique<StoreStandin>(loop); });
     }
+    if (what == "platform") {
+        return run<PlatformStandin>(parsed, [](EventLoop &loop) { return std::make_unique<PlatformStandin>(loop); });
+    }
     if (what == "engine") {
         return run<EngineStandin>(parsed, [options = engineOptionsFrom(parsed)](EventLoop &loop) { return std::make_unique<EngineStandin>(loop, options); });
     }
--- a/src/serve/activerequest.cpp
+++ b/src/serve/activerequest.cpp
@@ -65,6 +65,7 @@
 {
     onEnd_ = std::move(onEnd);
     exchange_->onCallerLeft([this] { onCallerLeft(); });
+    usage_.begin(request_.body_.size());
     take(machine_.begin(context_.clock_.now()));
 }
 
@@ -97,14 +98,17 @@
     if (isStreamed_) {
         exchange_->endChunks();
     } else {
+        usage_.takeWhole(answerBody_);
         exchange_->reply(callerHead(), answerBody_);
     }
+    emitUsage(false);
     finish();
 }
 
 void ActiveRequest::carryOut(const FailStep &step)
 {
     if (exchange_->isStarted()) {
+        emitUsage(true);
         exchange_->abort();
     } else {
         exchange_->reply(errorHead(step.code_, step.outcome_), errorBody(step.code_));
@@ -170,6 +174,7 @@
         machine_.answerStarted();
         exchange_->startChunks(callerHead());
     }
+    usage_.takeStreamed(data);
     exchange_->sendChunk(data);
 }
 
@@ -191,6 +196,9 @@
 
 void ActiveRequest::onCallerLeft()
 {
+    if (exchange_->isStarted()) {
+        emitUsage(true);
+    }
     finish();
 }
 
@@ -223,6 +231,17 @@
     return head;
 }
 
+void ActiveRequest::emitUsage(bool isCutOff)
+{
+    // An answer that is no success, or that was given to nobody in particular, is not billed.
+    if (plan_.account_.isEmpty() || answerHead_.status_ != httpstatus::Ok) {
+        return;
+    }
+    const bool isCompletion = !plan_.target_.model_.isEmpty();
+    const auto figures = isCompletion ? usage_.figures(isCutOff) : UsageFigures{ 1, isCutOff ? 1U : 0U, 0, 0 };
+    context_.usage_.send({ 0, { plan_.account_, plan_.target_.model_ }, figures });
+}
+
 void ActiveRequest::finish()
 {
     releaseEndpoint();
--- a/src/serve/activerequest.h
+++ b/src/serve/activerequest.h
@@ -13,6 +13,7 @@
 #include "http/httprequest.h"
 #include "http/httpresponsehead.h"
 #include "task/timer.h"
+#include "usage/usagemeter.h"
 
 #include <tl/expected.hpp>
 
@@ -60,6 +61,7 @@
     void releaseEndpoint();
     void forwardStreamed(std::string_view data);
     HttpResponseHead callerHead() const;
+    void emitUsage(bool isCutOff);
     void finish();
 
     ServingContext &context_;
@@ -78,6 +80,7 @@
     std::set<EndpointId> failedEndpoints_;
     HttpResponseHead answerHead_;
     std::string answerBody_;
+    UsageMeter usage_;
     Timer silence_;
 };
 
--- a/src/serve/servebehaviour.cpp
+++ b/src/serve/servebehaviour.cpp
@@ -28,7 +28,7 @@
 
 }
 
-ServeBehaviour::ServeBehaviour(EventLoop &loop, const ServeSettings &settings)
+ServeBehaviour::ServeBehaviour(EventLoop &loop, const ServeSettings &settings, const Address<UsageEntry> &usage)
     : settings_(settings)
     , context_{ .loop_ = loop,
                 .clock_ = {},
@@ -36,7 +36,8 @@
                 .pool_ = EndpointPool(loop),
                 .chooser_ = EndpointChooser(std::random_device()()),
                 .failureDomain_ = settings.failureDomain_,
-                .incarnation_ = settings.instance_.value() + "-" + randomHex(IncarnationBytes) }
+                .incarnation_ = settings.instance_.value() + "-" + randomHex(IncarnationBytes),
+                .usage_ = usage }
     , server_(loop, settings.limits_, [this](HttpRequest request, const std::shared_ptr<CallerExchange> &exchange) { handle(std::move(request), exchange); })
 {
 }
--- a/src/serve/servebehaviour.h
+++ b/src/serve/servebehaviour.h
@@ -7,10 +7,12 @@
 
 #include "caller/callerserver.h"
 #include "core/result.h"
+#include "decide/usageentry.h"
 #include "records/recordsnapshot.h"
 #include "serve/drainrequest.h"
 #include "serve/servesettings.h"
 #include "serve/servingcontext.h"
+#include "task/address.h"
 
 namespace cowsliphead
 {
@@ -25,8 +27,8 @@
 public:
     using Message = std::variant<RecordSnapshot, DrainRequest>;
 
-    /// Precondition: the loop outlives the behaviour. Thread safety: the loop's task only.
-    ServeBehaviour(EventLoop &loop, const ServeSettings &settings);
+    /// usage takes the usage of each ended request. Precondition: the loop outlives the behaviour. Thread safety: the loop's task only.
+    ServeBehaviour(EventLoop &loop, const ServeSettings &settings, const Address<UsageEntry> &usage = {});
     ~ServeBehaviour();
 
     /// Returns the port. Errors: ListenFailed. Thread safety: the loop's task only.
--- a/src/serve/servingcontext.h
+++ b/src/serve/servingcontext.h
@@ -6,8 +6,10 @@
 #include "core/failuredomain.h"
 #include "core/systemclock.h"
 #include "decide/endpointchooser.h"
+#include "decide/usageentry.h"
 #include "endpoint/endpointpool.h"
 #include "records/recordsnapshot.h"
+#include "task/address.h"
 
 namespace cowsliphead
 {
@@ -26,6 +28,9 @@
     /// Identifies this run of the instance, so that no two attempts of the fleet have the same identifier.
     std::string incarnation_;
     std::uint64_t nextRequest_ = 1;
+
+    /// Takes the usage of each ended request.
+    Address<UsageEntry> usage_;
 };
 
 } // namespace cowsliphead
--- a/src/standin/storefault.h
+++ b/src/standin/storefault.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <string>
+
 namespace cowsliphead
 {
 
-/// How the store stand-in misbehaves.
+/// How the stand-in of the store or of the platform misbehaves.
 enum class StoreFault {
     None,
     Down, ///< Connections are closed without an answer, and nothing takes effect.
@@ -11,4 +13,7 @@
     LoseAnswers, ///< Writes take effect, and their answers are lost.
 };
 
+/// None for an unknown name. Thread safety: any thread.
+StoreFault faultFromName(const std::string &name);
+
 } // namespace cowsliphead
--- a/src/standin/storestandin.cpp
+++ b/src/standin/storestandin.cpp
@@ -33,20 +33,6 @@
     return httpstatus::BadRequest;
 }
 
-StoreFault faultFromName(const std::string &name)
-{
-    if (name == "down") {
-        return StoreFault::Down;
-    }
-    if (name == "slow") {
-        return StoreFault::Slow;
-    }
-    if (name == "lose-answers") {
-        return StoreFault::LoseAnswers;
-    }
-    return StoreFault::None;
-}
-
 } // namespace
 
 StoreStandin::StoreStandin(EventLoop &loop)
--- /dev/null
+++ b/src/usage/usagemeter.cpp
@@ -0,0 +1,83 @@
+#include "usage/usagemeter.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cowsliphead
+{
+
+namespace
+{
+
+constexpr std::size_t CharactersPerToken = 4;
+constexpr std::string_view DataField = "data: ";
+
+/// True if the event holds the field with a text that is not empty. Events are not parsed, since there is one for each token.
+bool holdsText(std::string_view event, std::string_view field)
+{
+    const auto found = event.find(field);
+    if (found == std::string_view::npos) {
+        return false;
+    }
+    const auto quote = event.find_first_not_of(' ', found + field.size());
+    return quote != std::string_view::npos && event.substr(quote, 1) == "\"" && event.substr(quote + 1, 1) != "\"";
+}
+
+} // namespace
+
+void UsageMeter::begin(std::size_t requestBytes)
+{
+    promptTokens_ = 1 + requestBytes / CharactersPerToken;
+}
+
+void UsageMeter::takeStreamed(std::string_view data)
+{
+    for (auto end = data.find('\n'); end != std::string_view::npos; end = data.find('\n')) {
+        unfinishedLine_.append(data.substr(0, end));
+        takeLine(unfinishedLine_);
+        unfinishedLine_.clear();
+        data.remove_prefix(end + 1);
+    }
+    unfinishedLine_.append(data);
+}
+
+void UsageMeter::takeWhole(const std::string &body)
+{
+    takeStated(body);
+}
+
+UsageFigures UsageMeter::figures(bool isCutOff) const
+{
+    return { 1, isCutOff ? 1U : 0U, promptTokens_, answerTokens_ };
+}
+
+void UsageMeter::takeLine(std::string_view line)
+{
+    if (!line.starts_with(DataField)) {
+        return;
+    }
+    const auto event = line.substr(DataField.size());
+    if (!isStated_ && (holdsText(event, R"("content":)") || holdsText(event, R"("text":)"))) {
+        ++answerTokens_;
+    }
+    if (event.find(R"("usage")") != std::string_view::npos) {
+        takeStated(event);
+    }
+}
+
+void UsageMeter::takeStated(std::string_view document)
+{
+    const auto answer = nlohmann::json::parse(document, nullptr, false);
+    if (!answer.is_object() || !answer.contains("usage") || !answer["usage"].is_object()) {
+        return;
+    }
+    const auto &usage = answer["usage"];
+    const auto prompt = usage.value("prompt_tokens", nlohmann::json());
+    const auto completion = usage.value("completion_tokens", nlohmann::json());
+    if (prompt.is_number_unsigned() && completion.is_number_unsigned()) {
+        promptTokens_ = prompt.get<std::uint64_t>();
+        answerTokens_ = completion.get<std::uint64_t>();
+        isStated_ = true;
+    }
+}
+
+} // namespace cowsliphead
