--- a/src/operate/daemon.cpp
+++ b/src/operate/daemon.cpp
@@ -16,9 +16,12 @@
 
 Result<std::uint16_t> Daemon::start(const DaemonSettings &settings)
 {
+    const auto spans = settings.traces_.isEnabled() ? traces_.address<Span>() : Address<Span>();
     const auto port = startListening(
         serve_,
-        [serve = settings.serve_, usage = usage_.address<UsageEntry>()](EventLoop &loop) { return std::make_unique<ServeBehaviour>(loop, serve, usage); },
+        [serve = settings.serve_, spans, usage = usage_.address<UsageEntry>()](EventLoop &loop) {
+            return std::make_unique<ServeBehaviour>(loop, serve, spans, usage);
+        },
         [](ServeBehaviour &behaviour) { return behaviour.listen(); });
     if (!port) {
         return port;
@@ -27,7 +30,17 @@
         return std::make_unique<FollowerBehaviour>(loop, store, receiver);
     });
     startUsage(settings);
-    logEvent(LogEvent::DaemonStarted, { { "instance", settings.serve_.instance_.value() }, { "port", std::uint64_t(*port) } });
+    if (settings.traces_.isEnabled()) {
+        traces_.start([traces = settings.traces_, instance = settings.serve_.instance_.value()](EventLoop &loop) {
+            return std::make_unique<TraceBehaviour>(loop, traces, instance);
+        });
+    }
+    const auto metricsPort = startMetrics(settings.metrics_);
+    if (!metricsPort) {
+        return metricsPort;
+    }
+    logEvent(LogEvent::DaemonStarted,
+             { { "instance", settings.serve_.instance_.value() }, { "port", std::uint64_t(*port) }, { "metricsPort", std::uint64_t(*metricsPort) } });
     return port;
 }
 
@@ -52,7 +65,20 @@
     usage_.join();
     reporter_.stop();
     follower_.stop();
+    metrics_.stop();
+    traces_.stop();
     logEvent(LogEvent::DaemonStopped);
 }
 
+Result<std::uint16_t> Daemon::startMetrics(const MetricsSettings &settings)
+{
+    if (!settings.isEnabled_) {
+        return 0;
+    }
+    const MetricsBehaviour::Sources sources{ serve_.address<MetricsQuery>() };
+    return startListening(
+        metrics_,
+        [this, sources](EventLoop &loop) { return std::make_unique<MetricsBehaviour>(loop, sources, metrics_.address<MetricsReport>()); },
+        [settings](MetricsBehaviour &behaviour) { return behaviour.listen(settings.address_, settings.port_); });
+}
 } // namespace cowsliphead
--- a/src/operate/daemonsettings.h
+++ b/src/operate/daemonsettings.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "metrics/metricssettings.h"
 #include "serve/servesettings.h"
 #include "store/storesettings.h"
+#include "traces/tracesettings.h"
 #include "usage/platformsettings.h"
 #include "usage/usagesettings.h"
 
@@ -14,6 +16,8 @@
     StoreSettings store_;
     UsageSettings usage_;
     PlatformSettings platform_;
+    MetricsSettings metrics_;
+    TraceSettings traces_;
 };
 
 } // namespace cowsliphead
--- a/src/operate/parsesettings.cpp
+++ b/src/operate/parsesettings.cpp
@@ -29,6 +29,15 @@
     return static_cast<std::uint16_t>(port);
 }
 
+std::chrono::milliseconds readPositive(FieldReader &fields, const std::string &field, std::chrono::milliseconds fallback)
+{
+    const auto duration = fields.millisecondsOr(field, fallback);
+    if (duration.count() == 0) {
+        fields.report(field, "0", "a positive number of milliseconds");
+    }
+    return duration;
+}
+
 SectionMistake readCallers(const nlohmann::json &section, ServeSettings &settings)
 {
     FieldReader fields(section, "/callers", ErrorCode::SettingsMalformed);
@@ -56,8 +65,8 @@
 {
     FieldReader fields(section, "/usage", ErrorCode::SettingsMalformed);
     settings.shardCount_ = static_cast<std::uint32_t>(fields.numberOr("shards", settings.shardCount_, 1, MostUsageShards));
-    settings.windowLength_ = fields.millisecondsOr("windowMs", settings.windowLength_);
-    settings.flushInterval_ = fields.millisecondsOr("flushMs", settings.flushInterval_);
+    settings.windowLength_ = readPositive(fields, "windowMs", settings.windowLength_);
+    settings.flushInterval_ = readPositive(fields, "flushMs", settings.flushInterval_);
     settings.sealDelay_ = fields.millisecondsOr("sealDelayMs", settings.sealDelay_);
     fields.refuseOthers();
     return fields.mistake();
@@ -73,6 +82,26 @@
     return fields.mistake();
 }
 
+SectionMistake readMetrics(const nlohmann::json &section, MetricsSettings &settings)
+{
+    FieldReader fields(section, "/metrics", ErrorCode::SettingsMalformed);
+    settings.isEnabled_ = true;
+    settings.address_ = fields.textOr("address", settings.address_);
+    settings.port_ = readPort(fields, 0);
+    fields.refuseOthers();
+    return fields.mistake();
+}
+
+SectionMistake readTraces(const nlohmann::json &section, TraceSettings &settings)
+{
+    FieldReader fields(section, "/traces", ErrorCode::SettingsMalformed);
+    settings.file_ = fields.textOr("file", {});
+    settings.collectorHost_ = fields.textOr("collectorHost", {});
+    settings.collectorPort_ = static_cast<std::uint16_t>(fields.numberOr("collectorPort", settings.collectorPort_, 1, LargestPort));
+    fields.refuseOthers();
+    return fields.mistake();
+}
+
 } // namespace
 
 tl::expected<DaemonSettings, Mistake> parseSettings(const std::string &text)
@@ -89,6 +118,8 @@
     const auto *store = fields.object("store");
     const auto *usage = fields.object("usage");
     const auto *platform = fields.object("platform");
+    const auto *metrics = fields.object("metrics");
+    const auto *traces = fields.object("traces");
     if (store == nullptr) {
         fields.report("store", "nothing", "an object");
     }
@@ -108,6 +139,12 @@
     if (const auto mistake = platform == nullptr ? SectionMistake() : readPlatform(*platform, settings.platform_)) {
         return tl::unexpected(*mistake);
     }
+    if (const auto mistake = metrics == nullptr ? SectionMistake() : readMetrics(*metrics, settings.metrics_)) {
+        return tl::unexpected(*mistake);
+    }
+    if (const auto mistake = traces == nullptr ? SectionMistake() : readTraces(*traces, settings.traces_)) {
+        return tl::unexpected(*mistake);
+    }
     return settings;
 }
 
--- a/src/serve/servebehaviour.h
+++ b/src/serve/servebehaviour.h
@@ -7,7 +7,7 @@
 
 #include "caller/callerserver.h"
 #include "core/result.h"
-#include "decide/usageentry.h"
+#include "metrics/metricsquery.h"
 #include "records/recordsnapshot.h"
 #include "serve/drainrequest.h"
 #include "serve/servesettings.h"
@@ -25,10 +25,11 @@
 class ServeBehaviour
 {
 public:
-    using Message = std::variant<RecordSnapshot, DrainRequest>;
+    using Message = std::variant<RecordSnapshot, DrainRequest, MetricsQuery>;
 
-    /// usage takes the usage of each ended request. Precondition: the loop outlives the behaviour. Thread safety: the loop's task only.
-    ServeBehaviour(EventLoop &loop, const ServeSettings &settings, const Address<UsageEntry> &usage = {});
+    /// spans is where ended spans go, usage where the usage of each ended request goes. Precondition: the loop outlives the
+    /// behaviour. Thread safety: the loop's task only.
+    ServeBehaviour(EventLoop &loop, const ServeSettings &settings, Address<Span> spans, const Address<UsageEntry> &usage);
     ~ServeBehaviour();
 
     /// Returns the port. Errors: ListenFailed. Thread safety: the loop's task only.
@@ -40,10 +41,11 @@
 private:
     void handle(HttpRequest request, const std::shared_ptr<CallerExchange> &exchange);
     void begin(const RequestFacts &facts, HttpRequest request, const std::shared_ptr<CallerExchange> &exchange);
-    void refuse(CallerExchange &exchange, std::error_code code) const;
-    void listModels(const HttpRequest &request, CallerExchange &exchange) const;
+    void refuse(CallerExchange &exchange, std::error_code code);
+    void listModels(const HttpRequest &request, CallerExchange &exchange);
     void take(RecordSnapshot records);
     void take(DrainRequest request);
+    void take(const MetricsQuery &query);
     void stopIfDrained();
 
     ServeSettings settings_;
--- a/src/usage/usagemeter.cpp
+++ b/src/usage/usagemeter.cpp
@@ -31,6 +31,7 @@
 
 void UsageMeter::takeStreamed(std::string_view data)
 {
+    hasPassedOn_ = true;
     for (auto end = data.find('\n'); end != std::string_view::npos; end = data.find('\n')) {
         unfinishedLine_.append(data.substr(0, end));
         takeLine(unfinishedLine_);
@@ -42,9 +43,15 @@
 
 void UsageMeter::takeWhole(const std::string &body)
 {
+    hasPassedOn_ = true;
     takeStated(body);
 }
 
+bool UsageMeter::hasPassedOn() const
+{
+    return hasPassedOn_;
+}
+
 UsageFigures UsageMeter::figures(bool isCutOff) const
 {
     return { 1, isCutOff ? 1U : 0U, promptTokens_, answerTokens_ };
--- a/src/usage/usagemeter.h
+++ b/src/usage/usagemeter.h
@@ -22,6 +22,9 @@
     /// A whole answer that was passed on. Thread safety: owner task only.
     void takeWhole(const std::string &body);
 
+    /// True once any of the answer was passed on. Thread safety: owner task only.
+    bool hasPassedOn() const;
+
     /// The figures of the request as it stands. Thread safety: owner task only.
     UsageFigures figures(bool isCutOff) const;
 
@@ -33,6 +36,7 @@
     std::uint64_t promptTokens_ = 0;
     std::uint64_t answerTokens_ = 0;
     bool isStated_ = false;
+    bool hasPassedOn_ = false;
 };
 
 } // namespace cowsliphead
