--- a/tests/scenarios/scenariostest.cpp
+++ b/tests/scenarios/scenariostest.cpp
@@ -24,6 +24,11 @@
     tell("separate_processes");
 }
 
+BOOST_AUTO_TEST_CASE(reports_all_usage_once)
+{
+    tell("usage_reports");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scenarios/words.lua
+++ b/tests/scenarios/words.lua
@@ -149,3 +149,55 @@
 function eventually_serves(daemon, key)
     eventually("the daemon serves", function() return ask(daemon, key, completion(1)).status == 200 end)
 end
+
+-- Lets the story's own connections go on.
+function let_pass(seconds)
+    wait_until(function() return false end, seconds)
+end
+
+-- As eventually, for conditions that ask something and so wait themselves.
+function eventually_asking(what, condition)
+    for _ = 1, PATIENCE * 5 do
+        if condition() then
+            return
+        end
+        let_pass(0.2)
+    end
+    error("did not happen in time: " .. what, 2)
+end
+
+function start_platform()
+    local number, port = spawn({"standin", "platform"}, "")
+    expect(port > 0, "the platform did not start")
+    return {number = number, port = port}
+end
+
+function set_platform_fault(platform, fault)
+    set_store_fault(platform, fault)
+end
+
+-- All usage reports that the platform was sent, in the order of their arrival.
+function reports(platform)
+    local answer = ask(platform, nil, {path = "/standin/submissions", json = {}})
+    return decode_json(answer.body)["/v1/usage"]
+end
+
+-- The sum of all reports, each account and window once; fails on two that differ.
+function billed(platform)
+    local sum = {requests = 0, cutOff = 0, promptTokens = 0, answerTokens = 0}
+    local seen = {}
+    for _, report in ipairs(reports(platform)) do
+        for _, line in ipairs(report.models) do
+            local name = report.account .. "/" .. report.window .. "/" .. line.model
+            local figures = table.concat({line.requests, line.cutOff, line.promptTokens, line.answerTokens}, ",")
+            if not seen[name] then
+                for field in pairs(sum) do
+                    sum[field] = sum[field] + line[field]
+                end
+            end
+            expect_equal(figures, seen[name] or figures, "figures of " .. name)
+            seen[name] = figures
+        end
+    end
+    return sum
+end
