--- a/src/core/errorcode.cpp
+++ b/src/core/errorcode.cpp
@@ -108,6 +108,8 @@
         return "platform_unavailable";
     case ErrorCode::PlatformRefused:
         return "platform_refused";
+    case ErrorCode::OrderWithheld:
+        return "order_withheld";
     }
     return "unknown_error";
 }
--- a/src/core/errorcode.h
+++ b/src/core/errorcode.h
@@ -42,6 +42,7 @@
     RecordsNotLoaded,
     PlatformUnavailable,
     PlatformRefused,
+    OrderWithheld,
 };
 
 /// The category of ErrorCode. Thread safety: any thread.
--- a/tests/duty/reportertest.cpp
+++ b/tests/duty/reportertest.cpp
@@ -6,7 +6,7 @@
 #include <tuple>
 #include <vector>
 
-#include "simulateddaemon.h"
+#include "duty/simulateddaemon.h"
 
 using namespace cowsliphead;
 
--- a/tests/duty/simulateddaemon.h
+++ b/tests/duty/simulateddaemon.h
@@ -3,9 +3,9 @@
 #include <string>
 
 #include "duty/reporter.h"
-#include "simulatedplatform.h"
-#include "simulatedstore.h"
-#include "skewedclock.h"
+#include "duty/simulatedplatform.h"
+#include "duty/simulatedstore.h"
+#include "duty/skewedclock.h"
 #include "usage/usagewriter.h"
 
 namespace cowsliphead
