--- a/src/core/errorcode.h
+++ b/src/core/errorcode.h
@@ -40,6 +40,7 @@
     Draining,
     CallerLeft,
     RecordsNotLoaded,
+    TlsFilesUnusable,
     PlatformUnavailable,
     PlatformRefused,
     OrderWithheld,
--- a/src/operate/daemon.cpp
+++ b/src/operate/daemon.cpp
@@ -56,6 +56,11 @@
     });
 }
 
+void Daemon::reloadTls()
+{
+    serve_.send(TlsReload{});
+}
+
 void Daemon::drain()
 {
     logEvent(LogEvent::DrainStarted);
--- a/tests/duty/reportertest.cpp
+++ b/tests/duty/reportertest.cpp
@@ -308,13 +308,39 @@
 BOOST_AUTO_TEST_CASE(hold_what_it_had_written)
 {
     fleet_.daemon(0).count(Fleet::subject(0), { 1, 0, 10, 20 });
-    fleet_.pass(std::chrono::seconds(1));
+    fleet_.pass(std::chrono::seconds(2));
     fleet_.kill(0);
     requireExact();
 }
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(when_the_counter_of_an_idle_daemon_is_frozen, Fixture)
+
+BOOST_AUTO_TEST_CASE(hold_what_it_counts_afterwards_once)
+{
+    fleet_.daemon(0).count(Fleet::subject(0), { 1, 0, 10, 20 });
+    fleet_.pass(std::chrono::seconds(60));
+    fleet_.daemon(0).count(Fleet::subject(0), { 1, 0, 30, 40 });
+    requireExact();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(when_a_daemon_hears_no_answer_until_its_counter_is_erased, Fixture)
+
+BOOST_AUTO_TEST_CASE(hold_what_it_counts_afterwards_once)
+{
+    fleet_.daemon(1).store().setFault(StoreFault::LoseAnswers);
+    fleet_.daemon(1).count(Fleet::subject(0), { 1, 0, 10, 20 });
+    fleet_.pass(std::chrono::seconds(50));
+    fleet_.daemon(1).count(Fleet::subject(0), { 1, 0, 30, 40 });
+    fleet_.pass(std::chrono::seconds(120));
+    requireExact();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(under_any_history_of_failures)
 
 RC_BOOST_PROP(bill_all_usage_once_and_no_window_twice_with_different_figures, ())
--- a/tests/duty/simulateddaemon.h
+++ b/tests/duty/simulateddaemon.h
@@ -60,15 +60,16 @@
         return counted_;
     }
 
+    /// Takes one turn, so that a pause can come between any answer and the next.
     void run()
     {
         if (isPaused_) {
             return;
         }
-        deliver();
+        store_.deliver();
+        platform_.deliver();
         writer_.flush();
         reporter_.tick();
-        deliver();
     }
 
     void setPaused(bool isPaused)
@@ -79,7 +80,6 @@
 private:
     static constexpr double RateStep = 0.002;
     static constexpr std::chrono::milliseconds LatencyStep{ 500 };
-    static constexpr int MostTurns = 50;
 
     static UsageWriterSettings writerSettings(const std::string &incarnation)
     {
@@ -100,16 +100,6 @@
         return settings;
     }
 
-    void deliver()
-    {
-        for (int turn = 0; turn < MostTurns; ++turn) {
-            const bool hadStoreAnswer = store_.deliver();
-            if (!platform_.deliver() && !hadStoreAnswer) {
-                return;
-            }
-        }
-    }
-
     SkewedClock clock_;
     SimulatedStore store_;
     PlatformLink platform_;
--- a/tests/orders/plannertest.cpp
+++ b/tests/orders/plannertest.cpp
@@ -39,20 +39,15 @@
     {
     }
 
+    /// Takes one turn, so that a pause can come between any answer and the next.
     void run()
     {
         if (isPaused_) {
             return;
         }
         link_.pump();
-        deliver();
+        store_.deliver();
         planner_.tick();
-        deliver();
-    }
-
-    void deliver()
-    {
-        for (int turn = 0; turn < 50 && store_.deliver(); ++turn) { }
     }
 
     SkewedClock clock_;
