--- a/src/core/errorcode.cpp
+++ b/src/core/errorcode.cpp
@@ -106,6 +106,12 @@
         return "records_not_loaded";
     case ErrorCode::TlsFilesUnusable:
         return "tls_files_unusable";
+    case ErrorCode::PlatformUnavailable:
+        return "platform_unavailable";
+    case ErrorCode::PlatformRefused:
+        return "platform_refused";
+    case ErrorCode::OrderWithheld:
+        return "order_withheld";
     }
     return "unknown_error";
 }
--- a/src/core/errorcode.h
+++ b/src/core/errorcode.h
@@ -41,6 +41,9 @@
     CallerLeft,
     RecordsNotLoaded,
     TlsFilesUnusable,
+    PlatformUnavailable,
+    PlatformRefused,
+    OrderWithheld,
 };
 
 /// The category of ErrorCode. Thread safety: any thread.
--- a/src/operate/daemon.h
+++ b/src/operate/daemon.h
@@ -4,11 +4,13 @@
 
 #include "core/result.h"
 #include "duty/followerbehaviour.h"
+#include "duty/reporterbehaviour.h"
 #include "metrics/metricsbehaviour.h"
 #include "operate/daemonsettings.h"
 #include "serve/servebehaviour.h"
 #include "task/task.h"
 #include "traces/tracebehaviour.h"
+#include "usage/usagebehaviour.h"
 
 namespace cowsliphead
 {
@@ -28,10 +30,13 @@
     void drain();
 
 private:
+    void startUsage(const DaemonSettings &settings);
     Result<std::uint16_t> startMetrics(const MetricsSettings &settings);
 
     Task<ServeBehaviour> serve_;
     Task<FollowerBehaviour> follower_;
+    Task<UsageBehaviour> usage_;
+    Task<ReporterBehaviour> reporter_;
     Task<MetricsBehaviour> metrics_;
     Task<TraceBehaviour> traces_;
 };
--- a/src/operate/daemonsettings.h
+++ b/src/operate/daemonsettings.h
@@ -4,6 +4,8 @@
 #include "serve/servesettings.h"
 #include "store/storesettings.h"
 #include "traces/tracesettings.h"
+#include "usage/platformsettings.h"
+#include "usage/usagesettings.h"
 
 namespace cowsliphead
 {
@@ -12,6 +14,8 @@
 struct DaemonSettings {
     ServeSettings serve_;
     StoreSettings store_;
+    UsageSettings usage_;
+    PlatformSettings platform_;
     MetricsSettings metrics_;
     TraceSettings traces_;
 };
--- a/src/serve/activerequest.cpp
+++ b/src/serve/activerequest.cpp
@@ -69,6 +69,7 @@
 {
     onEnd_ = std::move(onEnd);
     exchange_->onCallerLeft([this] { onCallerLeft(); });
+    usage_.begin(request_.body_.size());
     take(machine_.begin(context_.clock_.now()));
 }
 
@@ -102,6 +103,7 @@
         exchange_->endChunks();
     } else {
         telemetry_.answerStarted();
+        usage_.takeWhole(answerBody_);
         exchange_->reply(callerHead(), answerBody_);
     }
     finish(Outcome::Run, {});
@@ -179,6 +181,7 @@
         telemetry_.answerStarted();
         exchange_->startChunks(callerHead());
     }
+    usage_.takeStreamed(data);
     exchange_->sendChunk(data);
 }
 
@@ -233,10 +236,23 @@
     return head;
 }
 
+void ActiveRequest::emitUsage(Outcome outcome)
+{
+    const bool isCutOff = outcome != Outcome::Run;
+    // An answer that is no success, or that was given to nobody in particular, is not billed.
+    if (!usage_.hasPassedOn() || plan_.account_.isEmpty() || answerHead_.status_ != httpstatus::Ok) {
+        return;
+    }
+    const bool isCompletion = !plan_.target_.model_.isEmpty();
+    const auto figures = isCompletion ? usage_.figures(isCutOff) : UsageFigures{ 1, isCutOff ? 1U : 0U, 0, 0 };
+    context_.usage_.send({ 0, { plan_.account_, plan_.target_.model_ }, figures });
+}
+
 void ActiveRequest::finish(Outcome outcome, std::error_code code)
 {
     releaseEndpoint(code);
     telemetry_.requestEnded(outcome, code);
+    emitUsage(outcome);
     exchange_->onCallerLeft(nullptr);
     if (const auto onEnd = std::exchange(onEnd_, nullptr)) {
         onEnd();
--- a/src/serve/servebehaviour.cpp
+++ b/src/serve/servebehaviour.cpp
@@ -33,7 +33,7 @@
 
 } // namespace
 
-ServeBehaviour::ServeBehaviour(EventLoop &loop, const ServeSettings &settings, Address<Span> spans)
+ServeBehaviour::ServeBehaviour(EventLoop &loop, const ServeSettings &settings, Address<Span> spans, const Address<UsageEntry> &usage)
     : settings_(settings)
     , context_{ .loop_ = loop,
                 .clock_ = {},
@@ -43,7 +43,8 @@
                 .failureDomain_ = settings.failureDomain_,
                 .incarnation_ = settings.instance_.value() + "-" + randomHex(IncarnationBytes),
                 .metrics_ = {},
-                .spans_ = std::move(spans) }
+                .spans_ = std::move(spans),
+                .usage_ = usage }
     , drain_(settings.drain_)
     , drainCheck_(loop, [this] { checkDrain(); })
     , server_(loop, settings.limits_, [this](HttpRequest request, const std::shared_ptr<CallerExchange> &exchange) { handle(std::move(request), exchange); })
--- a/src/serve/servebehaviour.h
+++ b/src/serve/servebehaviour.h
@@ -14,6 +14,7 @@
 #include "serve/servesettings.h"
 #include "serve/servingcontext.h"
 #include "serve/tlsreload.h"
+#include "task/address.h"
 #include "task/timer.h"
 
 namespace cowsliphead
@@ -29,8 +30,9 @@
 public:
     using Message = std::variant<RecordSnapshot, DrainRequest, MetricsQuery, TlsReload>;
 
-    /// spans is where ended spans go. Precondition: the loop outlives the behaviour. Thread safety: the loop's task only.
-    ServeBehaviour(EventLoop &loop, const ServeSettings &settings, Address<Span> spans);
+    /// spans is where ended spans go, usage where the usage of each ended request goes. Precondition: the loop outlives the
+    /// behaviour. Thread safety: the loop's task only.
+    ServeBehaviour(EventLoop &loop, const ServeSettings &settings, Address<Span> spans, const Address<UsageEntry> &usage);
     ~ServeBehaviour();
 
     /// Returns the port. Errors: ListenFailed, TlsFilesUnusable. Thread safety: the loop's task only.
--- a/src/serve/servingcontext.h
+++ b/src/serve/servingcontext.h
@@ -6,6 +6,7 @@
 #include "core/failuredomain.h"
 #include "core/systemclock.h"
 #include "decide/endpointchooser.h"
+#include "decide/usageentry.h"
 #include "endpoint/endpointpool.h"
 #include "records/recordsnapshot.h"
 #include "serve/servemetrics.h"
@@ -33,6 +34,9 @@
 
     /// Where ended spans go; nowhere if traces are off.
     Address<Span> spans_;
+
+    /// Takes the usage of each ended request.
+    Address<UsageEntry> usage_;
 };
 
 } // namespace cowsliphead
