Add cowsliphead bench and tools/bench: costs with slopes

Cause: the design is to follow from the target size, and nothing measured it. tools/bench starts a store, an engine and daemons as separate processes on the loopback address; `cowsliphead bench load|fill|spread|usage|summary` loads and measures them by port and process id (processor time from the process's clock, memory and transferred bytes from /proc) and fits a line to each value. Ruled out: all as tasks of one process, since memory and processor time of the daemon could not be told from those of the load.

--- /dev/null
+++ b/src/bench/fillcommand.cpp
@@ -0,0 +1,96 @@
+#include <iostream>
+
+#include <cxxopts.hpp>
+
+#include "bench/benchcommands.h"
+#include "bench/benchrecords.h"
+#include "bench/pointoptions.h"
+#include "bench/processusage.h"
+#include "bench/recordfiller.h"
+#include "operate/createdkey.h"
+#include "operate/createkey.h"
+#include "operate/exitcode.h"
+#include "operate/storeoptions.h"
+
+namespace cowsliphead::benchcommands
+{
+
+namespace
+{
+
+void addFillOptions(cxxopts::Options &options)
+{
+    auto add = options.add_options();
+    add("accounts", "Client accounts to write, each with a key", cxxopts::value<std::uint32_t>()->default_value("0"));
+    add("engines", "Engines to write, all at the engine port", cxxopts::value<std::uint32_t>()->default_value("0"));
+    add("engine-port", "Port of the engine", cxxopts::value<std::uint16_t>()->default_value("0"));
+    add("changes", "Times to write one account again", cxxopts::value<std::uint32_t>()->default_value("0"));
+    add("model", "Model to write and to name in the engines", cxxopts::value<std::string>()->default_value("small"));
+    add("prefix", "First part of the records' names", cxxopts::value<std::string>()->default_value("bench"));
+    add("gap-us", "Microseconds between writes", cxxopts::value<std::uint32_t>()->default_value("0"));
+    addStoreOptions(options);
+}
+
+/// The texts to write. The last created key is left in key.
+std::vector<std::string> textsFrom(const cxxopts::ParseResult &parsed, std::string &key)
+{
+    const auto prefix = parsed["prefix"].as<std::string>();
+    const auto model = parsed["model"].as<std::string>();
+    std::vector<std::string> texts{ benchrecords::model(model) };
+    for (std::uint32_t index = 0; index < parsed["engines"].as<std::uint32_t>(); ++index) {
+        texts.push_back(benchrecords::engine(prefix + "-engine-" + std::to_string(index), parsed["engine-port"].as<std::uint16_t>(), model));
+    }
+    for (std::uint32_t index = 0; index < parsed["accounts"].as<std::uint32_t>(); ++index) {
+        const auto name = prefix + "-account-" + std::to_string(index);
+        const auto created = createKey(AccountId(name));
+        key = created.key_;
+        texts.push_back(benchrecords::account(name));
+        texts.push_back(created.recordText_);
+    }
+    for (std::uint32_t index = 0; index < parsed["changes"].as<std::uint32_t>(); ++index) {
+        texts.push_back(benchrecords::account(prefix + "-changed"));
+    }
+    return texts;
+}
+
+int fail(std::error_code code)
+{
+    std::cerr << "cowsliphead bench fill: " << code.message() << "\n";
+    return exitcode::Failed;
+}
+
+} // namespace
+
+int fill(int argc, char **argv)
+{
+    cxxopts::Options options("cowsliphead bench fill", "Writes many records. Exit codes: 0 done, 1 not done, 2 wrong input.");
+    addFillOptions(options);
+    addPointOptions(options);
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") > 0) {
+        std::cout << options.help();
+        return exitcode::Success;
+    }
+    std::string key;
+    auto texts = textsFrom(parsed, key);
+    auto point = pointFrom(parsed);
+    const auto processes = processesFrom(parsed);
+    const auto before = readProcessUsage(processes);
+    RecordFiller filler(storeSettingsFrom(parsed));
+    const auto revision = filler.fill(std::move(texts), std::chrono::microseconds(parsed["gap-us"].as<std::uint32_t>()));
+    const auto after = readProcessUsage(processes);
+    if (!revision) {
+        return fail(revision.error());
+    }
+    if (!before || !after) {
+        return fail((before ? after : before).error());
+    }
+    if (!key.empty()) {
+        std::cerr << key << std::endl;
+    }
+    point.values_ = after->since(*before).values();
+    std::cout << point.toJson() << std::endl;
+    return exitcode::Success;
+}
+
+} // namespace cowsliphead::benchcommands
--- a/src/operate/commands.h
+++ b/src/operate/commands.h
@@ -18,4 +18,7 @@
 /// Runs a stand-in. Returns an exit code.
 int standin(int argc, char **argv);
 
+/// Measures daemons on the loopback address. Returns an exit code.
+int bench(int argc, char **argv);
+
 } // namespace cowsliphead::commands
