Send the pieces of one turn of the loop to a caller as one chunk

Cause: callgrind put 33% of the daemon's instructions on sendChunk(), which made and freed a buffer and framed a chunk for each token, also when several tokens had come with one read. Figures (callgrind, 20,000 tokens of 10 streams at 1 ms): instructions of sending 2,850 a token, 1,560 after; with every token in a read of its own (20 ms between tokens) 3,560 a token, 2,960 after. Processor time of the daemon a streamed token, 60 streams at 2 ms, six runs each on a shared machine: 20.3 us, 19.2 us, which is within the runs' spread of 2 us: the kernel's TCP path takes most of it.

--- a/src/caller/callerexchange.cpp
+++ b/src/caller/callerexchange.cpp
@@ -4,44 +4,16 @@
 
 #include <event2/buffer.h>
 
-namespace cowsliphead
-{
-
-namespace
-{
+#include "task/eventloop.h"
 
-/// Buffers that are filled for one write and emptied by it.
-class WriteBuffer
+namespace cowsliphead
 {
-public:
-    explicit WriteBuffer(std::string_view data)
-        : buffer_(evbuffer_new())
-    {
-        evbuffer_add(buffer_, data.data(), data.size());
-    }
-
-    ~WriteBuffer()
-    {
-        evbuffer_free(buffer_);
-    }
-
-    WriteBuffer(const WriteBuffer &) = delete;
-    WriteBuffer &operator=(const WriteBuffer &) = delete;
-
-    evbuffer *get() const
-    {
-        return buffer_;
-    }
 
-private:
-    evbuffer *buffer_;
-};
-
-} // namespace
-
-CallerExchange::CallerExchange(evhtp_request_t *request, std::function<void()> onReleased)
-    : request_(request)
+CallerExchange::CallerExchange(EventLoop &loop, evhtp_request_t *request, std::function<void()> onReleased)
+    : loop_(loop)
+    , request_(request)
     , released_(std::move(onReleased))
+    , unsent_(evbuffer_new())
 {
 }
 
@@ -82,8 +54,12 @@
     if (request_ == nullptr || data.empty()) {
         return;
     }
-    const WriteBuffer buffer(data);
-    evhtp_send_reply_chunk(request_, buffer.get());
+    const bool isFirst = evbuffer_get_length(unsent_.get()) == 0;
+    evbuffer_add(unsent_.get(), data.data(), data.size());
+    if (isFirst) {
+        // What the endpoint sent at once arrives piece by piece in one turn of the loop, and leaves as one chunk.
+        loop_.defer([exchange = shared_from_this()] { exchange->flush(); });
+    }
 }
 
 void CallerExchange::endChunks()
@@ -91,6 +67,7 @@
     if (request_ == nullptr) {
         return;
     }
+    flush();
     isEnded_ = true;
     evhtp_send_reply_chunk_end(request_);
 }
@@ -100,6 +77,7 @@
     if (request_ == nullptr) {
         return;
     }
+    flush();
     isEnded_ = true;
     auto *connection = evhtp_request_get_connection(request_);
     evhtp_connection_free(connection);
@@ -128,6 +106,18 @@
     return EVHTP_RES_OK;
 }
 
+void CallerExchange::flush()
+{
+    if (request_ != nullptr && evbuffer_get_length(unsent_.get()) > 0) {
+        evhtp_send_reply_chunk(request_, unsent_.get());
+    }
+}
+
+void CallerExchange::FreeBuffer::operator()(evbuffer *buffer) const
+{
+    evbuffer_free(buffer);
+}
+
 void CallerExchange::writeHeaders(const HttpResponseHead &head)
 {
     for (const auto &[name, value] : head.headers_) {
--- a/src/caller/callerexchange.h
+++ b/src/caller/callerexchange.h
@@ -11,13 +11,15 @@
 namespace cowsliphead
 {
 
+class EventLoop;
+
 /// The answering side of one caller's request. It lives at least as long as the request in the library, and later drops what it is given.
 class CallerExchange : public std::enable_shared_from_this<CallerExchange>
 {
 public:
     /// onReleased is called once the library is done with the request: the response is written out, or the caller has left.
-    /// Precondition: the request is not yet answered. Thread safety: the server's task only.
-    CallerExchange(evhtp_request_t *request, std::function<void()> onReleased);
+    /// Preconditions: the loop outlives the exchange, the request is not yet answered. Thread safety: the server's task only.
+    CallerExchange(EventLoop &loop, evhtp_request_t *request, std::function<void()> onReleased);
     ~CallerExchange();
 
     /// Binds the exchange to its request. Precondition: called once, after the construction. Thread safety: the server's task only.
@@ -31,7 +33,7 @@
     /// Sends the head of a response that goes on in chunks. Precondition: nothing was sent before. Thread safety: the server's task only.
     void startChunks(const HttpResponseHead &head);
 
-    /// Precondition: startChunks() was called. Thread safety: the server's task only.
+    /// Pieces of one turn of the loop leave together at its end. Precondition: startChunks() was called. Thread safety: the server's task only.
     void sendChunk(std::string_view data);
 
     /// Ends the response whole. Precondition: startChunks() was called. Thread safety: the server's task only.
@@ -47,9 +49,15 @@
     void onCallerLeft(std::function<void()> callback);
 
 private:
+    struct FreeBuffer {
+        void operator()(evbuffer *buffer) const;
+    };
+
     static evhtp_res onRequestFinished(evhtp_request_t *request, void *self);
     void writeHeaders(const HttpResponseHead &head);
+    void flush();
 
+    EventLoop &loop_;
     evhtp_request_t *request_;
 
     /// Keeps the exchange for as long as the library may call back.
@@ -58,6 +66,7 @@
     bool isStarted_ = false;
     bool isEnded_ = false;
     std::function<void()> callerLeft_;
+    std::unique_ptr<evbuffer, FreeBuffer> unsent_;
 };
 
 } // namespace cowsliphead
--- a/src/caller/callerserver.cpp
+++ b/src/caller/callerserver.cpp
@@ -65,7 +65,8 @@
 } // namespace
 
 CallerServer::CallerServer(EventLoop &loop, const CallerLimits &limits, Handler handler)
-    : handler_(std::move(handler))
+    : loop_(loop)
+    , handler_(std::move(handler))
     , server_(evhtp_new(loop.base(), nullptr))
 {
     const timeval readTimeout = toTimeValue(limits.readTimeout_);
@@ -112,7 +113,7 @@
 {
     auto *server = static_cast<CallerServer *>(self);
     ++server->openRequests_;
-    auto exchange = std::make_shared<CallerExchange>(request, [server] { server->release(); });
+    auto exchange = std::make_shared<CallerExchange>(server->loop_, request, [server] { server->release(); });
     exchange->attach();
     server->handler_(readRequest(request), std::move(exchange));
 }
--- a/src/caller/callerserver.h
+++ b/src/caller/callerserver.h
@@ -52,6 +52,7 @@
 
     void release();
 
+    EventLoop &loop_;
     Handler handler_;
     std::function<void()> idle_;
     std::size_t openRequests_ = 0;
