--- a/src/operate/daemon.h
+++ b/src/operate/daemon.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 
+#include "claim/claimbehaviour.h"
 #include "core/result.h"
 #include "duty/followerbehaviour.h"
 #include "operate/daemonsettings.h"
@@ -25,6 +26,7 @@
 private:
     Task<ServeBehaviour> serve_;
     Task<FollowerBehaviour> follower_;
+    Task<ClaimBehaviour> claims_;
 };
 
 } // namespace cowsliphead
--- a/src/serve/activerequest.cpp
+++ b/src/serve/activerequest.cpp
@@ -6,8 +6,12 @@
 
 #include "caller/callerexchange.h"
 #include "caller/errorresponse.h"
+#include "claim/claimcodec.h"
 #include "core/errorcode.h"
 #include "decide/attemptfailure.h"
+#include "decide/claimlimits.h"
+#include "decide/claimrefusal.h"
+#include "decide/claimverdict.h"
 #include "decide/requestfacts.h"
 #include "endpoint/endpointheaders.h"
 #include "endpoint/forwardedrequest.h"
@@ -52,6 +56,13 @@
     , sequence_(context.nextRequest_++)
     , silence_(context.loop_, [this] { onSilence(); })
 {
+    if (plan_.traits_.needsClaim_) {
+        claim_.key_ = claimKey(plan_.account_, facts.idempotencyKey_);
+        claim_.fingerprint_ = requestFingerprint(httpMethodName(request_.method_), request_.path_ + "?" + request_.query_, request_.body_);
+        claim_.owner_ = { context_.incarnation_, sequence_ };
+        claim_.receivedAt_ = context_.clock_.wallNow();
+        claim_.askedAt_ = context_.clock_.now();
+    }
 }
 
 ActiveRequest::~ActiveRequest()
@@ -79,7 +90,39 @@
 
 void ActiveRequest::carryOut(const ClaimStep & /*step*/)
 {
-    take(machine_.claimRefused(make_error_code(ErrorCode::StoreUnavailable)));
+    context_.claims_.ask(claim_, [this](const ClaimVerdict &verdict) { onClaimVerdict(verdict); });
+}
+
+void ActiveRequest::onClaimVerdict(const ClaimVerdict &verdict)
+{
+    if (verdict.kind_ == ClaimVerdictKind::Granted) {
+        hasClaim_ = true;
+        take(machine_.claimGranted(context_.clock_.now(), verdict.validUntil_));
+    } else if (verdict.kind_ == ClaimVerdictKind::Replayed) {
+        isStreamed_ = false;
+        answerHead_ = { verdict.answer_->status_, { { "Content-Type", verdict.answer_->contentType_ } } };
+        answerBody_ = verdict.answer_->body_;
+        take(machine_.claimReplayed());
+    } else {
+        take(machine_.claimRefused(claimRefusal(verdict.kind_)));
+    }
+}
+
+void ActiveRequest::endClaim(Outcome outcome, std::optional<ClaimAnswer> answer)
+{
+    // The claim of a request that may have run stays, so that no later sending runs it again.
+    if (std::exchange(hasClaim_, false) && outcome != Outcome::Unknown) {
+        const auto giveUpAt = context_.clock_.now() + ClaimLimits().endPatience_;
+        context_.claims_.end({ claim_.key_, claim_.owner_, outcome == Outcome::Run, context_.clock_.wallNow(), giveUpAt, std::move(answer) });
+    }
+}
+
+std::optional<ClaimAnswer> ActiveRequest::answerToKeep() const
+{
+    if (isStreamed_ || answerBody_.size() > ClaimLimits().longestAnswer_ || !isEncodable(answerBody_)) {
+        return std::nullopt;
+    }
+    return ClaimAnswer{ answerHead_.status_, headerValue(answerHead_.headers_, "Content-Type"), answerBody_ };
 }
 
 void ActiveRequest::carryOut(const DispatchStep &step)
@@ -99,6 +142,7 @@
     } else {
         exchange_->reply(callerHead(), answerBody_);
     }
+    endClaim(Outcome::Run, answerToKeep());
     finish();
 }
 
@@ -109,6 +153,7 @@
     } else {
         exchange_->reply(errorHead(step.code_, step.outcome_), errorBody(step.code_));
     }
+    endClaim(step.outcome_, std::nullopt);
     finish();
 }
 
@@ -191,6 +236,8 @@
 
 void ActiveRequest::onCallerLeft()
 {
+    const bool mayHaveRun = machine_.mayHaveRun() || (call_ && call_->wasOffered());
+    endClaim(mayHaveRun ? Outcome::Unknown : Outcome::NotRun, std::nullopt);
     finish();
 }
 
@@ -198,8 +245,12 @@
 {
     failedEndpoints_.insert(endpoint_);
     releaseEndpoint();
-    const bool mayRetry = !exchange_->isStarted();
-    take(machine_.attemptFailed(attempt, mayRetry, context_.clock_.now()));
+    const bool mayRetry = !exchange_->isStarted() && context_.retryBudget_.mayRetry();
+    const auto step = machine_.attemptFailed(attempt, mayRetry, context_.clock_.now());
+    if (std::holds_alternative<DispatchStep>(step)) {
+        context_.retryBudget_.spend();
+    }
+    take(step);
 }
 
 void ActiveRequest::releaseEndpoint()
@@ -225,6 +276,7 @@
 
 void ActiveRequest::finish()
 {
+    context_.claims_.forget(sequence_);
     releaseEndpoint();
     exchange_->onCallerLeft(nullptr);
     if (const auto onEnd = std::exchange(onEnd_, nullptr)) {
--- a/src/serve/servebehaviour.cpp
+++ b/src/serve/servebehaviour.cpp
@@ -11,6 +11,7 @@
 #include "core/errorcode.h"
 #include "core/randomtext.h"
 #include "decide/authorization.h"
+#include "decide/claimrefusal.h"
 #include "decide/requestplanner.h"
 #include "http/httprequest.h"
 #include "http/httpstatus.h"
@@ -28,7 +29,7 @@
 
 }
 
-ServeBehaviour::ServeBehaviour(EventLoop &loop, const ServeSettings &settings)
+ServeBehaviour::ServeBehaviour(EventLoop &loop, const ServeSettings &settings, ClaimClient claims)
     : settings_(settings)
     , context_{ .loop_ = loop,
                 .clock_ = {},
@@ -36,7 +37,9 @@
                 .pool_ = EndpointPool(loop),
                 .chooser_ = EndpointChooser(std::random_device()()),
                 .failureDomain_ = settings.failureDomain_,
-                .incarnation_ = settings.instance_.value() + "-" + randomHex(IncarnationBytes) }
+                .incarnation_ = settings.instance_.value() + "-" + randomHex(IncarnationBytes),
+                .claims_ = std::move(claims),
+                .retryBudget_ = {} }
     , server_(loop, settings.limits_, [this](HttpRequest request, const std::shared_ptr<CallerExchange> &exchange) { handle(std::move(request), exchange); })
 {
 }
@@ -56,11 +59,11 @@
 void ServeBehaviour::handle(HttpRequest request, const std::shared_ptr<CallerExchange> &exchange)
 {
     if (isDraining_) {
-        refuse(*exchange, make_error_code(ErrorCode::Draining));
+        refuse(request, *exchange, make_error_code(ErrorCode::Draining));
         return;
     }
     if (active_.size() >= settings_.limits_.maxConcurrentRequests_) {
-        refuse(*exchange, make_error_code(ErrorCode::AccountOverLimit));
+        refuse(request, *exchange, make_error_code(ErrorCode::AccountOverLimit));
         return;
     }
     if (request.path_ == "/v1/models" && request.method_ == HttpMethod::Get) {
@@ -69,7 +72,7 @@
     }
     const auto facts = readRequestFacts(request);
     if (!facts) {
-        refuse(*exchange, facts.error());
+        refuse(request, *exchange, facts.error());
         return;
     }
     begin(*facts, std::move(request), exchange);
@@ -79,9 +82,10 @@
 {
     auto plan = planRequest(*context_.records_, facts, context_.clock_.now());
     if (!plan) {
-        refuse(*exchange, plan.error());
+        refuse(request, *exchange, plan.error());
         return;
     }
+    context_.retryBudget_.requestArrived(context_.records_->policy().retryPercent_);
     const auto place = active_.insert(active_.end(), nullptr);
     *place = std::make_unique<ActiveRequest>(context_, std::move(*plan), facts, std::move(request), exchange);
     (*place)->start([this, place] {
@@ -90,9 +94,10 @@
     });
 }
 
-void ServeBehaviour::refuse(CallerExchange &exchange, std::error_code code) const
+void ServeBehaviour::refuse(const HttpRequest &request, CallerExchange &exchange, std::error_code code) const
 {
-    exchange.reply(errorHead(code, Outcome::NotRun), errorBody(code));
+    const bool hasIdempotencyKey = !headerValue(request.headers_, "Idempotency-Key").empty();
+    exchange.reply(errorHead(code, unclaimedOutcome(hasIdempotencyKey)), errorBody(code));
 }
 
 void ServeBehaviour::listModels(const HttpRequest &request, CallerExchange &exchange) const
@@ -100,7 +105,7 @@
     const auto facts = readRequestFacts(request);
     const auto account = authorize(*context_.records_, facts->key_);
     if (!account) {
-        refuse(exchange, account.error());
+        refuse(request, exchange, account.error());
         return;
     }
     auto models = nlohmann::json::array();
@@ -117,6 +122,11 @@
     context_.records_ = std::move(records);
 }
 
+void ServeBehaviour::take(const ClaimVerdict &verdict)
+{
+    context_.claims_.take(verdict);
+}
+
 void ServeBehaviour::take(DrainRequest /*request*/)
 {
     isDraining_ = true;
--- a/src/serve/servebehaviour.h
+++ b/src/serve/servebehaviour.h
@@ -23,10 +23,10 @@
 class ServeBehaviour
 {
 public:
-    using Message = std::variant<RecordSnapshot, DrainRequest>;
+    using Message = std::variant<RecordSnapshot, ClaimVerdict, DrainRequest>;
 
     /// Precondition: the loop outlives the behaviour. Thread safety: the loop's task only.
-    ServeBehaviour(EventLoop &loop, const ServeSettings &settings);
+    ServeBehaviour(EventLoop &loop, const ServeSettings &settings, ClaimClient claims);
     ~ServeBehaviour();
 
     /// Returns the port. Errors: ListenFailed. Thread safety: the loop's task only.
@@ -38,9 +38,10 @@
 private:
     void handle(HttpRequest request, const std::shared_ptr<CallerExchange> &exchange);
     void begin(const RequestFacts &facts, HttpRequest request, const std::shared_ptr<CallerExchange> &exchange);
-    void refuse(CallerExchange &exchange, std::error_code code) const;
+    void refuse(const HttpRequest &request, CallerExchange &exchange, std::error_code code) const;
     void listModels(const HttpRequest &request, CallerExchange &exchange) const;
     void take(RecordSnapshot records);
+    void take(const ClaimVerdict &verdict);
     void take(DrainRequest request);
     void stopIfDrained();
 
--- a/src/serve/servingcontext.h
+++ b/src/serve/servingcontext.h
@@ -6,8 +6,10 @@
 #include "core/failuredomain.h"
 #include "core/systemclock.h"
 #include "decide/endpointchooser.h"
+#include "decide/retrybudget.h"
 #include "endpoint/endpointpool.h"
 #include "records/recordsnapshot.h"
+#include "serve/claimclient.h"
 
 namespace cowsliphead
 {
@@ -26,6 +28,8 @@
     /// Identifies this run of the instance, so that no two attempts of the fleet have the same identifier.
     std::string incarnation_;
     std::uint64_t nextRequest_ = 1;
+    ClaimClient claims_;
+    RetryBudget retryBudget_;
 };
 
 } // namespace cowsliphead
