--- a/src/claim/claimbatcher.h
+++ b/src/claim/claimbatcher.h
@@ -51,7 +51,7 @@
     void end(ClaimEnd end)
     {
         const auto index = shardOf(end.key_);
-        shards_[index]->decisions_.end(std::move(end));
+        shards_[index]->decisions_.end(std::move(end), clock_.now());
         drive(index);
     }
 
--- a/src/decide/claimlimits.h
+++ b/src/decide/claimlimits.h
@@ -21,7 +21,10 @@
     std::chrono::milliseconds endPatience_{ std::chrono::minutes(5) };
 
     /// The least time between the beginnings of two batches of one shard.
-    std::chrono::milliseconds batchInterval_{ 50 };
+    std::chrono::milliseconds batchInterval_{ 200 };
+
+    /// How long the end of a request waits for a claim of its shard to be written with.
+    std::chrono::milliseconds endDelay_{ 1000 };
 
     /// How long a batch waits after the store did not answer.
     std::chrono::milliseconds retryInterval_{ 200 };
--- a/src/decide/claimshard.h
+++ b/src/decide/claimshard.h
@@ -40,9 +40,10 @@
         waiting_.push_back({ std::move(request), false });
     }
 
-    /// Writes down how a request ended. Thread safety: owner task only.
-    void end(ClaimEnd end)
+    /// Writes down how a request ended, with the next claim or after a delay. Thread safety: owner task only.
+    void end(ClaimEnd end, MonotonicTime now)
     {
+        endsDue_ = waitingEnds_.empty() ? now + limits_.endDelay_ : endsDue_;
         waitingEnds_.push_back(std::move(end));
     }
 
@@ -51,7 +52,7 @@
     ClaimAction next(MonotonicTime now, WallTime wallNow)
     {
         giveUp(now, wallNow);
-        if (isCalling_ || now < notBefore_ || !hasWork()) {
+        if (isCalling_ || now < dueAt()) {
             return ClaimAction::Nothing;
         }
         beginBatch(now);
@@ -68,7 +69,7 @@
     {
         std::optional<MonotonicTime> earliest;
         if (!isCalling_ && hasWork()) {
-            earliest = notBefore_;
+            earliest = dueAt();
         }
         for (const auto *claims : { &waiting_, &batch_ }) {
             for (const auto &claim : *claims) {
@@ -155,6 +156,15 @@
         ClaimTable table_;
     };
 
+    /// When the next batch may begin, or the one in hand may go on.
+    MonotonicTime dueAt() const
+    {
+        if (isInBatch_ || !waiting_.empty()) {
+            return notBefore_;
+        }
+        return waitingEnds_.empty() ? MonotonicTime::max() : std::max(notBefore_, endsDue_);
+    }
+
     /// What comes in the meantime waits for the next batch, so that no steady stream keeps a batch from its end.
     void beginBatch(MonotonicTime now)
     {
@@ -255,7 +265,7 @@
     {
         answer(claim.request_, ClaimVerdictKind::Unavailable);
         if (claim.mayBeWritten_) {
-            end({ claim.request_.key_, claim.request_.owner_, false, wallNow, now + limits_.endPatience_, std::nullopt });
+            end({ claim.request_.key_, claim.request_.owner_, false, wallNow, now + limits_.endPatience_, std::nullopt }, now);
         }
     }
 
@@ -268,6 +278,7 @@
     bool isInBatch_ = false;
     MonotonicTime batchStart_;
     MonotonicTime notBefore_;
+    MonotonicTime endsDue_;
     ClaimTable proposal_;
     std::vector<PendingClaim> waiting_;
     std::vector<PendingClaim> batch_;
--- a/src/decide/claimtable.cpp
+++ b/src/decide/claimtable.cpp
@@ -12,7 +12,7 @@
 {
 
 /// Numbers, digests and punctuation of one entry, in bytes.
-constexpr std::size_t LargestFixedPart = 200;
+constexpr std::size_t LargestFixedPart = 120;
 
 /// An escaped control character takes six bytes for one.
 constexpr std::size_t LongestEscape = 6;
--- a/src/operate/daemon.h
+++ b/src/operate/daemon.h
@@ -5,9 +5,11 @@
 #include "claim/claimbehaviour.h"
 #include "core/result.h"
 #include "duty/followerbehaviour.h"
+#include "metrics/metricsbehaviour.h"
 #include "operate/daemonsettings.h"
 #include "serve/servebehaviour.h"
 #include "task/task.h"
+#include "traces/tracebehaviour.h"
 
 namespace cowsliphead
 {
@@ -24,9 +26,13 @@
     void drain();
 
 private:
+    Result<std::uint16_t> startMetrics(const MetricsSettings &settings);
+
     Task<ServeBehaviour> serve_;
     Task<FollowerBehaviour> follower_;
     Task<ClaimBehaviour> claims_;
+    Task<MetricsBehaviour> metrics_;
+    Task<TraceBehaviour> traces_;
 };
 
 } // namespace cowsliphead
--- a/src/serve/activerequest.cpp
+++ b/src/serve/activerequest.cpp
@@ -37,6 +37,9 @@
     return endpoint.kind_ == EndpointKind::Engine && std::find(endpoint.models_.begin(), endpoint.models_.end(), target.model_) != endpoint.models_.end();
 }
 
+/// W3C's header field for the place in a trace.
+constexpr const char *TraceHeader = "traceparent";
+
 bool isRefusal(int status)
 {
     return status == httpstatus::ServiceUnavailable || status == httpstatus::TooManyRequests;
@@ -53,6 +56,7 @@
     , key_(facts.key_)
     , isStreamed_(facts.isStreamed_)
     , exchange_(std::move(exchange))
+    , telemetry_(context, plan_.account_, headerValue(request_.headers_, TraceHeader))
     , sequence_(context.nextRequest_++)
     , silence_(context.loop_, [this] { onSilence(); })
 {
@@ -108,12 +112,13 @@
     }
 }
 
-void ActiveRequest::endClaim(Outcome outcome, std::optional<ClaimAnswer> answer)
+void ActiveRequest::endClaim(Outcome outcome)
 {
     // The claim of a request that may have run stays, so that no later sending runs it again.
     if (std::exchange(hasClaim_, false) && outcome != Outcome::Unknown) {
+        const bool hasRun = outcome == Outcome::Run;
         const auto giveUpAt = context_.clock_.now() + ClaimLimits().endPatience_;
-        context_.claims_.end({ claim_.key_, claim_.owner_, outcome == Outcome::Run, context_.clock_.wallNow(), giveUpAt, std::move(answer) });
+        context_.claims_.end({ claim_.key_, claim_.owner_, hasRun, context_.clock_.wallNow(), giveUpAt, hasRun ? answerToKeep() : std::nullopt });
     }
 }
 
@@ -140,10 +145,10 @@
     if (isStreamed_) {
         exchange_->endChunks();
     } else {
+        telemetry_.answerStarted();
         exchange_->reply(callerHead(), answerBody_);
     }
-    endClaim(Outcome::Run, answerToKeep());
-    finish();
+    finish(Outcome::Run, {});
 }
 
 void ActiveRequest::carryOut(const FailStep &step)
@@ -153,8 +158,7 @@
     } else {
         exchange_->reply(errorHead(step.code_, step.outcome_), errorBody(step.code_));
     }
-    endClaim(step.outcome_, std::nullopt);
-    finish();
+    finish(step.outcome_, step.code_);
 }
 
 const EndpointRecord *ActiveRequest::chooseEndpoint() const
@@ -178,7 +182,10 @@
     events.onHead_ = [this](const HttpResponseHead &head) { onHead(head); };
     events.onData_ = [this](std::string_view data) { onData(data); };
     events.onEnd_ = [this](const tl::expected<void, HttpCallFailure> &end) { onEnd(end); };
-    call_ = context_.pool_.call(endpoint, forwardedRequest(request_, endpoint, key_, attemptId_), std::move(events));
+    auto forwarded = forwardedRequest(request_, endpoint, key_, attemptId_);
+    std::erase_if(forwarded.headers_, [](const auto &field) { return isSameHeader(field.first, TraceHeader); });
+    forwarded.headers_.emplace_back(TraceHeader, telemetry_.attemptStarted(endpoint.endpoint_));
+    call_ = context_.pool_.call(endpoint, forwarded, std::move(events));
     silence_.startOnce(plan_.firstByteTimeout_);
 }
 
@@ -213,6 +220,7 @@
 {
     if (!exchange_->isStarted()) {
         machine_.answerStarted();
+        telemetry_.answerStarted();
         exchange_->startChunks(callerHead());
     }
     exchange_->sendChunk(data);
@@ -224,7 +232,7 @@
         failAttempt({ end.error().code_, end.error().wasOffered_, false });
         return;
     }
-    releaseEndpoint();
+    releaseEndpoint({});
     take(machine_.answerEnded());
 }
 
@@ -237,14 +245,13 @@
 void ActiveRequest::onCallerLeft()
 {
     const bool mayHaveRun = machine_.mayHaveRun() || (call_ && call_->wasOffered());
-    endClaim(mayHaveRun ? Outcome::Unknown : Outcome::NotRun, std::nullopt);
-    finish();
+    finish(mayHaveRun ? Outcome::Unknown : Outcome::NotRun, make_error_code(ErrorCode::CallerLeft));
 }
 
 void ActiveRequest::failAttempt(const AttemptFailure &attempt)
 {
     failedEndpoints_.insert(endpoint_);
-    releaseEndpoint();
+    releaseEndpoint(attempt.code_);
     const bool mayRetry = !exchange_->isStarted() && context_.retryBudget_.mayRetry();
     const auto step = machine_.attemptFailed(attempt, mayRetry, context_.clock_.now());
     if (std::holds_alternative<DispatchStep>(step)) {
@@ -253,12 +260,13 @@
     take(step);
 }
 
-void ActiveRequest::releaseEndpoint()
+void ActiveRequest::releaseEndpoint(std::error_code code)
 {
     silence_.cancel();
     if (call_) {
         std::exchange(call_, nullptr)->cancel();
         context_.pool_.release(endpoint_);
+        telemetry_.attemptEnded(code);
     }
 }
 
@@ -274,10 +282,12 @@
     return head;
 }
 
-void ActiveRequest::finish()
+void ActiveRequest::finish(Outcome outcome, std::error_code code)
 {
     context_.claims_.forget(sequence_);
-    releaseEndpoint();
+    endClaim(outcome);
+    releaseEndpoint(code);
+    telemetry_.requestEnded(outcome, code);
     exchange_->onCallerLeft(nullptr);
     if (const auto onEnd = std::exchange(onEnd_, nullptr)) {
         onEnd();
--- a/src/serve/activerequest.h
+++ b/src/serve/activerequest.h
@@ -16,6 +16,7 @@
 #include "http/httpcallfailure.h"
 #include "http/httprequest.h"
 #include "http/httpresponsehead.h"
+#include "serve/requesttelemetry.h"
 #include "task/timer.h"
 
 #include <tl/expected.hpp>
@@ -55,7 +56,7 @@
     void carryOut(const struct FailStep &step);
 
     void onClaimVerdict(const ClaimVerdict &verdict);
-    void endClaim(Outcome outcome, std::optional<ClaimAnswer> answer);
+    void endClaim(Outcome outcome);
     std::optional<ClaimAnswer> answerToKeep() const;
 
     const EndpointRecord *chooseEndpoint() const;
@@ -66,10 +67,10 @@
     void onSilence();
     void onCallerLeft();
     void failAttempt(const AttemptFailure &attempt);
-    void releaseEndpoint();
+    void releaseEndpoint(std::error_code code);
     void forwardStreamed(std::string_view data);
     HttpResponseHead callerHead() const;
-    void finish();
+    void finish(Outcome outcome, std::error_code code);
 
     ServingContext &context_;
     RequestPlan plan_;
@@ -84,6 +85,7 @@
     std::shared_ptr<CallerExchange> exchange_;
     OnEnd onEnd_;
 
+    RequestTelemetry telemetry_;
     std::uint64_t sequence_;
     std::string attemptId_;
     std::shared_ptr<HttpCall> call_;
--- a/src/serve/servebehaviour.h
+++ b/src/serve/servebehaviour.h
@@ -7,10 +7,13 @@
 
 #include "caller/callerserver.h"
 #include "core/result.h"
+#include "decide/drainmachine.h"
+#include "metrics/metricsquery.h"
 #include "records/recordsnapshot.h"
 #include "serve/drainrequest.h"
 #include "serve/servesettings.h"
 #include "serve/servingcontext.h"
+#include "task/timer.h"
 
 namespace cowsliphead
 {
@@ -23,10 +26,11 @@
 class ServeBehaviour
 {
 public:
-    using Message = std::variant<RecordSnapshot, ClaimVerdict, DrainRequest>;
+    using Message = std::variant<RecordSnapshot, ClaimVerdict, DrainRequest, MetricsQuery>;
 
-    /// Precondition: the loop outlives the behaviour. Thread safety: the loop's task only.
-    ServeBehaviour(EventLoop &loop, const ServeSettings &settings, ClaimClient claims);
+    /// claims leads to the claim task, spans is where ended spans go. Precondition: the loop outlives the behaviour.
+    /// Thread safety: the loop's task only.
+    ServeBehaviour(EventLoop &loop, const ServeSettings &settings, ClaimClient claims, Address<Span> spans);
     ~ServeBehaviour();
 
     /// Returns the port. Errors: ListenFailed. Thread safety: the loop's task only.
@@ -38,17 +42,20 @@
 private:
     void handle(HttpRequest request, const std::shared_ptr<CallerExchange> &exchange);
     void begin(const RequestFacts &facts, HttpRequest request, const std::shared_ptr<CallerExchange> &exchange);
-    void refuse(const HttpRequest &request, CallerExchange &exchange, std::error_code code) const;
-    void listModels(const HttpRequest &request, CallerExchange &exchange) const;
+    void refuse(const HttpRequest &request, CallerExchange &exchange, std::error_code code);
+    void listModels(const HttpRequest &request, CallerExchange &exchange);
     void take(RecordSnapshot records);
     void take(const ClaimVerdict &verdict);
     void take(DrainRequest request);
-    void stopIfDrained();
+    void take(const MetricsQuery &query);
+    void health(CallerExchange &exchange) const;
+    void checkDrain();
 
     ServeSettings settings_;
     ServingContext context_;
     std::list<std::unique_ptr<ActiveRequest>> active_;
-    bool isDraining_ = false;
+    DrainMachine drain_;
+    Timer drainCheck_;
     CallerServer server_;
 };
 
--- a/src/serve/servingcontext.h
+++ b/src/serve/servingcontext.h
@@ -10,6 +10,9 @@
 #include "endpoint/endpointpool.h"
 #include "records/recordsnapshot.h"
 #include "serve/claimclient.h"
+#include "serve/servemetrics.h"
+#include "task/address.h"
+#include "traces/span.h"
 
 namespace cowsliphead
 {
@@ -30,6 +33,10 @@
     std::uint64_t nextRequest_ = 1;
     ClaimClient claims_;
     RetryBudget retryBudget_;
+    ServeMetrics metrics_;
+
+    /// Where ended spans go; nowhere if traces are off.
+    Address<Span> spans_;
 };
 
 } // namespace cowsliphead
--- a/tests/claim/claimshardtest.cpp
+++ b/tests/claim/claimshardtest.cpp
@@ -90,6 +90,8 @@
     ClaimTable written;
     written.claim(request(1), clock_.wallNow(), ClaimLimits());
     shard_.readAnswered(1, written);
+    BOOST_TEST((next() == ClaimAction::Nothing));
+    clock_.advance(ClaimLimits().endDelay_);
     BOOST_TEST((next() == ClaimAction::Write));
     BOOST_TEST((shard_.proposal().find(Key)->state_ == ClaimState::Released));
 }
@@ -106,7 +108,7 @@
     next();
     BOOST_TEST((onlyVerdict() == ClaimVerdictKind::InUse));
     const auto released = entry(ClaimState::Released);
-    clock_.advance(ClaimLimits().clockMargin_);
+    clock_.advance(ClaimLimits().clockMargin_ + std::chrono::milliseconds(1));
     shard_.ask(request(2));
     BOOST_TEST((next() == ClaimAction::Read));
     shard_.readAnswered(2, ClaimTable({ { Key, released } }));
--- a/tests/claim/claimworld.h
+++ b/tests/claim/claimworld.h
@@ -263,8 +263,8 @@
         }
         if (fail == nullptr || fail->outcome_ == Outcome::NotRun) {
             const auto answer = fail == nullptr ? std::optional(ClaimAnswer{ 200, "text/plain", "done" }) : std::nullopt;
-            daemon.shard_.end(
-                { ClaimKey(sending.key_), ownerOf(daemon, index), fail == nullptr, wallOf(daemon), clock_.now() + std::chrono::hours(1), answer });
+            daemon.shard_.end({ ClaimKey(sending.key_), ownerOf(daemon, index), fail == nullptr, wallOf(daemon), clock_.now() + std::chrono::hours(1), answer },
+                              clock_.now());
         }
     }
 
