--- a/src/operate/daemon.h
+++ b/src/operate/daemon.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 
+#include "claim/claimbehaviour.h"
 #include "core/result.h"
 #include "duty/followerbehaviour.h"
 #include "duty/reporterbehaviour.h"
@@ -37,6 +38,7 @@
     Task<FollowerBehaviour> follower_;
     Task<UsageBehaviour> usage_;
     Task<ReporterBehaviour> reporter_;
+    Task<ClaimBehaviour> claims_;
     Task<MetricsBehaviour> metrics_;
     Task<TraceBehaviour> traces_;
 };
