Records at size: indexed sets, spread by relays and peers; keys kept from endpoints

Cause: each request walked all records, every daemon watched the store, and a key in path, query or body reached the endpoint.

Records stand in bucketed tables that share what is unchanged, with indexes for routes and endpoints. Two relays a failure domain hold a lease and read the store; the others ask them every 2 s over nng, turn to other peers and then to the store once nobody confirms, and refuse accounts whose staleness limit is passed. A key in path, query or body makes a request malformed and not run.

--- a/src/caller/requestreader.cpp
+++ b/src/caller/requestreader.cpp
@@ -1,10 +1,13 @@
 #include "caller/requestreader.h"
 
+#include <algorithm>
+
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/algorithm/string/trim.hpp>
 #include <nlohmann/json.hpp>
 
 #include "core/errorcode.h"
+#include "endpoint/keyexposure.h"
 #include "http/httprequest.h"
 
 namespace cowsliphead
@@ -13,6 +16,13 @@
 namespace
 {
 
+/// Two credentials leave open for whom the request is.
+bool isAmbiguous(const HttpHeaders &headers)
+{
+    const auto isAuthorization = [](const auto &header) { return isSameHeader(header.first, "Authorization"); };
+    return std::count_if(headers.begin(), headers.end(), isAuthorization) > 1;
+}
+
 std::string bearerKey(const HttpHeaders &headers)
 {
     const std::string scheme = "bearer ";
@@ -45,7 +55,11 @@
 
 Result<RequestFacts> readRequestFacts(const HttpRequest &request)
 {
+    if (isAmbiguous(request.headers_)) {
+        return failure(ErrorCode::RequestMalformed);
+    }
     RequestFacts facts;
+    facts.isKeyExposed_ = exposesCredential(request);
     facts.key_ = bearerKey(request.headers_);
     facts.path_ = request.path_;
     facts.isMethodIdempotent_ = isIdempotentMethod(request.method_);
--- a/src/core/errorcode.cpp
+++ b/src/core/errorcode.cpp
@@ -104,6 +104,8 @@
         return "caller_left";
     case ErrorCode::RecordsNotLoaded:
         return "records_not_loaded";
+    case ErrorCode::RecordsTooOld:
+        return "records_too_old";
     }
     return "unknown_error";
 }
--- a/src/core/errorcode.h
+++ b/src/core/errorcode.h
@@ -40,6 +40,7 @@
     Draining,
     CallerLeft,
     RecordsNotLoaded,
+    RecordsTooOld,
 };
 
 /// The category of ErrorCode. Thread safety: any thread.
--- /dev/null
+++ b/src/core/keyform.cpp
@@ -0,0 +1,33 @@
+#include "core/keyform.h"
+
+#include "core/randomtext.h"
+
+namespace cowsliphead
+{
+
+namespace
+{
+
+constexpr std::string_view KeyPrefix = "cow-";
+constexpr int KeyBytes = 24;
+constexpr std::size_t KeyDigits = std::size_t(2) * KeyBytes;
+
+} // namespace
+
+std::string newKeyText()
+{
+    return std::string(KeyPrefix) + randomHex(KeyBytes);
+}
+
+bool holdsKeyForm(std::string_view text)
+{
+    for (auto place = text.find(KeyPrefix); place != std::string_view::npos; place = text.find(KeyPrefix, place + 1)) {
+        const auto digits = text.substr(place + KeyPrefix.size(), KeyDigits);
+        if (digits.size() == KeyDigits && digits.find_first_not_of("0123456789abcdef") == std::string_view::npos) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/decide/peeraddress.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace cowsliphead
+{
+
+/// Where a daemon listens for its peers.
+struct PeerAddress {
+    /// An IP number.
+    std::string host_;
+    std::uint16_t port_ = 0;
+
+    auto operator<=>(const PeerAddress &) const = default;
+};
+
+} // namespace cowsliphead
--- a/src/decide/requestfacts.h
+++ b/src/decide/requestfacts.h
@@ -11,6 +11,8 @@
 struct RequestFacts {
     /// The key that the caller sent; empty if there was none.
     std::string key_;
+    /// True if path, query or body hold a caller's key, so that an endpoint would see it.
+    bool isKeyExposed_ = false;
 
     /// Set for a completion; empty for a request to a plain service.
     ModelId model_;
--- a/src/decide/requestplanner.cpp
+++ b/src/decide/requestplanner.cpp
@@ -75,7 +75,11 @@
     if (records.revision() == 0) {
         return failure(ErrorCode::RecordsNotLoaded);
     }
-    return facts.model_.isEmpty() ? planService(records, facts, now) : planCompletion(records, facts, now);
+    auto plan = facts.model_.isEmpty() ? planService(records, facts, now) : planCompletion(records, facts, now);
+    if (plan && facts.isKeyExposed_) {
+        return failure(ErrorCode::RequestMalformed);
+    }
+    return plan;
 }
 
 } // namespace cowsliphead
--- a/src/duty/followerbehaviour.cpp
+++ b/src/duty/followerbehaviour.cpp
@@ -1,21 +1,63 @@
 #include "duty/followerbehaviour.h"
 
+#include <random>
+#include <utility>
+
+#include "logs/log.h"
 #include "records/recordset.h"
 
 namespace cowsliphead
 {
 
-FollowerBehaviour::FollowerBehaviour(EventLoop &loop, const StoreSettings &settings, const Address<RecordSnapshot> &receiver)
-    : store_(loop, settings.host_, settings.port_, settings.timeout_)
-    , follower_(loop, store_, [receiver](const RecordSnapshot &snapshot) { receiver.send(snapshot); })
+FollowerBehaviour::FollowerBehaviour(EventLoop &loop, FollowerSettings settings, Address<RecordSnapshot> snapshots, Address<RecordsConfirmed> confirmations)
+    : settings_(std::move(settings))
+    , snapshots_(std::move(snapshots))
+    , confirmations_(std::move(confirmations))
+    , store_(loop, settings_.store_.host_, settings_.store_.port_, settings_.store_.timeout_)
+    , links_(loop, [this](const PeerAddress &peer, const RecordAnswer &answer) { spreader_->take(peer, answer); })
+    , server_(loop, [this](const RecordQuestion &question) { return spreader_->answer(question); })
+    , tick_(loop, [this] { spreader_->tick(); })
 {
-    follower_.start();
 }
 
 FollowerBehaviour::~FollowerBehaviour() = default;
 
+Result<std::uint16_t> FollowerBehaviour::listen()
+{
+    const auto port = server_.listen(settings_.peers_.address_);
+    if (!port) {
+        return port;
+    }
+    spreader_.emplace(clock_, store_, links_, self(*port), settings_.peers_.seeds_, std::random_device()(), listener());
+    tick_.startRepeating(Spreader::TickInterval);
+    spreader_->tick();
+    return port;
+}
+
 void FollowerBehaviour::receive(Message /*message*/)
 {
 }
 
+Member FollowerBehaviour::self(std::uint16_t port) const
+{
+    Member member;
+    member.instance_ = settings_.instance_;
+    member.failureDomain_ = settings_.failureDomain_;
+    member.address_ = PeerAddress{ settings_.peers_.address_.host_, port };
+    // A later run of the instance starts at a later time.
+    member.incarnation_ = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(clock_.wallNow().time_since_epoch()).count());
+    return member;
+}
+
+FollowerBehaviour::Spreader::Listener FollowerBehaviour::listener() const
+{
+    Spreader::Listener listener;
+    listener.onSnapshot_ = [receiver = snapshots_](const RecordSnapshot &snapshot) {
+        logEvent(LogEvent::RecordsAdvanced, { { "revision", snapshot->revision() } });
+        receiver.send(snapshot);
+    };
+    listener.onConfirmed_ = [receiver = confirmations_](MonotonicTime asOf) { receiver.send(RecordsConfirmed{ asOf }); };
+    return listener;
+}
+
 } // namespace cowsliphead
--- a/src/endpoint/forwardedrequest.cpp
+++ b/src/endpoint/forwardedrequest.cpp
@@ -4,6 +4,7 @@
 #include <array>
 
 #include "endpoint/endpointheaders.h"
+#include "endpoint/keyexposure.h"
 #include "http/httprequest.h"
 #include "records/endpointrecord.h"
 
@@ -13,10 +14,20 @@
 namespace
 {
 
-/// Fields that belong to the caller's connection, carry a credential, or are set anew towards the endpoint.
-constexpr std::array<const char *, 15> DroppedFields{
-    "Authorization", "Proxy-Authorization", "X-Api-Key", "Api-Key",        "Cookie", "Host", "Connection", "Keep-Alive", "Proxy-Connection", "TE",
-    "Trailer",       "Transfer-Encoding",   "Upgrade",   "Content-Length", "Expect",
+/// Fields that belong to the caller's connection, or are set anew towards the endpoint.
+constexpr std::array<const char *, 12> DroppedFields{
+    "Host",
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Connection",
+    "TE",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade",
+    "Content-Length",
+    "Expect",
+    endpointheaders::RequestId,
+    endpointheaders::ResumeFrom,
 };
 
 bool isDropped(const std::string &field)
@@ -24,20 +35,19 @@
     return std::any_of(DroppedFields.begin(), DroppedFields.end(), [&](const char *dropped) { return isSameHeader(field, dropped); });
 }
 
-bool carriesKey(const std::string &value, const std::string &key)
-{
-    return !key.empty() && value.find(key) != std::string::npos;
-}
-
 } // namespace
 
 HttpRequest forwardedRequest(const HttpRequest &request, const EndpointRecord &endpoint, const std::string &key, const std::string &requestId)
 {
+    auto credentials = callerCredentials(request.headers_);
+    if (!key.empty()) {
+        credentials.push_back(key);
+    }
     HttpRequest forwarded = request;
     forwarded.headers_.clear();
     for (const auto &[field, value] : request.headers_) {
-        const bool isOwnField = isSameHeader(field, endpointheaders::RequestId) || isSameHeader(field, endpointheaders::ResumeFrom);
-        if (!isDropped(field) && !isOwnField && !carriesKey(value, key) && !carriesKey(field, key)) {
+        const bool holdsKey = holdsCredential(field, credentials) || holdsCredential(value, credentials);
+        if (!isDropped(field) && !isCredentialField(field) && !holdsKey) {
             forwarded.headers_.emplace_back(field, value);
         }
     }
--- a/src/operate/createkey.cpp
+++ b/src/operate/createkey.cpp
@@ -2,24 +2,17 @@
 
 #include <nlohmann/json.hpp>
 
-#include "core/randomtext.h"
+#include "core/keyform.h"
 #include "core/sha256.h"
 #include "records/parserecord.h"
 
 namespace cowsliphead
 {
 
-namespace
-{
-
-constexpr int KeyBytes = 24;
-
-}
-
 CreatedKey createKey(const AccountId &account)
 {
     CreatedKey created;
-    created.key_ = "cow-" + randomHex(KeyBytes);
+    created.key_ = newKeyText();
     const nlohmann::json record = {
         { "schema", CurrentSchema },
         { "kind", "key" },
--- a/src/operate/daemon.cpp
+++ b/src/operate/daemon.cpp
@@ -15,10 +15,18 @@
     if (!port) {
         return port;
     }
-    follower_.start([store = settings.store_, receiver = serve_.address<RecordSnapshot>()](EventLoop &loop) {
-        return std::make_unique<FollowerBehaviour>(loop, store, receiver);
-    });
-    logEvent(LogEvent::DaemonStarted, { { "instance", settings.serve_.instance_.value() }, { "port", std::uint64_t(*port) } });
+    const FollowerSettings follower{ settings.serve_.instance_, settings.serve_.failureDomain_, settings.store_, settings.peers_ };
+    const auto peerPort = startListening(
+        follower_,
+        [follower, snapshots = serve_.address<RecordSnapshot>(), confirmations = serve_.address<RecordsConfirmed>()](EventLoop &loop) {
+            return std::make_unique<FollowerBehaviour>(loop, follower, snapshots, confirmations);
+        },
+        [](FollowerBehaviour &behaviour) { return behaviour.listen(); });
+    if (!peerPort) {
+        return peerPort;
+    }
+    logEvent(LogEvent::DaemonStarted,
+             { { "instance", settings.serve_.instance_.value() }, { "port", std::uint64_t(*port) }, { "peerPort", std::uint64_t(*peerPort) } });
     return port;
 }
 
--- a/src/operate/daemonsettings.h
+++ b/src/operate/daemonsettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "peer/peersettings.h"
 #include "serve/servesettings.h"
 #include "store/storesettings.h"
 
@@ -10,6 +11,7 @@
 struct DaemonSettings {
     ServeSettings serve_;
     StoreSettings store_;
+    PeerSettings peers_;
 };
 
 } // namespace cowsliphead
--- a/src/operate/operatorclient.cpp
+++ b/src/operate/operatorclient.cpp
@@ -63,7 +63,7 @@
     if (!current) {
         return tl::unexpected(current.error());
     }
-    if (!(*current)->all().contains(key)) {
+    if (!(*current)->find(key)) {
         return failure(ErrorCode::RecordUnknown);
     }
     Change change;
--- a/src/operate/parsesettings.cpp
+++ b/src/operate/parsesettings.cpp
@@ -1,5 +1,6 @@
 #include "operate/parsesettings.h"
 
+#include <charconv>
 #include <limits>
 
 #include <nlohmann/json.hpp>
@@ -51,6 +52,36 @@
     return fields.mistake();
 }
 
+/// An address as HOST:PORT.
+std::optional<PeerAddress> peerAddressFrom(const std::string &text)
+{
+    const auto colon = text.rfind(':');
+    std::uint16_t port = 0;
+    const auto *end = text.data() + text.size();
+    const auto *digits = text.data() + (colon == std::string::npos ? text.size() : colon + 1);
+    const auto parsed = std::from_chars(digits, end, port);
+    if (colon == 0 || parsed.ec != std::errc() || parsed.ptr != end || port == 0) {
+        return std::nullopt;
+    }
+    return PeerAddress{ text.substr(0, colon), port };
+}
+
+SectionMistake readPeers(const nlohmann::json &section, PeerSettings &settings)
+{
+    FieldReader fields(section, "/peers", ErrorCode::SettingsMalformed);
+    settings.address_.host_ = fields.textOr("address", settings.address_.host_);
+    settings.address_.port_ = readPort(fields, 0);
+    for (const auto &text : fields.texts("seeds")) {
+        if (const auto seed = peerAddressFrom(text)) {
+            settings.seeds_.push_back(*seed);
+        } else {
+            fields.report("seeds", text, "HOST:PORT");
+        }
+    }
+    fields.refuseOthers();
+    return fields.mistake();
+}
+
 } // namespace
 
 tl::expected<DaemonSettings, Mistake> parseSettings(const std::string &text)
@@ -65,6 +96,7 @@
     settings.serve_.failureDomain_ = FailureDomain(fields.text("failureDomain"));
     const auto *callers = fields.object("callers");
     const auto *store = fields.object("store");
+    const auto *peers = fields.object("peers");
     if (store == nullptr) {
         fields.report("store", "nothing", "an object");
     }
@@ -78,6 +110,9 @@
     if (const auto mistake = readStore(*store, settings.store_)) {
         return tl::unexpected(*mistake);
     }
+    if (const auto mistake = peers == nullptr ? SectionMistake() : readPeers(*peers, settings.peers_)) {
+        return tl::unexpected(*mistake);
+    }
     return settings;
 }
 
--- /dev/null
+++ b/src/peer/peercodec.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "core/result.h"
+#include "peer/recordanswer.h"
+#include "peer/recordquestion.h"
+
+namespace cowsliphead
+{
+
+/// The messages between daemons as bytes: MessagePack maps with short names, so that a newer program can add fields.
+namespace peercodec
+{
+
+/// Thread safety: any thread.
+std::string encode(const RecordQuestion &question);
+/// Thread safety: any thread.
+std::string encode(const RecordAnswer &answer);
+/// Errors: CodecMalformed. Thread safety: any thread.
+Result<RecordQuestion> decodeQuestion(std::string_view bytes);
+/// Errors: CodecMalformed. Thread safety: any thread.
+Result<RecordAnswer> decodeAnswer(std::string_view bytes);
+
+} // namespace peercodec
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/peer/peerconnection.cpp
@@ -0,0 +1,83 @@
+#include "peer/peerconnection.h"
+
+#include <chrono>
+#include <utility>
+
+#include <nng/protocol/reqrep0/req.h>
+
+#include "peer/nngsocket.h"
+#include "peer/peerurl.h"
+
+namespace cowsliphead
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds SendTimeout{ 600 };
+constexpr std::chrono::milliseconds ShortestReconnect{ 100 };
+constexpr std::chrono::milliseconds LongestReconnect{ 1000 };
+/// The owner repeats its questions itself, so nng is kept from it.
+constexpr std::chrono::milliseconds NeverResend = std::chrono::hours(24);
+
+nng_duration toNngDuration(std::chrono::milliseconds duration)
+{
+    return static_cast<nng_duration>(duration.count());
+}
+
+} // namespace
+
+PeerConnection::PeerConnection(EventLoop &loop, const PeerAddress &peer, std::function<void(std::string_view)> onAnswer)
+{
+    nng_socket socket = NNG_SOCKET_INITIALIZER;
+    if (nng_req0_open(&socket) != 0) {
+        return;
+    }
+    nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, toNngDuration(ShortestReconnect));
+    nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, toNngDuration(LongestReconnect));
+    nng_socket_set_ms(socket, NNG_OPT_REQ_RESENDTIME, toNngDuration(NeverResend));
+    socket_ = std::make_unique<NngSocket>(loop, socket, [onAnswer = std::move(onAnswer)](nng_msg *message) {
+        onAnswer({ static_cast<const char *>(nng_msg_body(message)), nng_msg_len(message) });
+        nng_msg_free(message);
+    });
+    nng_dial(socket, peerUrl(peer).c_str(), nullptr, NNG_FLAG_NONBLOCK);
+    sending_ = std::make_unique<Sending>();
+    if (nng_aio_alloc(&sending_->aio_, &PeerConnection::onSent, sending_.get()) == 0) {
+        nng_aio_set_timeout(sending_->aio_, toNngDuration(SendTimeout));
+    }
+}
+
+PeerConnection::~PeerConnection() = default;
+
+bool PeerConnection::ask(const std::string &question)
+{
+    nng_msg *message = nullptr;
+    if (!sending_ || sending_->aio_ == nullptr || sending_->isBusy_ || nng_msg_alloc(&message, 0) != 0) {
+        return false;
+    }
+    nng_msg_append(message, question.data(), question.size());
+    sending_->isBusy_ = true;
+    nng_aio_set_msg(sending_->aio_, message);
+    nng_send_aio(socket_->handle(), sending_->aio_);
+    return true;
+}
+
+void PeerConnection::onSent(void *sending)
+{
+    auto *sent = static_cast<Sending *>(sending);
+    if (nng_aio_result(sent->aio_) != 0) {
+        nng_msg_free(nng_aio_get_msg(sent->aio_));
+        nng_aio_set_msg(sent->aio_, nullptr);
+    }
+    sent->isBusy_ = false;
+}
+
+PeerConnection::Sending::~Sending()
+{
+    if (aio_ != nullptr) {
+        nng_aio_stop(aio_);
+        nng_aio_free(aio_);
+    }
+}
+
+} // namespace cowsliphead
--- a/src/records/recordlog.cpp
+++ b/src/records/recordlog.cpp
@@ -1,6 +1,5 @@
 #include "records/recordlog.h"
 
-#include "records/change.h"
 #include "records/recordset.h"
 
 namespace cowsliphead
@@ -17,9 +16,44 @@
         return false;
     }
     snapshot_ = snapshot_->after(change);
+    tail_.push_back(change);
+    if (tail_.size() > TailCount) {
+        tail_.pop_front();
+    }
+    return true;
+}
+
+bool RecordLog::install(const RecordSnapshot &snapshot)
+{
+    if (snapshot->revision() <= revision()) {
+        return false;
+    }
+    snapshot_ = snapshot;
+    tail_.clear();
     return true;
 }
 
+std::optional<std::vector<Change>> RecordLog::changesAfter(Revision revision, std::size_t maxBytes) const
+{
+    if (revision >= this->revision()) {
+        return std::vector<Change>();
+    }
+    const auto missing = this->revision() - revision;
+    if (missing > tail_.size()) {
+        return std::nullopt;
+    }
+    std::vector<Change> changes;
+    std::size_t bytes = 0;
+    for (auto change = tail_.end() - static_cast<std::ptrdiff_t>(missing); change != tail_.end(); ++change) {
+        bytes += change->text_.size() + change->key_.name_.size();
+        if (!changes.empty() && bytes > maxBytes) {
+            break;
+        }
+        changes.push_back(*change);
+    }
+    return changes;
+}
+
 const RecordSnapshot &RecordLog::snapshot() const
 {
     return snapshot_;
--- /dev/null
+++ b/src/records/snapshotassembly.cpp
@@ -0,0 +1,46 @@
+#include "records/snapshotassembly.h"
+
+#include <utility>
+
+#include "records/parserecord.h"
+#include "records/recordset.h"
+
+namespace cowsliphead
+{
+
+RecordSnapshot SnapshotAssembly::add(const SnapshotPart &part)
+{
+    if (part.revision_ != revision_) {
+        clear();
+        revision_ = part.revision_;
+    }
+    for (const auto &text : part.texts_) {
+        if (auto record = readStoredRecord(text)) {
+            records_.push_back(std::make_shared<const Record>(std::move(*record)));
+        }
+    }
+    if (!part.isLast_) {
+        return nullptr;
+    }
+    auto whole = std::make_shared<const RecordSet>(revision_, records_);
+    clear();
+    return whole;
+}
+
+Revision SnapshotAssembly::revision() const
+{
+    return revision_;
+}
+
+RecordKey SnapshotAssembly::lastKey() const
+{
+    return records_.empty() ? RecordKey() : records_.back()->key_;
+}
+
+void SnapshotAssembly::clear()
+{
+    revision_ = 0;
+    records_.clear();
+}
+
+} // namespace cowsliphead
--- a/src/serve/activerequest.cpp
+++ b/src/serve/activerequest.cpp
@@ -1,6 +1,5 @@
 #include "serve/activerequest.h"
 
-#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -22,17 +21,6 @@
 namespace
 {
 
-bool serves(const EndpointRecord &endpoint, const RequestTarget &target)
-{
-    if (endpoint.isDraining_) {
-        return false;
-    }
-    if (target.model_.isEmpty()) {
-        return endpoint.kind_ == EndpointKind::Service && endpoint.service_ == target.service_;
-    }
-    return endpoint.kind_ == EndpointKind::Engine && std::find(endpoint.models_.begin(), endpoint.models_.end(), target.model_) != endpoint.models_.end();
-}
-
 bool isRefusal(int status)
 {
     return status == httpstatus::ServiceUnavailable || status == httpstatus::TooManyRequests;
@@ -115,8 +103,11 @@
 const EndpointRecord *ActiveRequest::chooseEndpoint() const
 {
     std::vector<const EndpointRecord *> candidates;
-    for (const auto *endpoint : context_.records_->allOf<EndpointRecord>()) {
-        if (serves(*endpoint, plan_.target_) && !failedEndpoints_.contains(endpoint->endpoint_)) {
+    const auto &target = plan_.target_;
+    const auto &records = *context_.records_;
+    const auto &serving = target.model_.isEmpty() ? records.endpointsOf(target.service_) : records.enginesOf(target.model_);
+    for (const auto *endpoint : serving) {
+        if (!endpoint->isDraining_ && !failedEndpoints_.contains(endpoint->endpoint_)) {
             candidates.push_back(endpoint);
         }
     }
--- a/src/serve/servebehaviour.cpp
+++ b/src/serve/servebehaviour.cpp
@@ -12,6 +12,7 @@
 #include "core/randomtext.h"
 #include "decide/authorization.h"
 #include "decide/requestplanner.h"
+#include "decide/staleness.h"
 #include "http/httprequest.h"
 #include "http/httpstatus.h"
 #include "records/recordset.h"
@@ -82,6 +83,11 @@
         refuse(*exchange, plan.error());
         return;
     }
+    const auto sinceConfirmed = context_.clock_.now() - context_.recordsConfirmedAt_;
+    if (const auto isFresh = checkStaleness(*context_.records_, plan->account_, sinceConfirmed); !isFresh) {
+        refuse(*exchange, isFresh.error());
+        return;
+    }
     const auto place = active_.insert(active_.end(), nullptr);
     *place = std::make_unique<ActiveRequest>(context_, std::move(*plan), facts, std::move(request), exchange);
     (*place)->start([this, place] {
@@ -98,6 +104,10 @@
 void ServeBehaviour::listModels(const HttpRequest &request, CallerExchange &exchange) const
 {
     const auto facts = readRequestFacts(request);
+    if (!facts) {
+        refuse(exchange, facts.error());
+        return;
+    }
     const auto account = authorize(*context_.records_, facts->key_);
     if (!account) {
         refuse(exchange, account.error());
@@ -117,6 +127,11 @@
     context_.records_ = std::move(records);
 }
 
+void ServeBehaviour::take(RecordsConfirmed confirmation)
+{
+    context_.recordsConfirmedAt_ = confirmation.asOf_;
+}
+
 void ServeBehaviour::take(DrainRequest /*request*/)
 {
     isDraining_ = true;
--- a/src/serve/servebehaviour.h
+++ b/src/serve/servebehaviour.h
@@ -7,6 +7,7 @@
 
 #include "caller/callerserver.h"
 #include "core/result.h"
+#include "records/recordsconfirmed.h"
 #include "records/recordsnapshot.h"
 #include "serve/drainrequest.h"
 #include "serve/servesettings.h"
@@ -23,7 +24,7 @@
 class ServeBehaviour
 {
 public:
-    using Message = std::variant<RecordSnapshot, DrainRequest>;
+    using Message = std::variant<RecordSnapshot, RecordsConfirmed, DrainRequest>;
 
     /// Precondition: the loop outlives the behaviour. Thread safety: the loop's task only.
     ServeBehaviour(EventLoop &loop, const ServeSettings &settings);
@@ -41,6 +42,7 @@
     void refuse(CallerExchange &exchange, std::error_code code) const;
     void listModels(const HttpRequest &request, CallerExchange &exchange) const;
     void take(RecordSnapshot records);
+    void take(RecordsConfirmed confirmation);
     void take(DrainRequest request);
     void stopIfDrained();
 
--- a/src/serve/servingcontext.h
+++ b/src/serve/servingcontext.h
@@ -5,6 +5,7 @@
 
 #include "core/failuredomain.h"
 #include "core/systemclock.h"
+#include "core/time.h"
 #include "decide/endpointchooser.h"
 #include "endpoint/endpointpool.h"
 #include "records/recordsnapshot.h"
@@ -19,6 +20,8 @@
     EventLoop &loop_;
     SystemClock clock_;
     RecordSnapshot records_;
+    /// The records are known to have been the newest at this time.
+    MonotonicTime recordsConfirmedAt_{};
     EndpointPool pool_;
     EndpointChooser chooser_;
     FailureDomain failureDomain_;
