--- a/src/operate/daemonsettings.h
+++ b/src/operate/daemonsettings.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "metrics/metricssettings.h"
 #include "peer/peersettings.h"
 #include "serve/servesettings.h"
 #include "store/storesettings.h"
+#include "traces/tracesettings.h"
 
 namespace cowsliphead
 {
@@ -12,6 +14,8 @@
     ServeSettings serve_;
     StoreSettings store_;
     PeerSettings peers_;
+    MetricsSettings metrics_;
+    TraceSettings traces_;
 };
 
 } // namespace cowsliphead
--- a/src/operate/parsesettings.cpp
+++ b/src/operate/parsesettings.cpp
@@ -1,10 +1,10 @@
 #include "operate/parsesettings.h"
 
-#include <charconv>
 #include <limits>
 
 #include <nlohmann/json.hpp>
 
+#include "operate/parsepeeraddress.h"
 #include "records/fieldreader.h"
 #include "records/jsontext.h"
 
@@ -38,6 +38,8 @@
     settings.limits_.maxConcurrentRequests_ = fields.numberOr("maxConcurrentRequests", settings.limits_.maxConcurrentRequests_, 1, MostRequests);
     settings.limits_.readTimeout_ = fields.millisecondsOr("readTimeoutMs", settings.limits_.readTimeout_);
     settings.limits_.writeTimeout_ = fields.millisecondsOr("writeTimeoutMs", settings.limits_.writeTimeout_);
+    settings.drain_.announce_ = fields.millisecondsOr("drainAnnounceMs", settings.drain_.announce_);
+    settings.drain_.quiet_ = fields.millisecondsOr("drainQuietMs", settings.drain_.quiet_);
     fields.refuseOthers();
     return fields.mistake();
 }
@@ -52,27 +54,13 @@
     return fields.mistake();
 }
 
-/// An address as HOST:PORT.
-std::optional<PeerAddress> peerAddressFrom(const std::string &text)
-{
-    const auto colon = text.rfind(':');
-    std::uint16_t port = 0;
-    const auto *end = text.data() + text.size();
-    const auto *digits = text.data() + (colon == std::string::npos ? text.size() : colon + 1);
-    const auto parsed = std::from_chars(digits, end, port);
-    if (colon == 0 || parsed.ec != std::errc() || parsed.ptr != end || port == 0) {
-        return std::nullopt;
-    }
-    return PeerAddress{ text.substr(0, colon), port };
-}
-
 SectionMistake readPeers(const nlohmann::json &section, PeerSettings &settings)
 {
     FieldReader fields(section, "/peers", ErrorCode::SettingsMalformed);
     settings.address_.host_ = fields.textOr("address", settings.address_.host_);
     settings.address_.port_ = readPort(fields, 0);
     for (const auto &text : fields.texts("seeds")) {
-        if (const auto seed = peerAddressFrom(text)) {
+        if (const auto seed = parsePeerAddress(text)) {
             settings.seeds_.push_back(*seed);
         } else {
             fields.report("seeds", text, "HOST:PORT");
@@ -82,6 +70,26 @@
     return fields.mistake();
 }
 
+SectionMistake readMetrics(const nlohmann::json &section, MetricsSettings &settings)
+{
+    FieldReader fields(section, "/metrics", ErrorCode::SettingsMalformed);
+    settings.isEnabled_ = true;
+    settings.address_ = fields.textOr("address", settings.address_);
+    settings.port_ = readPort(fields, 0);
+    fields.refuseOthers();
+    return fields.mistake();
+}
+
+SectionMistake readTraces(const nlohmann::json &section, TraceSettings &settings)
+{
+    FieldReader fields(section, "/traces", ErrorCode::SettingsMalformed);
+    settings.file_ = fields.textOr("file", {});
+    settings.collectorHost_ = fields.textOr("collectorHost", {});
+    settings.collectorPort_ = static_cast<std::uint16_t>(fields.numberOr("collectorPort", settings.collectorPort_, 1, LargestPort));
+    fields.refuseOthers();
+    return fields.mistake();
+}
+
 } // namespace
 
 tl::expected<DaemonSettings, Mistake> parseSettings(const std::string &text)
@@ -97,6 +105,8 @@
     const auto *callers = fields.object("callers");
     const auto *store = fields.object("store");
     const auto *peers = fields.object("peers");
+    const auto *metrics = fields.object("metrics");
+    const auto *traces = fields.object("traces");
     if (store == nullptr) {
         fields.report("store", "nothing", "an object");
     }
@@ -113,6 +123,12 @@
     if (const auto mistake = peers == nullptr ? SectionMistake() : readPeers(*peers, settings.peers_)) {
         return tl::unexpected(*mistake);
     }
+    if (const auto mistake = metrics == nullptr ? SectionMistake() : readMetrics(*metrics, settings.metrics_)) {
+        return tl::unexpected(*mistake);
+    }
+    if (const auto mistake = traces == nullptr ? SectionMistake() : readTraces(*traces, settings.traces_)) {
+        return tl::unexpected(*mistake);
+    }
     return settings;
 }
 
--- a/src/serve/servebehaviour.cpp
+++ b/src/serve/servebehaviour.cpp
@@ -15,6 +15,7 @@
 #include "decide/staleness.h"
 #include "http/httprequest.h"
 #include "http/httpstatus.h"
+#include "metrics/gauge.h"
 #include "records/recordset.h"
 #include "serve/activerequest.h"
 #include "task/eventloop.h"
@@ -27,9 +28,12 @@
 
 constexpr int IncarnationBytes = 8;
 
-}
+/// Where the platform's balancer asks whether to send new connections here.
+constexpr const char *HealthPath = "/healthz";
+
+} // namespace
 
-ServeBehaviour::ServeBehaviour(EventLoop &loop, const ServeSettings &settings)
+ServeBehaviour::ServeBehaviour(EventLoop &loop, const ServeSettings &settings, Address<Span> spans)
     : settings_(settings)
     , context_{ .loop_ = loop,
                 .clock_ = {},
@@ -37,7 +41,11 @@
                 .pool_ = EndpointPool(loop),
                 .chooser_ = EndpointChooser(std::random_device()()),
                 .failureDomain_ = settings.failureDomain_,
-                .incarnation_ = settings.instance_.value() + "-" + randomHex(IncarnationBytes) }
+                .incarnation_ = settings.instance_.value() + "-" + randomHex(IncarnationBytes),
+                .metrics_ = {},
+                .spans_ = std::move(spans) }
+    , drain_(settings.drain_)
+    , drainCheck_(loop, [this] { checkDrain(); })
     , server_(loop, settings.limits_, [this](HttpRequest request, const std::shared_ptr<CallerExchange> &exchange) { handle(std::move(request), exchange); })
 {
 }
@@ -56,10 +64,14 @@
 
 void ServeBehaviour::handle(HttpRequest request, const std::shared_ptr<CallerExchange> &exchange)
 {
-    if (isDraining_) {
-        refuse(*exchange, make_error_code(ErrorCode::Draining));
+    if (request.path_ == HealthPath) {
+        health(*exchange);
         return;
     }
+    drain_.requestArrived(context_.clock_.now());
+    if (drain_.isDraining()) {
+        exchange->closeConnectionAfter();
+    }
     if (active_.size() >= settings_.limits_.maxConcurrentRequests_) {
         refuse(*exchange, make_error_code(ErrorCode::AccountOverLimit));
         return;
@@ -96,12 +108,13 @@
     });
 }
 
-void ServeBehaviour::refuse(CallerExchange &exchange, std::error_code code) const
+void ServeBehaviour::refuse(CallerExchange &exchange, std::error_code code)
 {
+    context_.metrics_.requests_.increment({ { "account", "" }, { "outcome", outcomeName(Outcome::NotRun) }, { "error", code.message() } });
     exchange.reply(errorHead(code, Outcome::NotRun), errorBody(code));
 }
 
-void ServeBehaviour::listModels(const HttpRequest &request, CallerExchange &exchange) const
+void ServeBehaviour::listModels(const HttpRequest &request, CallerExchange &exchange)
 {
     const auto facts = readRequestFacts(request);
     if (!facts) {
@@ -134,16 +147,38 @@
 
 void ServeBehaviour::take(DrainRequest /*request*/)
 {
-    isDraining_ = true;
-    server_.stopListening();
-    server_.onIdle([this] { context_.loop_.defer([this] { stopIfDrained(); }); });
-    stopIfDrained();
+    drain_.begin(context_.clock_.now());
+    server_.onIdle([this] { context_.loop_.defer([this] { checkDrain(); }); });
+    checkDrain();
+}
+
+void ServeBehaviour::take(const MetricsQuery &query)
+{
+    const auto inFlight = gaugeText("cowsliphead_requests_in_flight", "Requests that have not ended.", active_.size());
+    const auto revision = gaugeText("cowsliphead_records_revision", "Revision of the records in force.", context_.records_->revision());
+    query.answerTo_.send(MetricsReport{ query.query_, context_.metrics_.toText() + inFlight + revision });
 }
 
-void ServeBehaviour::stopIfDrained()
+void ServeBehaviour::health(CallerExchange &exchange) const
 {
-    if (isDraining_ && server_.isIdle()) {
+    const bool isLeaving = drain_.isDraining();
+    const HttpResponseHead head{ isLeaving ? httpstatus::ServiceUnavailable : httpstatus::Ok, { { "Content-Type", "application/json" } } };
+    exchange.reply(head, isLeaving ? R"({"status":"draining"})" : R"({"status":"serving"})");
+}
+
+void ServeBehaviour::checkDrain()
+{
+    const auto now = context_.clock_.now();
+    if (drain_.mayEnd(now, server_.isIdle())) {
         context_.loop_.stop();
+        return;
+    }
+    if (drain_.mayCloseListener(now)) {
+        server_.stopListening();
+    }
+    if (const auto wait = drain_.nextCheck(now, server_.isIdle())) {
+        // Rounded up, so that the check does not come too early and repeat at once.
+        drainCheck_.startOnce(std::chrono::ceil<std::chrono::milliseconds>(*wait));
     }
 }
 
--- a/src/serve/servebehaviour.h
+++ b/src/serve/servebehaviour.h
@@ -7,11 +7,14 @@
 
 #include "caller/callerserver.h"
 #include "core/result.h"
+#include "decide/drainmachine.h"
+#include "metrics/metricsquery.h"
 #include "records/recordsconfirmed.h"
 #include "records/recordsnapshot.h"
 #include "serve/drainrequest.h"
 #include "serve/servesettings.h"
 #include "serve/servingcontext.h"
+#include "task/timer.h"
 
 namespace cowsliphead
 {
@@ -24,10 +27,10 @@
 class ServeBehaviour
 {
 public:
-    using Message = std::variant<RecordSnapshot, RecordsConfirmed, DrainRequest>;
+    using Message = std::variant<RecordSnapshot, RecordsConfirmed, DrainRequest, MetricsQuery>;
 
-    /// Precondition: the loop outlives the behaviour. Thread safety: the loop's task only.
-    ServeBehaviour(EventLoop &loop, const ServeSettings &settings);
+    /// spans is where ended spans go. Precondition: the loop outlives the behaviour. Thread safety: the loop's task only.
+    ServeBehaviour(EventLoop &loop, const ServeSettings &settings, Address<Span> spans);
     ~ServeBehaviour();
 
     /// Returns the port. Errors: ListenFailed. Thread safety: the loop's task only.
@@ -39,17 +42,20 @@
 private:
     void handle(HttpRequest request, const std::shared_ptr<CallerExchange> &exchange);
     void begin(const RequestFacts &facts, HttpRequest request, const std::shared_ptr<CallerExchange> &exchange);
-    void refuse(CallerExchange &exchange, std::error_code code) const;
-    void listModels(const HttpRequest &request, CallerExchange &exchange) const;
+    void refuse(CallerExchange &exchange, std::error_code code);
+    void listModels(const HttpRequest &request, CallerExchange &exchange);
     void take(RecordSnapshot records);
     void take(RecordsConfirmed confirmation);
     void take(DrainRequest request);
-    void stopIfDrained();
+    void take(const MetricsQuery &query);
+    void health(CallerExchange &exchange) const;
+    void checkDrain();
 
     ServeSettings settings_;
     ServingContext context_;
     std::list<std::unique_ptr<ActiveRequest>> active_;
-    bool isDraining_ = false;
+    DrainMachine drain_;
+    Timer drainCheck_;
     CallerServer server_;
 };
 
