--- a/src/duty/followerbehaviour.cpp
+++ b/src/duty/followerbehaviour.cpp
@@ -57,6 +57,8 @@
         receiver.send(snapshot);
     };
     listener.onConfirmed_ = [receiver = confirmations_](MonotonicTime asOf) { receiver.send(RecordsConfirmed{ asOf }); };
+    listener.onStoreFailed_ = [] { logEvent(LogEvent::StoreNotAnswering); };
+    listener.onRelayChanged_ = [](bool isRelay) { logEvent(isRelay ? LogEvent::RelayTaken : LogEvent::RelayLeft); };
     return listener;
 }
 
--- a/src/duty/recordspreader.h
+++ b/src/duty/recordspreader.h
@@ -29,10 +29,13 @@
 class RecordSpreader
 {
 public:
-    /// What the owner is told: each new snapshot, and each new time as of which it is known to be the newest.
+    /// What the owner is told: each new snapshot, each new time as of which it is known to be the newest, each question that the store did
+    /// not answer, and when the daemon becomes a relay or stops being one.
     struct Listener {
         std::function<void(const RecordSnapshot &)> onSnapshot_;
         std::function<void(MonotonicTime)> onConfirmed_;
+        std::function<void()> onStoreFailed_;
+        std::function<void(bool)> onRelayChanged_;
     };
 
     /// How often tick() is to be called.
@@ -59,6 +62,7 @@
     {
         beatIfDue();
         seat_.tick(askableRelayCount());
+        tellRelayChange();
         failLateQuestions();
         askNext();
     }
@@ -135,6 +139,14 @@
     static constexpr std::size_t MembersPerExchange = 16;
     static constexpr std::size_t MaxAnswerBytes = std::size_t(48) << 10U;
 
+    void tellRelayChange()
+    {
+        if (wasRelay_ != seat_.isRelay()) {
+            wasRelay_ = !wasRelay_;
+            listener_.onRelayChanged_(wasRelay_);
+        }
+    }
+
     void askNext()
     {
         if (open_ || storeAskedAt_) {
@@ -177,6 +189,7 @@
                 decision_.storeAnswered(*hasMore, mayWait, clock_.now());
             } else {
                 decision_.storeFailed(clock_.now());
+                listener_.onStoreFailed_();
             }
             askNext();
         });
@@ -194,6 +207,7 @@
         if (storeAskedAt_ && now - *storeAskedAt_ >= limits_.storeTimeout_) {
             storeAskedAt_.reset();
             decision_.storeFailed(now);
+            listener_.onStoreFailed_();
         }
     }
 
@@ -322,6 +336,7 @@
     std::optional<OpenQuestion> open_;
     std::optional<MonotonicTime> storeAskedAt_;
     std::uint64_t lastNumber_ = 0;
+    bool wasRelay_ = false;
     MonotonicTime nextBeat_ = MonotonicTime::min();
     int beats_ = 0;
 };
--- a/src/logs/eventcatalogue.cpp
+++ b/src/logs/eventcatalogue.cpp
@@ -17,6 +17,8 @@
     { LogEvent::DaemonStopped, LogLevel::Info, "daemon_stopped", "All answers are written out, and the daemon ends." },
     { LogEvent::RecordsAdvanced, LogLevel::Debug, "records_advanced", "The daemon's records are at a newer revision." },
     { LogEvent::StoreNotAnswering, LogLevel::Warning, "store_not_answering", "The platform's store did not answer; the daemon tries again." },
+    { LogEvent::RelayTaken, LogLevel::Info, "relay_taken", "The daemon reads the store for its failure domain." },
+    { LogEvent::RelayLeft, LogLevel::Info, "relay_left", "The daemon no longer reads the store for its failure domain." },
 });
 
 }
--- a/src/logs/logevent.h
+++ b/src/logs/logevent.h
@@ -17,6 +17,8 @@
     // 400 to 499: records and their spreading
     RecordsAdvanced = 400,
     StoreNotAnswering = 401,
+    RelayTaken = 402,
+    RelayLeft = 403,
 
     // 500 to 599: claims
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -17,7 +17,7 @@
 {
     static const std::map<std::string, std::function<int(int, char **)>> table{
         { "serve", commands::serve }, { "config", commands::config },   { "record", commands::record },
-        { "key", commands::key },     { "standin", commands::standin },
+        { "key", commands::key },     { "standin", commands::standin }, { "status", commands::status },
     };
     return table;
 }
--- a/src/operate/commands.h
+++ b/src/operate/commands.h
@@ -15,6 +15,9 @@
 /// Creates a key. Returns an exit code.
 int key(int argc, char **argv);
 
+/// Shows what each daemon holds. Returns an exit code.
+int status(int argc, char **argv);
+
 /// Runs a stand-in. Returns an exit code.
 int standin(int argc, char **argv);
 
--- a/tests/duty/spreadworld.cpp
+++ b/tests/duty/spreadworld.cpp
@@ -65,6 +65,8 @@
         daemon.snapshot_ = snapshot;
     };
     listener.onConfirmed_ = [&daemon, run](MonotonicTime asOf) { daemon.confirmedAt_ = daemon.incarnation_ == run ? asOf : daemon.confirmedAt_; };
+    listener.onStoreFailed_ = [] {};
+    listener.onRelayChanged_ = [](bool) {};
     const std::vector<PeerAddress> seeds{ addressOf(0), addressOf(daemons_.size() - 1) };
     daemon.spreader_ = std::make_unique<VirtualDaemon::Spreader>(clock_, *daemon.store_, *daemon.link_, self, seeds, random_(), listener);
     events_.after(std::chrono::milliseconds(random_() % 50), [this, index, run] { tick(index, run); });
