--- a/src/core/errorcode.cpp
+++ b/src/core/errorcode.cpp
@@ -112,6 +112,8 @@
         return "platform_refused";
     case ErrorCode::OrderWithheld:
         return "order_withheld";
+    case ErrorCode::RecordsTooOld:
+        return "records_too_old";
     }
     return "unknown_error";
 }
--- a/src/core/errorcode.h
+++ b/src/core/errorcode.h
@@ -44,6 +44,7 @@
     PlatformUnavailable,
     PlatformRefused,
     OrderWithheld,
+    RecordsTooOld,
 };
 
 /// The category of ErrorCode. Thread safety: any thread.
--- a/src/operate/daemon.cpp
+++ b/src/operate/daemon.cpp
@@ -29,9 +29,16 @@
     if (!port) {
         return port;
     }
-    follower_.start([store = settings.store_, receiver = serve_.address<RecordSnapshot>()](EventLoop &loop) {
-        return std::make_unique<FollowerBehaviour>(loop, store, receiver);
-    });
+    const FollowerSettings follower{ settings.serve_.instance_, settings.serve_.failureDomain_, settings.store_, settings.peers_ };
+    const auto peerPort = startListening(
+        follower_,
+        [follower, snapshots = serve_.address<RecordSnapshot>(), confirmations = serve_.address<RecordsConfirmed>()](EventLoop &loop) {
+            return std::make_unique<FollowerBehaviour>(loop, follower, snapshots, confirmations);
+        },
+        [](FollowerBehaviour &behaviour) { return behaviour.listen(); });
+    if (!peerPort) {
+        return peerPort;
+    }
     startUsage(settings);
     claims_.start([store = settings.store_, receiver = serve_.address<ClaimVerdict>()](EventLoop &loop) {
         return std::make_unique<ClaimBehaviour>(loop, store, receiver);
@@ -46,7 +53,10 @@
         return metricsPort;
     }
     logEvent(LogEvent::DaemonStarted,
-             { { "instance", settings.serve_.instance_.value() }, { "port", std::uint64_t(*port) }, { "metricsPort", std::uint64_t(*metricsPort) } });
+             { { "instance", settings.serve_.instance_.value() },
+               { "port", std::uint64_t(*port) },
+               { "peerPort", std::uint64_t(*peerPort) },
+               { "metricsPort", std::uint64_t(*metricsPort) } });
     return port;
 }
 
--- a/src/operate/daemonsettings.h
+++ b/src/operate/daemonsettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "metrics/metricssettings.h"
+#include "peer/peersettings.h"
 #include "serve/servesettings.h"
 #include "store/storesettings.h"
 #include "traces/tracesettings.h"
@@ -16,6 +17,7 @@
     StoreSettings store_;
     UsageSettings usage_;
     PlatformSettings platform_;
+    PeerSettings peers_;
     MetricsSettings metrics_;
     TraceSettings traces_;
 };
--- a/src/operate/parsesettings.cpp
+++ b/src/operate/parsesettings.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "operate/parsepeeraddress.h"
 #include "records/fieldreader.h"
 #include "records/jsontext.h"
 
@@ -89,6 +90,22 @@
     return fields.mistake();
 }
 
+SectionMistake readPeers(const nlohmann::json &section, PeerSettings &settings)
+{
+    FieldReader fields(section, "/peers", ErrorCode::SettingsMalformed);
+    settings.address_.host_ = fields.textOr("address", settings.address_.host_);
+    settings.address_.port_ = readPort(fields, 0);
+    for (const auto &text : fields.texts("seeds")) {
+        if (const auto seed = parsePeerAddress(text)) {
+            settings.seeds_.push_back(*seed);
+        } else {
+            fields.report("seeds", text, "HOST:PORT");
+        }
+    }
+    fields.refuseOthers();
+    return fields.mistake();
+}
+
 SectionMistake readMetrics(const nlohmann::json &section, MetricsSettings &settings)
 {
     FieldReader fields(section, "/metrics", ErrorCode::SettingsMalformed);
@@ -109,6 +126,17 @@
     return fields.mistake();
 }
 
+/// Reads a section if it is there; the reader's mistake becomes the file's unless there is one already.
+template <typename Settings>
+void readSection(FieldReader &fields, const char *name, SectionMistake (*read)(const nlohmann::json &, Settings &), Settings &settings, SectionMistake &mistake)
+{
+    const auto *section = fields.object(name);
+    if (section == nullptr || mistake) {
+        return;
+    }
+    mistake = read(*section, settings);
+}
+
 } // namespace
 
 tl::expected<DaemonSettings, Mistake> parseSettings(const std::string &text)
@@ -118,39 +146,26 @@
         return tl::unexpected(document.error());
     }
     DaemonSettings settings;
+    SectionMistake sectionMistake;
     FieldReader fields(*document, {}, ErrorCode::SettingsMalformed);
     settings.serve_.instance_ = InstanceId(fields.text("instance"));
     settings.serve_.failureDomain_ = FailureDomain(fields.text("failureDomain"));
-    const auto *callers = fields.object("callers");
-    const auto *store = fields.object("store");
-    const auto *usage = fields.object("usage");
-    const auto *platform = fields.object("platform");
-    const auto *metrics = fields.object("metrics");
-    const auto *traces = fields.object("traces");
-    if (store == nullptr) {
+    if (fields.object("store") == nullptr) {
         fields.report("store", "nothing", "an object");
     }
+    readSection(fields, "callers", &readCallers, settings.serve_, sectionMistake);
+    readSection(fields, "store", &readStore, settings.store_, sectionMistake);
+    readSection(fields, "metrics", &readMetrics, settings.metrics_, sectionMistake);
+    readSection(fields, "traces", &readTraces, settings.traces_, sectionMistake);
+    readSection(fields, "usage", &readUsage, settings.usage_, sectionMistake);
+    readSection(fields, "platform", &readPlatform, settings.platform_, sectionMistake);
+    readSection(fields, "peers", &readPeers, settings.peers_, sectionMistake);
     fields.refuseOthers();
     if (fields.mistake()) {
         return tl::unexpected(*fields.mistake());
     }
-    if (const auto mistake = callers == nullptr ? SectionMistake() : readCallers(*callers, settings.serve_)) {
-        return tl::unexpected(*mistake);
-    }
-    if (const auto mistake = readStore(*store, settings.store_)) {
-        return tl::unexpected(*mistake);
-    }
-    if (const auto mistake = usage == nullptr ? SectionMistake() : readUsage(*usage, settings.usage_)) {
-        return tl::unexpected(*mistake);
-    }
-    if (const auto mistake = platform == nullptr ? SectionMistake() : readPlatform(*platform, settings.platform_)) {
-        return tl::unexpected(*mistake);
-    }
-    if (const auto mistake = metrics == nullptr ? SectionMistake() : readMetrics(*metrics, settings.metrics_)) {
-        return tl::unexpected(*mistake);
-    }
-    if (const auto mistake = traces == nullptr ? SectionMistake() : readTraces(*traces, settings.traces_)) {
-        return tl::unexpected(*mistake);
+    if (sectionMistake) {
+        return tl::unexpected(*sectionMistake);
     }
     return settings;
 }
--- a/src/serve/servebehaviour.cpp
+++ b/src/serve/servebehaviour.cpp
@@ -13,6 +13,7 @@
 #include "decide/authorization.h"
 #include "decide/claimrefusal.h"
 #include "decide/requestplanner.h"
+#include "decide/staleness.h"
 #include "http/httprequest.h"
 #include "http/httpstatus.h"
 #include "logs/log.h"
@@ -102,6 +103,11 @@
         refuse(request, *exchange, plan.error());
         return;
     }
+    const auto sinceConfirmed = context_.clock_.now() - context_.recordsConfirmedAt_;
+    if (const auto isFresh = checkStaleness(*context_.records_, plan->account_, sinceConfirmed); !isFresh) {
+        refuse(request, *exchange, isFresh.error());
+        return;
+    }
     context_.retryBudget_.requestArrived(context_.records_->policy().retryPercent_);
     const auto place = active_.insert(active_.end(), nullptr);
     *place = std::make_unique<ActiveRequest>(context_, std::move(*plan), facts, std::move(request), exchange);
@@ -122,6 +128,10 @@
 void ServeBehaviour::listModels(const HttpRequest &request, CallerExchange &exchange)
 {
     const auto facts = readRequestFacts(request);
+    if (!facts) {
+        refuse(request, exchange, facts.error());
+        return;
+    }
     const auto account = authorize(*context_.records_, facts->key_);
     if (!account) {
         refuse(request, exchange, account.error());
@@ -146,6 +156,11 @@
     context_.claims_.take(verdict);
 }
 
+void ServeBehaviour::take(RecordsConfirmed confirmation)
+{
+    context_.recordsConfirmedAt_ = confirmation.asOf_;
+}
+
 void ServeBehaviour::take(DrainRequest /*request*/)
 {
     drain_.begin(context_.clock_.now());
--- a/src/serve/servebehaviour.h
+++ b/src/serve/servebehaviour.h
@@ -9,6 +9,7 @@
 #include "core/result.h"
 #include "decide/drainmachine.h"
 #include "metrics/metricsquery.h"
+#include "records/recordsconfirmed.h"
 #include "records/recordsnapshot.h"
 #include "serve/drainrequest.h"
 #include "serve/servelinks.h"
@@ -29,7 +30,7 @@
 class ServeBehaviour
 {
 public:
-    using Message = std::variant<RecordSnapshot, ClaimVerdict, DrainRequest, MetricsQuery, TlsReload>;
+    using Message = std::variant<RecordSnapshot, RecordsConfirmed, ClaimVerdict, DrainRequest, MetricsQuery, TlsReload>;
 
     /// links lead to the other tasks of the daemon. Precondition: the loop outlives the behaviour. Thread safety: the loop's task only.
     ServeBehaviour(EventLoop &loop, const ServeSettings &settings, const ServeLinks &links);
@@ -48,6 +49,7 @@
     void listModels(const HttpRequest &request, CallerExchange &exchange);
     void take(RecordSnapshot records);
     void take(const ClaimVerdict &verdict);
+    void take(RecordsConfirmed confirmation);
     void take(DrainRequest request);
     void take(const MetricsQuery &query);
     void take(TlsReload request);
