Claims: a request with an idempotency key runs at most once

Cause: a request with an Idempotency-Key was refused outright; no claim was made, and retries had no budget.

Now the pair of client account and key is claimed in the store before dispatch, in batches by compare-and-swap over 64 values; ends and small answers are kept with the claim. Outcomes speak of the key: "not run" is said only by a sending that held the claim, or for another body of a completed request. Retries are bounded by retryPercent.

Ruled out, by the worlds of claimprooftest: "not run" for another body of a key in progress (false once the key is released), and deciding that refusal from an entry not yet written. Weighed: two writes before dispatch, and claims with a primary and a backup in memory; see docs/design/at-most-once.md.

Left: one batcher a shard over the peers' links; values written once for large tables; streamed and long answers are not kept.

--- /dev/null
+++ b/src/claim/claimbehaviour.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <variant>
+
+#include "claim/claimbatcher.h"
+#include "claim/claimflush.h"
+#include "decide/claimend.h"
+#include "decide/claimrequest.h"
+#include "decide/claimverdict.h"
+#include "store/httpstore.h"
+#include "store/storesettings.h"
+#include "task/address.h"
+
+namespace cowsliphead
+{
+
+class EventLoop;
+
+/// Claims idempotency keys in the platform's store. A task's behaviour; it owns its connections to the store.
+class ClaimBehaviour
+{
+public:
+    using Message = std::variant<ClaimRequest, ClaimEnd, ClaimFlush>;
+
+    /// Precondition: the loop outlives the behaviour. Thread safety: the loop's task only.
+    ClaimBehaviour(EventLoop &loop, const StoreSettings &settings, const Address<ClaimVerdict> &receiver);
+    ~ClaimBehaviour();
+
+    /// Thread safety: the loop's task only.
+    void receive(Message message);
+
+private:
+    void take(ClaimRequest request);
+    void take(ClaimEnd end);
+    void take(ClaimFlush flush);
+
+    EventLoop &loop_;
+    HttpStore store_;
+    ClaimBatcher<HttpStore> batcher_;
+    Timer flushTimeout_;
+};
+
+} // namespace cowsliphead
--- a/src/decide/requestmachine.cpp
+++ b/src/decide/requestmachine.cpp
@@ -1,7 +1,10 @@
 #include "decide/requestmachine.h"
 
+#include <algorithm>
+
 #include "core/errorcode.h"
 #include "decide/attemptfailure.h"
+#include "decide/claimrefusal.h"
 
 namespace cowsliphead
 {
@@ -19,19 +22,25 @@
     return dispatch(now);
 }
 
-RequestStep RequestMachine::claimGranted(MonotonicTime now)
+RequestStep RequestMachine::claimGranted(MonotonicTime now, MonotonicTime validUntil)
 {
+    claimEnd_ = validUntil;
     return dispatch(now);
 }
 
-RequestStep RequestMachine::claimRefused(std::error_code code)
+RequestStep RequestMachine::claimRefused(const ClaimRefusal &refusal)
 {
-    return fail(code);
+    return FailStep{ refusal.code_, refusal.outcome_ };
+}
+
+RequestStep RequestMachine::claimReplayed()
+{
+    return CompleteStep{};
 }
 
 RequestStep RequestMachine::noEndpoint()
 {
-    return fail(make_error_code(ErrorCode::EndpointUnavailable));
+    return fail(make_error_code(ErrorCode::EndpointUnavailable), dispatchedAt_);
 }
 
 void RequestMachine::answerStarted()
@@ -50,10 +59,10 @@
     const bool isCertainlyNotRun = !attempt.wasOffered_ || attempt.wasRefusedWhole_;
     mayHaveRun_ = mayHaveRun_ || !isCertainlyNotRun;
     if (!mayBeSentAgain(isCertainlyNotRun)) {
-        return fail(attempt.code_);
+        return fail(attempt.code_, now);
     }
     if (attempts_ >= traits_.maxAttempts_ || !mayRetry) {
-        return fail(attempt.code_);
+        return fail(attempt.code_, now);
     }
     return dispatch(now);
 }
@@ -65,16 +74,19 @@
 
 RequestStep RequestMachine::dispatch(MonotonicTime now)
 {
-    if (now >= traits_.deadline_) {
-        return fail(make_error_code(ErrorCode::DeadlineUnreachable));
+    if (now >= std::min(traits_.deadline_, claimEnd_)) {
+        return fail(make_error_code(ErrorCode::DeadlineUnreachable), now);
     }
+    dispatchedAt_ = now;
     ++attempts_;
     return DispatchStep{ attempts_ };
 }
 
-FailStep RequestMachine::fail(std::error_code code) const
+FailStep RequestMachine::fail(std::error_code code, MonotonicTime now) const
 {
-    return { code, mayHaveRun_ ? Outcome::Unknown : Outcome::NotRun };
+    // Once the claim has lapsed, another sending may hold the key and run.
+    const bool isCertain = !mayHaveRun_ && now < claimEnd_;
+    return { code, isCertain ? Outcome::NotRun : Outcome::Unknown };
 }
 
 bool RequestMachine::mayBeSentAgain(bool isCertainlyNotRun) const
--- a/src/decide/requestmachine.h
+++ b/src/decide/requestmachine.h
@@ -11,11 +11,13 @@
 {
 
 struct AttemptFailure;
+struct ClaimRefusal;
 
 /// Decides what happens to one request from its arrival to its outcome. It knows no socket, no message and no clock.
 ///
-/// Two rules hold for every sequence of events: a request that is not repeatable is sent again only if it is certain that
-/// the attempt before ran nothing, and a failure says NotRun only if every attempt is certain to have run nothing.
+/// Three rules hold for every sequence of events: a request that is not repeatable is sent again only if it is certain that
+/// the attempt before ran nothing, a failure says NotRun only if every attempt is certain to have run nothing, and a request
+/// that needs a claim is sent only while it holds one.
 class RequestMachine
 {
 public:
@@ -25,11 +27,14 @@
     /// The first step. Precondition: called once. Thread safety: owner task only.
     RequestStep begin(MonotonicTime now);
 
-    /// The claim was granted. Precondition: a ClaimStep is open. Thread safety: owner task only.
-    RequestStep claimGranted(MonotonicTime now);
+    /// The claim was granted; no attempt begins after validUntil. Precondition: a ClaimStep is open. Thread safety: owner task only.
+    RequestStep claimGranted(MonotonicTime now, MonotonicTime validUntil);
 
     /// The claim was refused, or nothing is known of it. Precondition: a ClaimStep is open. Thread safety: owner task only.
-    RequestStep claimRefused(std::error_code code);
+    RequestStep claimRefused(const ClaimRefusal &refusal);
+
+    /// An earlier sending has run, and its answer is known. Precondition: a ClaimStep is open. Thread safety: owner task only.
+    RequestStep claimReplayed();
 
     /// No endpoint can take the request now. Precondition: a DispatchStep is open. Thread safety: owner task only.
     RequestStep noEndpoint();
@@ -48,10 +53,12 @@
 
 private:
     RequestStep dispatch(MonotonicTime now);
-    FailStep fail(std::error_code code) const;
+    FailStep fail(std::error_code code, MonotonicTime now) const;
     bool mayBeSentAgain(bool isCertainlyNotRun) const;
 
     RequestTraits traits_;
+    MonotonicTime claimEnd_ = MonotonicTime::max();
+    MonotonicTime dispatchedAt_;
     std::uint32_t attempts_ = 0;
     bool mayHaveRun_ = false;
     bool isAnswerStarted_ = false;
--- a/src/logs/eventcatalogue.cpp
+++ b/src/logs/eventcatalogue.cpp
@@ -19,6 +19,9 @@
     { LogEvent::TlsReloadFailed, LogLevel::Error, "tls_reload_failed", "The certificate files are unusable; new connections get the certificate from before." },
     { LogEvent::RecordsAdvanced, LogLevel::Debug, "records_advanced", "The daemon's records are at a newer revision." },
     { LogEvent::StoreNotAnswering, LogLevel::Warning, "store_not_answering", "The platform's store did not answer; the daemon tries again." },
+    { LogEvent::ClaimStoreNotAnswering, LogLevel::Warning, "claim_store_not_answering", "The store did not answer a read of claims; the daemon tries again." },
+    { LogEvent::ClaimsMalformed, LogLevel::Error, "claims_malformed", "A value of claims cannot be read; no claim of its shard is granted." },
+    { LogEvent::ClaimWriteUnsettled, LogLevel::Warning, "claim_write_unsettled", "Nothing is known of a write of claims; the daemon reads it back." },
     { LogEvent::UsageLeftBehind, LogLevel::Warning, "usage_left_behind", "The store did not take the last usage before the daemon had to end." },
 });
 
--- a/src/logs/logevent.h
+++ b/src/logs/logevent.h
@@ -21,6 +21,9 @@
     StoreNotAnswering = 401,
 
     // 500 to 599: claims
+    ClaimStoreNotAnswering = 500,
+    ClaimsMalformed = 501,
+    ClaimWriteUnsettled = 502,
 
     // 600 to 699: duties and leases
 
--- a/src/operate/daemon.cpp
+++ b/src/operate/daemon.cpp
@@ -17,10 +17,11 @@
 Result<std::uint16_t> Daemon::start(const DaemonSettings &settings)
 {
     const auto spans = settings.traces_.isEnabled() ? traces_.address<Span>() : Address<Span>();
+    const ClaimClient claims(claims_.address<ClaimRequest>(), claims_.address<ClaimEnd>());
     const auto port = startListening(
         serve_,
-        [serve = settings.serve_, spans, usage = usage_.address<UsageEntry>()](EventLoop &loop) {
-            return std::make_unique<ServeBehaviour>(loop, serve, spans, usage);
+        [serve = settings.serve_, claims, spans, usage = usage_.address<UsageEntry>()](EventLoop &loop) {
+            return std::make_unique<ServeBehaviour>(loop, serve, claims, spans, usage);
         },
         [](ServeBehaviour &behaviour) { return behaviour.listen(); });
     if (!port) {
@@ -29,6 +30,9 @@
     follower_.start([store = settings.store_, receiver = serve_.address<RecordSnapshot>()](EventLoop &loop) {
         return std::make_unique<FollowerBehaviour>(loop, store, receiver);
     });
+    claims_.start([store = settings.store_, receiver = serve_.address<ClaimVerdict>()](EventLoop &loop) {
+        return std::make_unique<ClaimBehaviour>(loop, store, receiver);
+    });
     startUsage(settings);
     if (settings.traces_.isEnabled()) {
         traces_.start([traces = settings.traces_, instance = settings.serve_.instance_.value()](EventLoop &loop) {
@@ -66,6 +70,8 @@
     logEvent(LogEvent::DrainStarted);
     serve_.send(DrainRequest{});
     serve_.join();
+    claims_.send(ClaimFlush{});
+    claims_.join();
     usage_.send(DrainRequest{});
     usage_.join();
     reporter_.stop();
--- a/src/operate/daemon.h
+++ b/src/operate/daemon.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 
+#include "claim/claimbehaviour.h"
 #include "core/result.h"
 #include "duty/followerbehaviour.h"
 #include "duty/reporterbehaviour.h"
@@ -35,6 +36,7 @@
 
     Task<ServeBehaviour> serve_;
     Task<FollowerBehaviour> follower_;
+    Task<ClaimBehaviour> claims_;
     Task<UsageBehaviour> usage_;
     Task<ReporterBehaviour> reporter_;
     Task<MetricsBehaviour> metrics_;
--- a/src/serve/activerequest.cpp
+++ b/src/serve/activerequest.cpp
@@ -6,8 +6,12 @@
 
 #include "caller/callerexchange.h"
 #include "caller/errorresponse.h"
+#include "claim/claimcodec.h"
 #include "core/errorcode.h"
 #include "decide/attemptfailure.h"
+#include "decide/claimlimits.h"
+#include "decide/claimrefusal.h"
+#include "decide/claimverdict.h"
 #include "decide/requestfacts.h"
 #include "endpoint/endpointheaders.h"
 #include "endpoint/forwardedrequest.h"
@@ -56,6 +60,13 @@
     , sequence_(context.nextRequest_++)
     , silence_(context.loop_, [this] { onSilence(); })
 {
+    if (plan_.traits_.needsClaim_) {
+        claim_.key_ = claimKey(plan_.account_, facts.idempotencyKey_);
+        claim_.fingerprint_ = requestFingerprint(httpMethodName(request_.method_), request_.path_ + "?" + request_.query_, request_.body_);
+        claim_.owner_ = { context_.incarnation_, sequence_ };
+        claim_.receivedAt_ = context_.clock_.wallNow();
+        claim_.askedAt_ = context_.clock_.now();
+    }
 }
 
 ActiveRequest::~ActiveRequest()
@@ -84,7 +95,42 @@
 
 void ActiveRequest::carryOut(const ClaimStep & /*step*/)
 {
-    take(machine_.claimRefused(make_error_code(ErrorCode::StoreUnavailable)));
+    context_.claims_.ask(claim_, [this](const ClaimVerdict &verdict) { onClaimVerdict(verdict); });
+}
+
+void ActiveRequest::onClaimVerdict(const ClaimVerdict &verdict)
+{
+    if (verdict.kind_ == ClaimVerdictKind::Granted) {
+        hasClaim_ = true;
+        take(machine_.claimGranted(context_.clock_.now(), verdict.validUntil_));
+    } else if (verdict.kind_ == ClaimVerdictKind::Replayed) {
+        isStreamed_ = false;
+        isReplay_ = true;
+        answerHead_ = { verdict.answer_->status_, { { "Content-Type", verdict.answer_->contentType_ } } };
+        answerBody_ = verdict.answer_->body_;
+        take(machine_.claimReplayed());
+    } else {
+        take(machine_.claimRefused(claimRefusal(verdict.kind_)));
+    }
+}
+
+void ActiveRequest::endClaim(Outcome outcome)
+{
+    // The claim of a request that may have run stays, so that no later sending runs it again.
+    if (std::exchange(hasClaim_, false) && outcome != Outcome::Unknown) {
+        const bool hasRun = outcome == Outcome::Run;
+        const auto giveUpAt = context_.clock_.now() + ClaimLimits().endPatience_;
+        context_.claims_.end({ claim_.key_, claim_.owner_, hasRun, context_.clock_.wallNow(), giveUpAt, hasRun ? answerToKeep() : std::nullopt });
+    }
+}
+
+std::optional<ClaimAnswer> ActiveRequest::answerToKeep() const
+{
+    const auto contentType = headerValue(answerHead_.headers_, "Content-Type");
+    if (isStreamed_ || answerBody_.size() > ClaimLimits().longestAnswer_ || !isEncodable(contentType + answerBody_)) {
+        return std::nullopt;
+    }
+    return ClaimAnswer{ answerHead_.status_, contentType, answerBody_ };
 }
 
 void ActiveRequest::carryOut(const DispatchStep &step)
@@ -203,15 +249,20 @@
 
 void ActiveRequest::onCallerLeft()
 {
-    finish(machine_.mayHaveRun() || call_ ? Outcome::Unknown : Outcome::NotRun, make_error_code(ErrorCode::CallerLeft));
+    const bool mayHaveRun = machine_.mayHaveRun() || (call_ && call_->wasOffered());
+    finish(mayHaveRun ? Outcome::Unknown : Outcome::NotRun, make_error_code(ErrorCode::CallerLeft));
 }
 
 void ActiveRequest::failAttempt(const AttemptFailure &attempt)
 {
     failedEndpoints_.insert(endpoint_);
     releaseEndpoint(attempt.code_);
-    const bool mayRetry = !exchange_->isStarted();
-    take(machine_.attemptFailed(attempt, mayRetry, context_.clock_.now()));
+    const bool mayRetry = !exchange_->isStarted() && context_.retryBudget_.mayRetry();
+    const auto step = machine_.attemptFailed(attempt, mayRetry, context_.clock_.now());
+    if (std::holds_alternative<DispatchStep>(step)) {
+        context_.retryBudget_.spend();
+    }
+    take(step);
 }
 
 void ActiveRequest::releaseEndpoint(std::error_code code)
@@ -239,8 +290,8 @@
 void ActiveRequest::emitUsage(Outcome outcome)
 {
     const bool isCutOff = outcome != Outcome::Run;
-    // An answer that is no success, or that was given to nobody in particular, is not billed.
-    if (!usage_.hasPassedOn() || plan_.account_.isEmpty() || answerHead_.status_ != httpstatus::Ok) {
+    // An answer that is no success, that was given to nobody in particular, or that was billed before, is not billed.
+    if (isReplay_ || !usage_.hasPassedOn() || plan_.account_.isEmpty() || answerHead_.status_ != httpstatus::Ok) {
         return;
     }
     const bool isCompletion = !plan_.target_.model_.isEmpty();
@@ -250,6 +301,8 @@
 
 void ActiveRequest::finish(Outcome outcome, std::error_code code)
 {
+    context_.claims_.forget(sequence_);
+    endClaim(outcome);
     releaseEndpoint(code);
     telemetry_.requestEnded(outcome, code);
     emitUsage(outcome);
--- a/src/serve/activerequest.h
+++ b/src/serve/activerequest.h
@@ -3,10 +3,14 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
 #include "core/endpointid.h"
+#include "core/outcome.h"
+#include "decide/claimanswer.h"
+#include "decide/claimrequest.h"
 #include "decide/requestmachine.h"
 #include "decide/requestplan.h"
 #include "http/httpcallfailure.h"
@@ -24,6 +28,7 @@
 class CallerExchange;
 class HttpCall;
 struct AttemptFailure;
+struct ClaimVerdict;
 struct EndpointRecord;
 struct RequestFacts;
 struct ServingContext;
@@ -51,6 +56,10 @@
     void carryOut(const struct CompleteStep &step);
     void carryOut(const struct FailStep &step);
 
+    void onClaimVerdict(const ClaimVerdict &verdict);
+    void endClaim(Outcome outcome);
+    std::optional<ClaimAnswer> answerToKeep() const;
+
     const EndpointRecord *chooseEndpoint() const;
     void send(const EndpointRecord &endpoint, std::uint32_t attempt);
     void onHead(const HttpResponseHead &head);
@@ -67,6 +76,13 @@
 
     ServingContext &context_;
     RequestPlan plan_;
+
+    /// What the request claims; it has no key without an idempotency key.
+    ClaimRequest claim_;
+    bool hasClaim_ = false;
+
+    /// True if the answer is that of an earlier sending.
+    bool isReplay_ = false;
     RequestMachine machine_;
     HttpRequest request_;
     std::string key_;
--- a/src/serve/servebehaviour.cpp
+++ b/src/serve/servebehaviour.cpp
@@ -11,6 +11,7 @@
 #include "core/errorcode.h"
 #include "core/randomtext.h"
 #include "decide/authorization.h"
+#include "decide/claimrefusal.h"
 #include "decide/requestplanner.h"
 #include "http/httprequest.h"
 #include "http/httpstatus.h"
@@ -33,7 +34,7 @@
 
 } // namespace
 
-ServeBehaviour::ServeBehaviour(EventLoop &loop, const ServeSettings &settings, Address<Span> spans, const Address<UsageEntry> &usage)
+ServeBehaviour::ServeBehaviour(EventLoop &loop, const ServeSettings &settings, ClaimClient claims, Address<Span> spans, const Address<UsageEntry> &usage)
     : settings_(settings)
     , context_{ .loop_ = loop,
                 .clock_ = {},
@@ -42,6 +43,8 @@
                 .chooser_ = EndpointChooser(std::random_device()()),
                 .failureDomain_ = settings.failureDomain_,
                 .incarnation_ = settings.instance_.value() + "-" + randomHex(IncarnationBytes),
+                .claims_ = std::move(claims),
+                .retryBudget_ = {},
                 .metrics_ = {},
                 .spans_ = std::move(spans),
                 .usage_ = usage }
@@ -77,7 +80,7 @@
         exchange->closeConnectionAfter();
     }
     if (active_.size() >= settings_.limits_.maxConcurrentRequests_) {
-        refuse(*exchange, make_error_code(ErrorCode::AccountOverLimit));
+        refuse(request, *exchange, make_error_code(ErrorCode::AccountOverLimit));
         return;
     }
     if (request.path_ == "/v1/models" && request.method_ == HttpMethod::Get) {
@@ -86,7 +89,7 @@
     }
     const auto facts = readRequestFacts(request);
     if (!facts) {
-        refuse(*exchange, facts.error());
+        refuse(request, *exchange, facts.error());
         return;
     }
     begin(*facts, std::move(request), exchange);
@@ -96,9 +99,10 @@
 {
     auto plan = planRequest(*context_.records_, facts, context_.clock_.now());
     if (!plan) {
-        refuse(*exchange, plan.error());
+        refuse(request, *exchange, plan.error());
         return;
     }
+    context_.retryBudget_.requestArrived(context_.records_->policy().retryPercent_);
     const auto place = active_.insert(active_.end(), nullptr);
     *place = std::make_unique<ActiveRequest>(context_, std::move(*plan), facts, std::move(request), exchange);
     (*place)->start([this, place] {
@@ -107,10 +111,12 @@
     });
 }
 
-void ServeBehaviour::refuse(CallerExchange &exchange, std::error_code code)
+void ServeBehaviour::refuse(const HttpRequest &request, CallerExchange &exchange, std::error_code code)
 {
-    context_.metrics_.requests_.increment({ { "account", "" }, { "outcome", outcomeName(Outcome::NotRun) }, { "error", code.message() } });
-    exchange.reply(errorHead(code, Outcome::NotRun), errorBody(code));
+    const bool hasIdempotencyKey = !headerValue(request.headers_, "Idempotency-Key").empty();
+    const auto outcome = unclaimedOutcome(hasIdempotencyKey);
+    context_.metrics_.requests_.increment({ { "account", "" }, { "outcome", outcomeName(outcome) }, { "error", code.message() } });
+    exchange.reply(errorHead(code, outcome), errorBody(code));
 }
 
 void ServeBehaviour::listModels(const HttpRequest &request, CallerExchange &exchange)
@@ -118,7 +124,7 @@
     const auto facts = readRequestFacts(request);
     const auto account = authorize(*context_.records_, facts->key_);
     if (!account) {
-        refuse(exchange, account.error());
+        refuse(request, exchange, account.error());
         return;
     }
     auto models = nlohmann::json::array();
@@ -135,6 +141,11 @@
     context_.records_ = std::move(records);
 }
 
+void ServeBehaviour::take(const ClaimVerdict &verdict)
+{
+    context_.claims_.take(verdict);
+}
+
 void ServeBehaviour::take(DrainRequest /*request*/)
 {
     drain_.begin(context_.clock_.now());
--- a/src/serve/servebehaviour.h
+++ b/src/serve/servebehaviour.h
@@ -28,11 +28,11 @@
 class ServeBehaviour
 {
 public:
-    using Message = std::variant<RecordSnapshot, DrainRequest, MetricsQuery, TlsReload>;
+    using Message = std::variant<RecordSnapshot, ClaimVerdict, DrainRequest, MetricsQuery, TlsReload>;
 
-    /// spans is where ended spans go, usage where the usage of each ended request goes. Precondition: the loop outlives the
-    /// behaviour. Thread safety: the loop's task only.
-    ServeBehaviour(EventLoop &loop, const ServeSettings &settings, Address<Span> spans, const Address<UsageEntry> &usage);
+    /// claims leads to the claim task, spans is where ended spans go, usage where the usage of each ended request goes.
+    /// Precondition: the loop outlives the behaviour. Thread safety: the loop's task only.
+    ServeBehaviour(EventLoop &loop, const ServeSettings &settings, ClaimClient claims, Address<Span> spans, const Address<UsageEntry> &usage);
     ~ServeBehaviour();
 
     /// Returns the port. Errors: ListenFailed, TlsFilesUnusable. Thread safety: the loop's task only.
@@ -44,9 +44,10 @@
 private:
     void handle(HttpRequest request, const std::shared_ptr<CallerExchange> &exchange);
     void begin(const RequestFacts &facts, HttpRequest request, const std::shared_ptr<CallerExchange> &exchange);
-    void refuse(CallerExchange &exchange, std::error_code code);
+    void refuse(const HttpRequest &request, CallerExchange &exchange, std::error_code code);
     void listModels(const HttpRequest &request, CallerExchange &exchange);
     void take(RecordSnapshot records);
+    void take(const ClaimVerdict &verdict);
     void take(DrainRequest request);
     void take(const MetricsQuery &query);
     void take(TlsReload request);
--- a/src/serve/servingcontext.h
+++ b/src/serve/servingcontext.h
@@ -6,9 +6,11 @@
 #include "core/failuredomain.h"
 #include "core/systemclock.h"
 #include "decide/endpointchooser.h"
+#include "decide/retrybudget.h"
 #include "decide/usageentry.h"
 #include "endpoint/endpointpool.h"
 #include "records/recordsnapshot.h"
+#include "serve/claimclient.h"
 #include "serve/servemetrics.h"
 #include "task/address.h"
 #include "traces/span.h"
@@ -30,6 +32,8 @@
     /// Identifies this run of the instance, so that no two attempts of the fleet have the same identifier.
     std::string incarnation_;
     std::uint64_t nextRequest_ = 1;
+    ClaimClient claims_;
+    RetryBudget retryBudget_;
     ServeMetrics metrics_;
 
     /// Where ended spans go; nowhere if traces are off.
--- a/tests/decide/requestmachinetest.cpp
+++ b/tests/decide/requestmachinetest.cpp
@@ -4,6 +4,7 @@
 #include "core/errorcode.h"
 #include "core/virtualclock.h"
 #include "decide/attemptfailure.h"
+#include "decide/claimrefusal.h"
 #include "decide/requestmachine.h"
 
 using namespace cowsliphead;
@@ -22,6 +23,13 @@
     return traits;
 }
 
+RequestTraits claimedTraits()
+{
+    auto traits = traitsOf(false);
+    traits.needsClaim_ = true;
+    return traits;
+}
+
 AttemptFailure lost(bool wasOffered)
 {
     return { make_error_code(ErrorCode::EndpointLost), wasOffered, false };
@@ -83,8 +91,55 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(that_needs_a_claim, Fixture)
+
+BOOST_AUTO_TEST_CASE(is_sent_only_once_the_claim_is_granted)
+{
+    RequestMachine machine(claimedTraits());
+    BOOST_TEST(std::holds_alternative<ClaimStep>(machine.begin(clock_.now())));
+    BOOST_TEST(std::holds_alternative<DispatchStep>(machine.claimGranted(clock_.now(), clock_.now() + Patience)));
+}
+
+BOOST_AUTO_TEST_CASE(is_not_sent_and_not_said_to_be_not_run_once_the_claim_has_lapsed)
+{
+    RequestMachine machine(claimedTraits());
+    machine.begin(clock_.now());
+    const auto step = machine.claimGranted(clock_.now(), clock_.now());
+    BOOST_REQUIRE(std::holds_alternative<FailStep>(step));
+    BOOST_TEST(static_cast<int>(std::get<FailStep>(step).outcome_) == static_cast<int>(Outcome::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(is_unknown_when_its_claim_is_refused_unless_the_key_is_another_request_s_for_good)
+{
+    for (const auto kind : { ClaimVerdictKind::InUse, ClaimVerdictKind::ReusedInProgress, ClaimVerdictKind::Full, ClaimVerdictKind::Unavailable }) {
+        BOOST_TEST(static_cast<int>(claimRefusal(kind).outcome_) == static_cast<int>(Outcome::Unknown));
+    }
+    BOOST_TEST(static_cast<int>(claimRefusal(ClaimVerdictKind::Reused).outcome_) == static_cast<int>(Outcome::NotRun));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(under_any_sequence_of_failures, Fixture)
 
+RC_BOOST_PROP(is_never_sent_after_its_claim_has_lapsed, (const std::vector<std::uint8_t> &waits, bool isRefused))
+{
+    VirtualClock clock;
+    RequestMachine machine(claimedTraits());
+    machine.begin(clock.now());
+    const auto validUntil = clock.now() + std::chrono::milliseconds(300);
+    auto step = machine.claimGranted(clock.now(), validUntil);
+    for (const auto wait : waits) {
+        if (std::holds_alternative<DispatchStep>(step)) {
+            RC_ASSERT(clock.now() < validUntil);
+            clock.advance(std::chrono::milliseconds(wait));
+            step = machine.attemptFailed(isRefused ? refused() : lost(false), true, clock.now());
+        }
+    }
+    if (const auto *fail = std::get_if<FailStep>(&step)) {
+        RC_ASSERT((fail->outcome_ == Outcome::NotRun) == (clock.now() < validUntil));
+    }
+}
+
 RC_BOOST_PROP(is_offered_for_certain_at_most_once, (const std::vector<std::pair<bool, bool>> &failures))
 {
     RequestMachine machine(traitsOf(false));
--- a/tests/scenarios/scenariostest.cpp
+++ b/tests/scenarios/scenariostest.cpp
@@ -31,6 +31,15 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(whose_store_and_daemons_fail)
+
+BOOST_AUTO_TEST_CASE(runs_an_order_with_an_idempotency_key_once)
+{
+    tell("at_most_once");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(whose_parts_are_replaced)
 
 BOOST_AUTO_TEST_CASE(cuts_no_request_when_each_daemon_is_restarted)
