--- a/src/caller/callerserver.cpp
+++ b/src/caller/callerserver.cpp
@@ -65,7 +65,8 @@
 } // namespace
 
 CallerServer::CallerServer(EventLoop &loop, const CallerLimits &limits, Handler handler)
-    : handler_(std::move(handler))
+    : loop_(loop)
+    , handler_(std::move(handler))
     , server_(evhtp_new(loop.base(), nullptr))
 {
     const timeval readTimeout = toTimeValue(limits.readTimeout_);
@@ -90,6 +91,13 @@
     return portOfSocket(evconnlistener_get_fd(server_->server));
 }
 
+void CallerServer::useTls(TlsContext context)
+{
+    // Each open connection holds a reference to the context that it began with.
+    tls_ = std::move(context);
+    server_->ssl_ctx = tls_->handle();
+}
+
 void CallerServer::stopListening()
 {
     if (isListening_) {
@@ -112,7 +120,7 @@
 {
     auto *server = static_cast<CallerServer *>(self);
     ++server->openRequests_;
-    auto exchange = std::make_shared<CallerExchange>(request, [server] { server->release(); });
+    auto exchange = std::make_shared<CallerExchange>(server->loop_, request, [server] { server->release(); });
     exchange->attach();
     server->handler_(readRequest(request), std::move(exchange));
 }
@@ -127,6 +135,8 @@
 
 void CallerServer::FreeServer::operator()(evhtp_t *server) const
 {
+    // The context belongs to the CallerServer.
+    server->ssl_ctx = nullptr;
     evhtp_free(server);
 }
 
--- a/src/core/errorcode.h
+++ b/src/core/errorcode.h
@@ -41,6 +41,10 @@
     CallerLeft,
     RecordsNotLoaded,
     RecordsTooOld,
+    TlsFilesUnusable,
+    PlatformUnavailable,
+    PlatformRefused,
+    OrderWithheld,
 };
 
 /// The category of ErrorCode. Thread safety: any thread.
--- a/src/logs/logevent.h
+++ b/src/logs/logevent.h
@@ -9,6 +9,8 @@
     DaemonStarted = 100,
     DrainStarted = 101,
     DaemonStopped = 102,
+    TlsReloaded = 103,
+    TlsReloadFailed = 104,
 
     // 200 to 299: callers and requests
 
@@ -25,6 +27,7 @@
     // 600 to 699: duties and leases
 
     // 700 to 799: usage and reports
+    UsageLeftBehind = 700,
 
     // 800 to 899: peers and membership
 };
--- a/src/operate/daemon.cpp
+++ b/src/operate/daemon.cpp
@@ -1,17 +1,27 @@
 #include "operate/daemon.h"
 
+#include "core/randomtext.h"
 #include "logs/log.h"
 #include "task/listening.h"
 
 namespace cowsliphead
 {
 
+namespace
+{
+
+constexpr int IncarnationBytes = 8;
+
+} // namespace
+
 Result<std::uint16_t> Daemon::start(const DaemonSettings &settings)
 {
     const auto spans = settings.traces_.isEnabled() ? traces_.address<Span>() : Address<Span>();
     const auto port = startListening(
         serve_,
-        [serve = settings.serve_, spans](EventLoop &loop) { return std::make_unique<ServeBehaviour>(loop, serve, spans); },
+        [serve = settings.serve_, spans, usage = usage_.address<UsageEntry>()](EventLoop &loop) {
+            return std::make_unique<ServeBehaviour>(loop, serve, spans, usage);
+        },
         [](ServeBehaviour &behaviour) { return behaviour.listen(); });
     if (!port) {
         return port;
@@ -26,6 +36,7 @@
     if (!peerPort) {
         return peerPort;
     }
+    startUsage(settings);
     if (settings.traces_.isEnabled()) {
         traces_.start([traces = settings.traces_, instance = settings.serve_.instance_.value()](EventLoop &loop) {
             return std::make_unique<TraceBehaviour>(loop, traces, instance);
@@ -43,11 +54,31 @@
     return port;
 }
 
+void Daemon::startUsage(const DaemonSettings &settings)
+{
+    const auto incarnation = settings.serve_.instance_.value() + "-" + randomHex(IncarnationBytes);
+    usage_.start([settings, incarnation](EventLoop &loop) { return std::make_unique<UsageBehaviour>(loop, settings.store_, settings.usage_, incarnation); });
+    if (settings.platform_.port_ == 0) {
+        return;
+    }
+    reporter_.start([settings, incarnation](EventLoop &loop) {
+        return std::make_unique<ReporterBehaviour>(loop, settings.store_, settings.platform_, settings.usage_, incarnation);
+    });
+}
+
+void Daemon::reloadTls()
+{
+    serve_.send(TlsReload{});
+}
+
 void Daemon::drain()
 {
     logEvent(LogEvent::DrainStarted);
     serve_.send(DrainRequest{});
     serve_.join();
+    usage_.send(DrainRequest{});
+    usage_.join();
+    reporter_.stop();
     follower_.stop();
     metrics_.stop();
     traces_.stop();
--- a/src/operate/daemon.h
+++ b/src/operate/daemon.h
@@ -4,11 +4,13 @@
 
 #include "core/result.h"
 #include "duty/followerbehaviour.h"
+#include "duty/reporterbehaviour.h"
 #include "metrics/metricsbehaviour.h"
 #include "operate/daemonsettings.h"
 #include "serve/servebehaviour.h"
 #include "task/task.h"
 #include "traces/tracebehaviour.h"
+#include "usage/usagebehaviour.h"
 
 namespace cowsliphead
 {
@@ -18,17 +20,23 @@
 {
 public:
     /// Starts all tasks. Returns the port towards callers. Precondition: called once. Thread safety: owner only.
-    /// Errors: ListenFailed.
+    /// Errors: ListenFailed, TlsFilesUnusable.
     Result<std::uint16_t> start(const DaemonSettings &settings);
 
+    /// Reads certificate and key files again. Thread safety: owner only.
+    void reloadTls();
+
     /// Takes no new work, and returns once all answers are written out. Thread safety: owner only.
     void drain();
 
 private:
+    void startUsage(const DaemonSettings &settings);
     Result<std::uint16_t> startMetrics(const MetricsSettings &settings);
 
     Task<ServeBehaviour> serve_;
     Task<FollowerBehaviour> follower_;
+    Task<UsageBehaviour> usage_;
+    Task<ReporterBehaviour> reporter_;
     Task<MetricsBehaviour> metrics_;
     Task<TraceBehaviour> traces_;
 };
--- a/src/operate/daemonsettings.h
+++ b/src/operate/daemonsettings.h
@@ -5,6 +5,8 @@
 #include "serve/servesettings.h"
 #include "store/storesettings.h"
 #include "traces/tracesettings.h"
+#include "usage/platformsettings.h"
+#include "usage/usagesettings.h"
 
 namespace cowsliphead
 {
@@ -14,6 +16,8 @@
     ServeSettings serve_;
     StoreSettings store_;
     PeerSettings peers_;
+    UsageSettings usage_;
+    PlatformSettings platform_;
     MetricsSettings metrics_;
     TraceSettings traces_;
 };
--- a/src/serve/activerequest.h
+++ b/src/serve/activerequest.h
@@ -14,6 +14,7 @@
 #include "http/httpresponsehead.h"
 #include "serve/requesttelemetry.h"
 #include "task/timer.h"
+#include "usage/usagemeter.h"
 
 #include <tl/expected.hpp>
 
@@ -61,6 +62,7 @@
     void releaseEndpoint(std::error_code code);
     void forwardStreamed(std::string_view data);
     HttpResponseHead callerHead() const;
+    void emitUsage(Outcome outcome);
     void finish(Outcome outcome, std::error_code code);
 
     ServingContext &context_;
@@ -80,6 +82,7 @@
     std::set<EndpointId> failedEndpoints_;
     HttpResponseHead answerHead_;
     std::string answerBody_;
+    UsageMeter usage_;
     Timer silence_;
 };
 
--- a/src/serve/servebehaviour.cpp
+++ b/src/serve/servebehaviour.cpp
@@ -15,6 +15,7 @@
 #include "decide/staleness.h"
 #include "http/httprequest.h"
 #include "http/httpstatus.h"
+#include "logs/log.h"
 #include "metrics/gauge.h"
 #include "records/recordset.h"
 #include "serve/activerequest.h"
@@ -33,7 +34,7 @@
 
 } // namespace
 
-ServeBehaviour::ServeBehaviour(EventLoop &loop, const ServeSettings &settings, Address<Span> spans)
+ServeBehaviour::ServeBehaviour(EventLoop &loop, const ServeSettings &settings, Address<Span> spans, const Address<UsageEntry> &usage)
     : settings_(settings)
     , context_{ .loop_ = loop,
                 .clock_ = {},
@@ -43,7 +44,8 @@
                 .failureDomain_ = settings.failureDomain_,
                 .incarnation_ = settings.instance_.value() + "-" + randomHex(IncarnationBytes),
                 .metrics_ = {},
-                .spans_ = std::move(spans) }
+                .spans_ = std::move(spans),
+                .usage_ = usage }
     , drain_(settings.drain_)
     , drainCheck_(loop, [this] { checkDrain(); })
     , server_(loop, settings.limits_, [this](HttpRequest request, const std::shared_ptr<CallerExchange> &exchange) { handle(std::move(request), exchange); })
@@ -54,6 +56,9 @@
 
 Result<std::uint16_t> ServeBehaviour::listen()
 {
+    if (const auto loaded = loadTls(); !loaded) {
+        return tl::unexpected(loaded.error());
+    }
     return server_.listen(settings_.address_, settings_.port_);
 }
 
@@ -159,6 +164,25 @@
     query.answerTo_.send(MetricsReport{ query.query_, context_.metrics_.toText() + inFlight + revision });
 }
 
+void ServeBehaviour::take(TlsReload /*request*/)
+{
+    const auto loaded = loadTls();
+    logEvent(loaded ? LogEvent::TlsReloaded : LogEvent::TlsReloadFailed);
+}
+
+Result<void> ServeBehaviour::loadTls()
+{
+    if (settings_.tls_.isEmpty()) {
+        return {};
+    }
+    auto context = TlsContext::load(settings_.tls_);
+    if (!context) {
+        return tl::unexpected(context.error());
+    }
+    server_.useTls(std::move(*context));
+    return {};
+}
+
 void ServeBehaviour::health(CallerExchange &exchange) const
 {
     const bool isLeaving = drain_.isDraining();
--- a/src/serve/servebehaviour.h
+++ b/src/serve/servebehaviour.h
@@ -14,6 +14,8 @@
 #include "serve/drainrequest.h"
 #include "serve/servesettings.h"
 #include "serve/servingcontext.h"
+#include "serve/tlsreload.h"
+#include "task/address.h"
 #include "task/timer.h"
 
 namespace cowsliphead
@@ -27,13 +29,14 @@
 class ServeBehaviour
 {
 public:
-    using Message = std::variant<RecordSnapshot, RecordsConfirmed, DrainRequest, MetricsQuery>;
+    using Message = std::variant<RecordSnapshot, RecordsConfirmed, DrainRequest, MetricsQuery, TlsReload>;
 
-    /// spans is where ended spans go. Precondition: the loop outlives the behaviour. Thread safety: the loop's task only.
-    ServeBehaviour(EventLoop &loop, const ServeSettings &settings, Address<Span> spans);
+    /// spans is where ended spans go, usage where the usage of each ended request goes. Precondition: the loop outlives the
+    /// behaviour. Thread safety: the loop's task only.
+    ServeBehaviour(EventLoop &loop, const ServeSettings &settings, Address<Span> spans, const Address<UsageEntry> &usage);
     ~ServeBehaviour();
 
-    /// Returns the port. Errors: ListenFailed. Thread safety: the loop's task only.
+    /// Returns the port. Errors: ListenFailed, TlsFilesUnusable. Thread safety: the loop's task only.
     Result<std::uint16_t> listen();
 
     /// Thread safety: the loop's task only.
@@ -48,6 +51,8 @@
     void take(RecordsConfirmed confirmation);
     void take(DrainRequest request);
     void take(const MetricsQuery &query);
+    void take(TlsReload request);
+    Result<void> loadTls();
     void health(CallerExchange &exchange) const;
     void checkDrain();
 
