--- a/tests/duty/recordspreadertest.cpp
+++ b/tests/duty/recordspreadertest.cpp
@@ -106,6 +106,13 @@
     MonotonicTime knownAt_;
 };
 
+/// A record so long that a few of them do not fit into one answer.
+std::string longText(const std::string &account)
+{
+    constexpr std::size_t Length = 14000;
+    return R"({"schema": 2, "kind": "account", "name": ")" + account + R"(", "models": [")" + std::string(Length, 'm') + "\"]}";
+}
+
 /// What the store's log says up to the revision.
 RecordSnapshot recordsOfLog(SpreadWorld &world, Revision revision)
 {
@@ -226,7 +233,7 @@
         change.changeId_ = ChangeId(std::to_string(++written));
         change.key_ = RecordKey{ "account", "a" + std::to_string(whom % 4) };
         change.action_ = wait % 2 == 0 ? ChangeAction::Put : ChangeAction::Withdraw;
-        change.text_ = change.action_ == ChangeAction::Put ? R"({"schema": 2, "kind": "account", "name": ")" + change.key_.name_ + "\"}" : "";
+        change.text_ = change.action_ == ChangeAction::Put ? longText(change.key_.name_) : "";
         world.write(change, [&](const Result<Revision> &revision) {
             if (revision) {
                 accepted.push_back({ *revision, world.clock_.now() });
