--- /dev/null
+++ b/src/duty/heldrequest.cpp
@@ -0,0 +1,104 @@
+#include "duty/heldrequest.h"
+
+#include <utility>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+#include "core/errorcode.h"
+#include "http/httpstatus.h"
+#include "task/eventloop.h"
+
+namespace cowsliphead
+{
+
+HeldRequest::HeldRequest(EventLoop &loop, const std::string &host, std::uint16_t port, std::chrono::milliseconds timeout)
+    : loop_(loop)
+    , connection_(loop, host, port, timeout)
+{
+}
+
+HeldRequest::~HeldRequest()
+{
+    evbuffer_remove_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(connection_.handle())), &HeldRequest::onOutputChanged, this);
+}
+
+void HeldRequest::start(const std::string &path, const std::string &host, const std::string &body, MayAct mayAct, Reply reply)
+{
+    mayAct_ = std::move(mayAct);
+    reply_ = std::move(reply);
+    evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(connection_.handle())), &HeldRequest::onOutputChanged, this);
+    auto *request = evhttp_request_new(&HeldRequest::onCompleted, this);
+    auto *fields = evhttp_request_get_output_headers(request);
+    evhttp_add_header(fields, "Host", host.c_str());
+    evhttp_add_header(fields, "Content-Type", "application/json");
+    evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
+    if (evhttp_make_request(connection_.handle(), request, EVHTTP_REQ_POST, path.c_str()) != 0) {
+        end(failure(ErrorCode::EndpointLost));
+    }
+}
+
+void HeldRequest::onOutputChanged(evbuffer *buffer, const evbuffer_cb_info *info, void *self)
+{
+    auto *request = static_cast<HeldRequest *>(self);
+    const auto length = evbuffer_get_length(buffer);
+    if (request->isDecided_ || request->isHeld_) {
+        return;
+    }
+    if (length > 1) {
+        request->holdBack(length);
+    } else if (length == 1 && info->n_deleted > 0) {
+        request->isHeld_ = true;
+        bufferevent_disable(evhttp_connection_get_bufferevent(request->connection_.handle()), EV_WRITE);
+        request->loop_.defer([held = request->weak_from_this()] {
+            if (const auto live = held.lock()) {
+                live->decide();
+            }
+        });
+    }
+}
+
+void HeldRequest::holdBack(std::size_t length)
+{
+    bufferevent_set_max_single_write(evhttp_connection_get_bufferevent(connection_.handle()), length - 1);
+}
+
+void HeldRequest::decide()
+{
+    if (!reply_) {
+        return;
+    }
+    if (!mayAct_()) {
+        end(failure(ErrorCode::OrderWithheld));
+        return;
+    }
+    isDecided_ = true;
+    auto *connection = evhttp_connection_get_bufferevent(connection_.handle());
+    bufferevent_set_max_single_write(connection, 0);
+    bufferevent_enable(connection, EV_WRITE);
+}
+
+void HeldRequest::onCompleted(evhttp_request *request, void *self)
+{
+    auto *held = static_cast<HeldRequest *>(self);
+    const int status = request == nullptr ? 0 : evhttp_request_get_response_code(request);
+    if (status == httpstatus::Ok) {
+        held->end({});
+    } else if (status == httpstatus::Conflict) {
+        held->end(failure(ErrorCode::EndpointRefused));
+    } else {
+        held->end(failure(ErrorCode::EndpointLost));
+    }
+}
+
+void HeldRequest::end(Result<void> result)
+{
+    if (auto reply = std::exchange(reply_, nullptr)) {
+        // The connection is still in use by libevent, and the owner frees it in its reply.
+        loop_.defer([reply = std::move(reply), result = std::move(result)] { reply(result); });
+    }
+}
+
+} // namespace cowsliphead
--- a/src/duty/reporter.h
+++ b/src/duty/reporter.h
@@ -137,7 +137,7 @@
         writeLedger(sealWindow(ledger_, counters_, window));
     }
 
-    void writeLedger(UsageLedger ledger)
+    void writeLedger(const UsageLedger &ledger)
     {
         if (!lease_.mayAct()) {
             endRound();
--- a/src/standin/engineoptions.h
+++ b/src/standin/engineoptions.h
@@ -16,6 +16,9 @@
 
     /// Tokens of an answer whose request does not say how many.
     std::uint32_t defaultTokens_ = 16;
+
+    /// True if the engine refuses an order with an old fencing number.
+    bool checksFencing_ = true;
 };
 
 } // namespace cowsliphead
--- a/src/standin/engineorders.cpp
+++ b/src/standin/engineorders.cpp
@@ -2,6 +2,11 @@
 
 #include <algorithm>
 
+#include "duty/ordercodec.h"
+#include "http/httprequest.h"
+#include "http/httpresponder.h"
+#include "http/httpstatus.h"
+
 namespace cowsliphead
 {
 
@@ -20,6 +25,14 @@
     return true;
 }
 
+void EngineOrders::handle(const HttpRequest &request, HttpResponder &responder)
+{
+    const auto order = ordercodec::decodeOrder(request.body_);
+    const int refused = order ? httpstatus::Conflict : httpstatus::BadRequest;
+    const bool isTaken = order && take(*order);
+    responder.reply(HttpResponseHead{ isTaken ? httpstatus::Ok : refused, { { "Content-Type", "application/json" } } }, "{}");
+}
+
 const std::vector<Order> &EngineOrders::carriedOut() const
 {
     return carriedOut_;
--- a/src/standin/engineorders.h
+++ b/src/standin/engineorders.h
@@ -7,6 +7,9 @@
 namespace cowsliphead
 {
 
+class HttpResponder;
+struct HttpRequest;
+
 /// The orders that an engine has carried out. One kind of engine refuses an order with an old fencing number, another ignores it.
 class EngineOrders
 {
@@ -16,6 +19,9 @@
     /// Carries the order out; false if it is refused. Thread safety: owner task only.
     bool take(const Order &order);
 
+    /// Takes an order as it comes over HTTP: 200 once it is carried out, 409 if it is refused. Thread safety: owner task only.
+    void handle(const HttpRequest &request, HttpResponder &responder);
+
     /// In the order in which they were carried out. Thread safety: owner task only.
     const std::vector<Order> &carriedOut() const;
 
--- a/src/standin/enginestandin.cpp
+++ b/src/standin/enginestandin.cpp
@@ -1,5 +1,6 @@
 #include "standin/enginestandin.h"
 
+#include "duty/orderpath.h"
 #include "http/httprequest.h"
 #include "http/httpresponder.h"
 #include "http/httpstatus.h"
@@ -12,6 +13,7 @@
 EngineStandin::EngineStandin(EventLoop &loop, EngineOptions options)
     : loop_(loop)
     , options_(std::move(options))
+    , orders_(options_.checksFencing_)
     , server_(loop, [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) { handle(request, responder); })
 {
 }
@@ -29,6 +31,10 @@
 
 void EngineStandin::handle(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
 {
+    if (request.path_ == OrderPath) {
+        orders_.handle(request, *responder);
+        return;
+    }
     const bool isCompletion = request.path_ == "/v1/chat/completions" || request.path_ == "/v1/completions";
     if (!isCompletion || request.method_ != HttpMethod::Post) {
         responder->reply(HttpResponseHead{ httpstatus::NotFound, {} }, R"({"error":{"message":"unknown path"}})");
--- a/src/standin/enginestandin.h
+++ b/src/standin/enginestandin.h
@@ -9,6 +9,7 @@
 #include "core/result.h"
 #include "http/httpserver.h"
 #include "standin/engineoptions.h"
+#include "standin/engineorders.h"
 
 namespace cowsliphead
 {
@@ -38,6 +39,7 @@
 
     EventLoop &loop_;
     EngineOptions options_;
+    EngineOrders orders_;
     std::list<std::unique_ptr<EngineAnswer>> answers_;
     HttpServer server_;
 };
