--- a/src/duty/heldrequest.cpp
+++ b/src/duty/heldrequest.cpp
@@ -93,11 +93,11 @@
     }
 }
 
-void HeldRequest::end(Result<void> result)
+void HeldRequest::end(const Result<void> &result)
 {
     if (auto reply = std::exchange(reply_, nullptr)) {
         // The connection is still in use by libevent, and the owner frees it in its reply.
-        loop_.defer([reply = std::move(reply), result = std::move(result)] { reply(result); });
+        loop_.defer([reply = std::move(reply), result] { reply(result); });
     }
 }
 
--- a/src/duty/heldrequest.h
+++ b/src/duty/heldrequest.h
@@ -42,7 +42,7 @@
 
     void holdBack(std::size_t length);
     void decide();
-    void end(Result<void> result);
+    void end(const Result<void> &result);
 
     EventLoop &loop_;
     HttpConnection connection_;
