--- a/src/bench/recordfiller.cpp
+++ b/src/bench/recordfiller.cpp
@@ -82,9 +82,9 @@
     });
 }
 
-void RecordFiller::end(Result<Revision> result)
+void RecordFiller::end(const Result<Revision> &result)
 {
-    result_ = std::move(result);
+    result_ = result;
     loop_.stop();
 }
 
--- a/src/bench/recordfiller.h
+++ b/src/bench/recordfiller.h
@@ -28,7 +28,7 @@
 private:
     void findHead();
     void writeNext();
-    void end(Result<Revision> result);
+    void end(const Result<Revision> &result);
 
     EventLoop loop_;
     HttpStore store_;
