--- a/src/operate/daemon.cpp
+++ b/src/operate/daemon.cpp
@@ -16,12 +16,15 @@
 
 Result<std::uint16_t> Daemon::start(const DaemonSettings &settings)
 {
-    const auto spans = settings.traces_.isEnabled() ? traces_.address<Span>() : Address<Span>();
+    const ServeLinks links{
+        .claimRequests_ = claims_.address<ClaimRequest>(),
+        .claimEnds_ = claims_.address<ClaimEnd>(),
+        .spans_ = settings.traces_.isEnabled() ? traces_.address<Span>() : Address<Span>(),
+        .usage_ = usage_.address<UsageEntry>(),
+    };
     const auto port = startListening(
         serve_,
-        [serve = settings.serve_, spans, usage = usage_.address<UsageEntry>()](EventLoop &loop) {
-            return std::make_unique<ServeBehaviour>(loop, serve, spans, usage);
-        },
+        [serve = settings.serve_, links](EventLoop &loop) { return std::make_unique<ServeBehaviour>(loop, serve, links); },
         [](ServeBehaviour &behaviour) { return behaviour.listen(); });
     if (!port) {
         return port;
@@ -30,6 +33,9 @@
         return std::make_unique<FollowerBehaviour>(loop, store, receiver);
     });
     startUsage(settings);
+    claims_.start([store = settings.store_, receiver = serve_.address<ClaimVerdict>()](EventLoop &loop) {
+        return std::make_unique<ClaimBehaviour>(loop, store, receiver);
+    });
     if (settings.traces_.isEnabled()) {
         traces_.start([traces = settings.traces_, instance = settings.serve_.instance_.value()](EventLoop &loop) {
             return std::make_unique<TraceBehaviour>(loop, traces, instance);
@@ -69,6 +75,8 @@
     usage_.send(DrainRequest{});
     usage_.join();
     reporter_.stop();
+    claims_.send(ClaimFlush{});
+    claims_.join();
     follower_.stop();
     metrics_.stop();
     traces_.stop();
