--- a/src/decide/attemptfailure.h
+++ b/src/decide/attemptfailure.h
@@ -14,6 +14,12 @@
 
     /// True if the endpoint said that it ran nothing of the request.
     bool wasRefusedWhole_ = false;
+
+    /// True if the connection was lost with the request in flight, as when the endpoint crashes.
+    bool isCrash_ = false;
+
+    /// True if an older connection went silent, which says nothing of the endpoint: a new one may work.
+    bool isConnectionInDoubt_ = false;
 };
 
 } // namespace cowsliphead
--- a/src/decide/endpointchooser.cpp
+++ b/src/decide/endpointchooser.cpp
@@ -18,8 +18,8 @@
     std::uniform_int_distribution<std::size_t> pick(0, candidates.size() - 1);
     const auto *first = candidates[pick(random_)];
     const auto *second = candidates[pick(random_)];
-    const auto firstLoad = loadOf(first->endpoint_).inFlight_;
-    const auto secondLoad = loadOf(second->endpoint_).inFlight_;
+    const auto firstLoad = loadOf(first->endpoint_).expected_;
+    const auto secondLoad = loadOf(second->endpoint_).expected_;
     return secondLoad < firstLoad ? second : first;
 }
 
--- a/src/decide/endpointload.h
+++ b/src/decide/endpointload.h
@@ -9,6 +9,9 @@
 struct EndpointLoad {
     /// Requests that this daemon has sent and that have not ended.
     std::uint32_t inFlight_ = 0;
+
+    /// Requests that the endpoint has from all daemons: as it last reported, and what this daemon has sent since.
+    std::uint32_t expected_ = 0;
 };
 
 } // namespace cowsliphead
--- a/src/decide/requestmachine.cpp
+++ b/src/decide/requestmachine.cpp
@@ -34,6 +34,11 @@
     return fail(make_error_code(ErrorCode::EndpointUnavailable));
 }
 
+RequestStep RequestMachine::refused(std::error_code code)
+{
+    return fail(code);
+}
+
 void RequestMachine::answerStarted()
 {
     isAnswerStarted_ = true;
--- a/src/decide/requestmachine.h
+++ b/src/decide/requestmachine.h
@@ -34,6 +34,9 @@
     /// No endpoint can take the request now. Precondition: a DispatchStep is open. Thread safety: owner task only.
     RequestStep noEndpoint();
 
+    /// The request must not be sent, or not be sent again. Precondition: a DispatchStep is open. Thread safety: owner task only.
+    RequestStep refused(std::error_code code);
+
     /// The caller has been sent a first byte of the answer. Precondition: a DispatchStep is open. Thread safety: owner task only.
     void answerStarted();
 
--- a/src/endpoint/endpointpool.cpp
+++ b/src/endpoint/endpointpool.cpp
@@ -23,25 +23,47 @@
 
 EndpointPool::~EndpointPool() = default;
 
-std::shared_ptr<HttpCall> EndpointPool::call(const EndpointRecord &endpoint, const HttpRequest &request, HttpCallEvents events)
+std::shared_ptr<HttpCall> EndpointPool::call(const EndpointRecord &endpoint, const HttpRequest &request, ConnectionChoice choice, HttpCallEvents events)
 {
     auto &client = clientFor(endpoint);
-    ++slots_[endpoint.endpoint_].inFlight_;
-    return client.call(request, std::move(events));
+    slots_[endpoint.endpoint_].load_.sent(clock_.now());
+    return client.call(request, std::move(events), choice);
 }
 
 void EndpointPool::release(const EndpointId &endpoint)
 {
     const auto found = slots_.find(endpoint);
-    if (found != slots_.end() && found->second.inFlight_ > 0) {
-        --found->second.inFlight_;
+    if (found == slots_.end()) {
+        return;
     }
+    found->second.load_.ended();
+    if (idle_ && load(endpoint).inFlight_ == 0) {
+        idle_(endpoint);
+    }
+}
+
+void EndpointPool::closeIdleConnections(const EndpointId &endpoint)
+{
+    const auto found = slots_.find(endpoint);
+    if (found != slots_.end() && found->second.client_) {
+        found->second.client_->closeIdleConnections();
+    }
+}
+
+void EndpointPool::noteReportedLoad(const EndpointId &endpoint, std::uint32_t requests)
+{
+    slots_[endpoint].load_.reported(requests, clock_.now());
+}
+
+void EndpointPool::onIdle(std::function<void(const EndpointId &)> callback)
+{
+    idle_ = std::move(callback);
 }
 
 EndpointLoad EndpointPool::load(const EndpointId &endpoint) const
 {
     const auto found = slots_.find(endpoint);
-    return found == slots_.end() ? EndpointLoad{} : EndpointLoad{ found->second.inFlight_ };
+    return found == slots_.end() ? EndpointLoad{} : found->second.load_.load(clock_.now());
 }
 
 HttpClient &EndpointPool::clientFor(const EndpointRecord &endpoint)
--- a/src/http/httpcall.cpp
+++ b/src/http/httpcall.cpp
@@ -10,6 +10,7 @@
 #include "core/errorcode.h"
 #include "http/httpconnection.h"
 #include "http/httprequest.h"
+#include "http/httpstatus.h"
 #include "task/eventloop.h"
 
 namespace cowsliphead
@@ -78,6 +79,7 @@
     , connection_(std::move(connection))
     , events_(std::move(events))
     , returnConnection_(std::move(returnConnection))
+    , isOnFreshConnection_(!connection_->wasUsed())
 {
 }
 
@@ -91,6 +93,7 @@
     evhttp_request_set_chunked_cb(request_, &HttpCall::onChunkRead);
     evhttp_request_set_error_cb(request_, [](evhttp_request_error error, void *self) { onFailed(error, self); });
     writeRequest(request_, request);
+    connection_->markUsed();
     watchOutput();
     const auto target = request.query_.empty() ? request.path_ : request.path_ + "?" + request.query_;
     if (evhttp_make_request(connection_->handle(), request_, commandOf(request.method_), target.c_str()) != 0) {
@@ -102,10 +105,10 @@
 
 void HttpCall::cancel()
 {
-    events_ = {};
+    auto events = std::exchange(events_, {});
     if (self_) {
-        // libevent may be calling back at this moment, so the connection is closed later.
-        loop_.defer([call = self_] { call->abandon(); });
+        // libevent or an event may be calling back at this moment, so the connection is closed later.
+        loop_.defer([call = self_, events = std::move(events)] { call->abandon(); });
     }
 }
 
@@ -114,6 +117,11 @@
     return wasOffered_;
 }
 
+bool HttpCall::isOnFreshConnection() const
+{
+    return isOnFreshConnection_;
+}
+
 int HttpCall::onHeadRead(evhttp_request *request, void *self)
 {
     auto *call = static_cast<HttpCall *>(self);
@@ -159,7 +167,7 @@
         return;
     }
     const auto self = std::exchange(self_, nullptr);
-    const bool hasAnswer = request != nullptr && headSeen_ && !error_;
+    const bool hasAnswer = request != nullptr && headSeen_ && !error_ && isCertainlyWhole(request);
     const bool isReusable = hasAnswer && mayBeReused(request);
     request_ = nullptr;
     unwatchOutput();
@@ -205,11 +213,23 @@
     evbuffer_remove_cb(output, &HttpCall::onOutputChanged, this);
 }
 
+bool HttpCall::isCertainlyWhole(evhttp_request *request) const
+{
+    // libevent takes the end of the connection for the end of an answer without a length, but a crash looks the same.
+    const auto *fields = evhttp_request_get_input_headers(request);
+    const bool hasLength = evhttp_find_header(fields, "Content-Length") != nullptr || evhttp_find_header(fields, "Transfer-Encoding") != nullptr;
+    const auto status = evhttp_request_get_response_code(request);
+    const bool hasNoBody = status == httpstatus::NoContent || status == httpstatus::NotModified || evhttp_request_get_command(request) == EVHTTP_REQ_HEAD;
+    return hasLength || hasNoBody;
+}
+
 bool HttpCall::mayBeReused(evhttp_request *request) const
 {
     const auto *fields = evhttp_request_get_input_headers(request);
     const char *connection = evhttp_find_header(fields, "Connection");
-    return connection == nullptr || !isSameHeader(connection, "close");
+    // What has arrived after the answer would be taken for the head of the next one.
+    auto *input = bufferevent_get_input(evhttp_connection_get_bufferevent(connection_->handle()));
+    return evbuffer_get_length(input) == 0 && (connection == nullptr || !isSameHeader(connection, "close"));
 }
 
 } // namespace cowsliphead
--- a/src/http/httpcall.h
+++ b/src/http/httpcall.h
@@ -38,6 +38,9 @@
     /// False only if it is certain that no byte of the request left this process. Thread safety: the connection's task only.
     bool wasOffered() const;
 
+    /// True if the connection carried no call before this one. Thread safety: the connection's task only.
+    bool isOnFreshConnection() const;
+
 private:
     static int onHeadRead(evhttp_request *request, void *self);
     static void onChunkRead(evhttp_request *request, void *self);
@@ -49,6 +52,7 @@
     void abandon();
     void watchOutput();
     void unwatchOutput();
+    bool isCertainlyWhole(evhttp_request *request) const;
     bool mayBeReused(evhttp_request *request) const;
 
     EventLoop &loop_;
@@ -60,6 +64,7 @@
     /// Keeps the call alive for as long as libevent may call back.
     std::shared_ptr<HttpCall> self_;
     std::error_code error_;
+    bool isOnFreshConnection_;
     bool wasOffered_ = false;
     bool headSeen_ = false;
 };
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "core/systemclock.h"
 #include "http/httpcall.h"
 #include "http/httpconnection.h"
 #include "http/httprequest.h"
@@ -10,6 +11,14 @@
 namespace cowsliphead
 {
 
+namespace
+{
+
+/// What lies between the two ends may lose track of a connection without traffic; one idle for longer is not used again.
+constexpr std::chrono::seconds IdleLimit{ 5 };
+
+} // namespace
+
 HttpClient::HttpClient(EventLoop &loop, std::string host, std::uint16_t port, std::chrono::milliseconds timeout)
     : loop_(loop)
     , host_(std::move(host))
@@ -21,16 +30,16 @@
 
 HttpClient::~HttpClient() = default;
 
-std::shared_ptr<HttpCall> HttpClient::call(const HttpRequest &request, HttpCallEvents events)
+std::shared_ptr<HttpCall> HttpClient::call(const HttpRequest &request, HttpCallEvents events, ConnectionChoice choice)
 {
     auto returnConnection = [idle = std::weak_ptr(idle_), &loop = loop_](std::unique_ptr<HttpConnection> connection) {
         if (const auto connections = idle.lock()) {
-            connections->push_back(std::move(connection));
+            connections->push_back({ std::move(connection), SystemClock().now() });
         } else {
             loop.defer([late = std::shared_ptr<HttpConnection>(std::move(connection))] {});
         }
     };
-    auto call = std::make_shared<HttpCall>(loop_, takeConnection(), std::move(events), std::move(returnConnection));
+    auto call = std::make_shared<HttpCall>(loop_, takeConnection(choice), std::move(events), std::move(returnConnection));
     auto addressed = request;
     if (headerValue(addressed.headers_, "Host").empty()) {
         addressed.headers_.emplace_back("Host", host_ + ":" + std::to_string(port_));
@@ -44,12 +53,24 @@
     return idle_->size();
 }
 
-std::unique_ptr<HttpConnection> HttpClient::takeConnection()
+void HttpClient::closeIdleConnections()
 {
-    if (idle_->empty()) {
+    // A caller may be inside an event of one of them.
+    for (auto &idle : *idle_) {
+        loop_.defer([late = std::shared_ptr<HttpConnection>(std::move(idle.connection_))] {});
+    }
+    idle_->clear();
+}
+
+std::unique_ptr<HttpConnection> HttpClient::takeConnection(ConnectionChoice choice)
+{
+    while (!idle_->empty() && idle_->front().since_ + IdleLimit < SystemClock().now()) {
+        idle_->pop_front();
+    }
+    if (idle_->empty() || choice == ConnectionChoice::Fresh) {
         return std::make_unique<HttpConnection>(loop_, host_, port_, timeout_);
     }
-    auto connection = std::move(idle_->back());
+    auto connection = std::move(idle_->back().connection_);
     idle_->pop_back();
     return connection;
 }
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -2,10 +2,12 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <string>
-#include <vector>
 
+#include "core/time.h"
+#include "http/connectionchoice.h"
 #include "http/httpcallevents.h"
 
 namespace cowsliphead
@@ -28,15 +30,24 @@
     HttpClient &operator=(const HttpClient &) = delete;
 
     /// Sends the request; the events follow in later turns of the loop. Thread safety: the loop's task only.
-    std::shared_ptr<HttpCall> call(const HttpRequest &request, HttpCallEvents events);
+    std::shared_ptr<HttpCall> call(const HttpRequest &request, HttpCallEvents events, ConnectionChoice choice = ConnectionChoice::Any);
+
+    /// Thread safety: the loop's task only.
+    void closeIdleConnections();
 
     /// Connections open and without a call. Thread safety: the loop's task only.
     std::size_t idleConnectionCount() const;
 
 private:
-    using IdleConnections = std::vector<std::unique_ptr<HttpConnection>>;
+    struct IdleConnection {
+        std::unique_ptr<HttpConnection> connection_;
+        MonotonicTime since_;
+    };
+
+    /// The one that was used last is at the back.
+    using IdleConnections = std::deque<IdleConnection>;
 
-    std::unique_ptr<HttpConnection> takeConnection();
+    std::unique_ptr<HttpConnection> takeConnection(ConnectionChoice choice);
 
     EventLoop &loop_;
     std::string host_;
--- a/src/http/httpconnection.cpp
+++ b/src/http/httpconnection.cpp
@@ -22,6 +22,16 @@
     return connection_.get();
 }
 
+void HttpConnection::markUsed()
+{
+    wasUsed_ = true;
+}
+
+bool HttpConnection::wasUsed() const
+{
+    return wasUsed_;
+}
+
 void HttpConnection::FreeConnection::operator()(evhttp_connection *connection) const
 {
     evhttp_connection_free(connection);
--- a/src/http/httpconnection.h
+++ b/src/http/httpconnection.h
@@ -25,12 +25,19 @@
     /// The libevent object, for HttpCall. Thread safety: the loop's task only.
     evhttp_connection *handle() const;
 
+    /// A call goes over the connection. Thread safety: the loop's task only.
+    void markUsed();
+
+    /// True if a call has gone over the connection. Thread safety: the loop's task only.
+    bool wasUsed() const;
+
 private:
     struct FreeConnection {
         void operator()(evhttp_connection *connection) const;
     };
 
     std::unique_ptr<evhttp_connection, FreeConnection> connection_;
+    bool wasUsed_ = false;
 };
 
 } // namespace cowsliphead
--- a/src/http/httpresponder.cpp
+++ b/src/http/httpresponder.cpp
@@ -85,6 +85,14 @@
     clientLeft_ = std::move(callback);
 }
 
+std::uint16_t HttpResponder::clientPort() const
+{
+    char *address = nullptr;
+    std::uint16_t port = 0;
+    evhttp_connection_get_peer(evhttp_request_get_connection(request_), &address, &port);
+    return port;
+}
+
 void HttpResponder::onConnectionClosed(evhttp_connection * /*connection*/, void *self)
 {
     auto *responder = static_cast<HttpResponder *>(self);
--- a/src/http/httpresponder.h
+++ b/src/http/httpresponder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -43,6 +44,9 @@
     /// Calls back once if the client leaves before the response has ended. Thread safety: the server's task only.
     void onClientLeft(std::function<void()> callback);
 
+    /// The port at the client's end of the connection. Precondition: isOpen(). Thread safety: the server's task only.
+    std::uint16_t clientPort() const;
+
 private:
     static void onConnectionClosed(evhttp_connection *connection, void *self);
     void writeHeaders(const HttpResponseHead &head);
--- a/src/http/httpstatus.h
+++ b/src/http/httpstatus.h
@@ -4,6 +4,8 @@
 {
 
 constexpr int Ok = 200;
+constexpr int NoContent = 204;
+constexpr int NotModified = 304;
 constexpr int BadRequest = 400;
 constexpr int Unauthorized = 401;
 constexpr int Forbidden = 403;
--- a/src/logs/logevent.h
+++ b/src/logs/logevent.h
@@ -11,8 +11,15 @@
     DaemonStopped = 102,
 
     // 200 to 299: callers and requests
+    AnswerResumed = 200,
+    AnswerAborted = 201,
+    RequestTriedAlone = 202,
+    RequestQuarantined = 203,
 
     // 300 to 399: endpoints
+    EndpointLost = 300,
+    EndpointSilent = 301,
+    AnswerCrossed = 302,
 
     // 400 to 499: records and their spreading
     RecordsAdvanced = 400,
--- a/src/serve/activerequest.cpp
+++ b/src/serve/activerequest.cpp
@@ -2,44 +2,26 @@
 
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 #include "caller/callerexchange.h"
 #include "caller/errorresponse.h"
 #include "core/errorcode.h"
+#include "core/sha256.h"
 #include "decide/attemptfailure.h"
 #include "decide/requestfacts.h"
 #include "endpoint/endpointheaders.h"
 #include "endpoint/forwardedrequest.h"
-#include "http/httpcall.h"
 #include "http/httpstatus.h"
+#include "logs/log.h"
 #include "records/recordset.h"
+#include "serve/attempt.h"
+#include "serve/attemptplan.h"
 #include "serve/servingcontext.h"
+#include "task/eventloop.h"
 
 namespace cowsliphead
 {
 
-namespace
-{
-
-bool serves(const EndpointRecord &endpoint, const RequestTarget &target)
-{
-    if (endpoint.isDraining_) {
-        return false;
-    }
-    if (target.model_.isEmpty()) {
-        return endpoint.kind_ == EndpointKind::Service && endpoint.service_ == target.service_;
-    }
-    return endpoint.kind_ == EndpointKind::Engine && std::find(endpoint.models_.begin(), endpoint.models_.end(), target.model_) != endpoint.models_.end();
-}
-
-bool isRefusal(int status)
-{
-    return status == httpstatus::ServiceUnavailable || status == httpstatus::TooManyRequests;
-}
-
-} // namespace
-
 ActiveRequest::ActiveRequest(
     ServingContext &context, RequestPlan plan, const RequestFacts &facts, HttpRequest request, std::shared_ptr<CallerExchange> exchange)
     : context_(context)
@@ -47,19 +29,14 @@
     , machine_(plan_.traits_)
     , request_(std::move(request))
     , key_(facts.key_)
-    , isStreamed_(facts.isStreamed_)
+    , wantsStream_(facts.isStreamed_)
     , exchange_(std::move(exchange))
     , sequence_(context.nextRequest_++)
-    , silence_(context.loop_, [this] { onSilence(); })
+    , deadline_(context.loop_, [this] { onDeadline(); })
 {
 }
 
-ActiveRequest::~ActiveRequest()
-{
-    if (call_) {
-        call_->cancel();
-    }
-}
+ActiveRequest::~ActiveRequest() = default;
 
 void ActiveRequest::start(OnEnd onEnd)
 {
@@ -84,12 +61,22 @@
 
 void ActiveRequest::carryOut(const DispatchStep &step)
 {
-    const auto *endpoint = chooseEndpoint();
+    attemptNumber_ = step.attempt_;
+    const auto standing = context_.quarantine_.size() == 0 ? RequestStanding::Trusted : context_.quarantine_.standing(digest(), context_.clock_.now());
+    if (standing == RequestStanding::Quarantined) {
+        take(machine_.refused(make_error_code(ErrorCode::RequestQuarantined)));
+        return;
+    }
+    if (standing == RequestStanding::Suspect) {
+        tryAlone();
+        return;
+    }
+    const auto *endpoint = selection_.choose(context_, plan_.target_);
     if (endpoint == nullptr) {
         take(machine_.noEndpoint());
         return;
     }
-    send(*endpoint, step.attempt_);
+    send(*endpoint);
 }
 
 void ActiveRequest::carryOut(const CompleteStep & /*step*/)
@@ -105,6 +92,7 @@
 void ActiveRequest::carryOut(const FailStep &step)
 {
     if (exchange_->isStarted()) {
+        logEvent(LogEvent::AnswerAborted, { { "request", sequence_ }, { "code", step.code_.message() } });
         exchange_->abort();
     } else {
         exchange_->reply(errorHead(step.code_, step.outcome_), errorBody(step.code_));
@@ -112,103 +100,169 @@
     finish();
 }
 
-const EndpointRecord *ActiveRequest::chooseEndpoint() const
+void ActiveRequest::tryAlone()
+{
+    logEvent(LogEvent::RequestTriedAlone, { { "digest", digest().value() } });
+    deadline_.startOnce(std::max(std::chrono::microseconds(0), std::chrono::ceil<std::chrono::microseconds>(plan_.traits_.deadline_ - context_.clock_.now())));
+    context_.isolation_.enter(sequence_, [this] { onTurnAlone(); });
+}
+
+void ActiveRequest::onTurnAlone()
+{
+    // While it waited, the same request may have crashed another endpoint.
+    if (context_.quarantine_.standing(digest(), context_.clock_.now()) == RequestStanding::Quarantined) {
+        take(machine_.refused(make_error_code(ErrorCode::RequestQuarantined)));
+        return;
+    }
+    const auto *endpoint = selection_.choose(context_, plan_.target_);
+    if (endpoint == nullptr) {
+        take(machine_.noEndpoint());
+        return;
+    }
+    const bool isFree = context_.pool_.load(endpoint->endpoint_).inFlight_ == 0;
+    context_.isolation_.reserve(endpoint->endpoint_, isFree, [this, id = endpoint->endpoint_] { onAlone(id); });
+}
+
+void ActiveRequest::onAlone(const EndpointId &endpoint)
 {
-    std::vector<const EndpointRecord *> candidates;
-    for (const auto *endpoint : context_.records_->allOf<EndpointRecord>()) {
-        if (serves(*endpoint, plan_.target_) && !failedEndpoints_.contains(endpoint->endpoint_)) {
-            candidates.push_back(endpoint);
-        }
+    deadline_.cancel();
+    const auto *record = context_.records_->endpoint(endpoint);
+    if (record == nullptr) {
+        take(machine_.noEndpoint());
+        return;
     }
-    return context_.chooser_.choose(candidates, [this](const EndpointId &endpoint) { return context_.pool_.load(endpoint); });
+    isAlone_ = true;
+    send(*record);
+}
+
+void ActiveRequest::onDeadline()
+{
+    take(machine_.refused(make_error_code(ErrorCode::DeadlineUnreachable)));
 }
 
-void ActiveRequest::send(const EndpointRecord &endpoint, std::uint32_t attempt)
+void ActiveRequest::send(const EndpointRecord &endpoint)
 {
-    endpoint_ = endpoint.endpoint_;
-    attemptId_ = context_.incarnation_ + "-" + std::to_string(sequence_) + "-" + std::to_string(attempt);
+    const auto id = context_.incarnation_ + "-" + std::to_string(sequence_) + "-" + std::to_string(attemptNumber_);
     answerHead_ = {};
     answerBody_.clear();
-    HttpCallEvents events;
+    stream_.beginAttempt(id);
+    auto forwarded = forwardedRequest(request_, endpoint, key_, id);
+    if (stream_.eventCount() > 0) {
+        logEvent(LogEvent::AnswerResumed, { { "attempt", id }, { "endpoint", endpoint.endpoint_.value() }, { "from", stream_.eventCount() } });
+        forwarded.headers_.emplace_back(endpointheaders::ResumeFrom, std::to_string(stream_.eventCount()));
+    }
+    AttemptEvents events;
     events.onHead_ = [this](const HttpResponseHead &head) { onHead(head); };
     events.onData_ = [this](std::string_view data) { onData(data); };
-    events.onEnd_ = [this](const tl::expected<void, HttpCallFailure> &end) { onEnd(end); };
-    call_ = context_.pool_.call(endpoint, forwardedRequest(request_, endpoint, key_, attemptId_), std::move(events));
-    silence_.startOnce(plan_.firstByteTimeout_);
+    events.onEnd_ = [this](const tl::expected<void, AttemptFailure> &end) { onEnd(end); };
+    attempt_ = std::make_unique<Attempt>(context_, endpoint, id);
+    attempt_->start(endpoint, forwarded, attemptPlan(), std::move(events));
+}
+
+AttemptPlan ActiveRequest::attemptPlan() const
+{
+    AttemptPlan plan{ plan_.firstByteTimeout_, plan_.silenceTimeout_, ConnectionChoice::Any };
+    if (!wantsStream_ && !plan_.target_.model_.isEmpty()) {
+        // A whole completion shows nothing until its last token.
+        plan.firstByteTimeout_ = std::chrono::ceil<std::chrono::milliseconds>(plan_.traits_.deadline_ - context_.clock_.now());
+    }
+    // The server may be closing an idle connection, or it may have gone silent: neither shall cost a request its only or its second attempt.
+    if (!plan_.traits_.isRepeatable_ || attemptNumber_ > 1) {
+        plan.connection_ = ConnectionChoice::Fresh;
+    }
+    return plan;
 }
 
 void ActiveRequest::onHead(const HttpResponseHead &head)
 {
     answerHead_ = head;
-    if (headerValue(head.headers_, endpointheaders::RequestId) != attemptId_) {
+    const bool isEventStream = headerValue(head.headers_, "Content-Type").starts_with("text/event-stream");
+    isStreamed_ = wantsStream_ && head.status_ == httpstatus::Ok && isEventStream;
+    const bool fits = isStreamed_ ? stream_.mayJoin(headerValue(head.headers_, endpointheaders::ResumeFrom)) : !exchange_->isStarted();
+    if (!fits) {
         failAttempt({ make_error_code(ErrorCode::EndpointAnswerMalformed), true, false });
-        return;
-    }
-    const bool isEngine = !plan_.target_.model_.isEmpty();
-    if (isEngine && isRefusal(head.status_)) {
-        failAttempt({ make_error_code(ErrorCode::EndpointRefused), true, true });
-    } else if (isEngine && head.status_ >= httpstatus::InternalServerError) {
-        failAttempt({ make_error_code(ErrorCode::EndpointLost), true, false });
-    } else if (head.status_ != httpstatus::Ok) {
-        isStreamed_ = false;
     }
 }
 
 void ActiveRequest::onData(std::string_view data)
 {
-    silence_.startOnce(plan_.silenceTimeout_);
-    if (isStreamed_) {
-        forwardStreamed(data);
-    } else {
+    if (!isStreamed_) {
         answerBody_.append(data);
+        return;
+    }
+    const auto events = stream_.add(data);
+    if (events.empty()) {
+        return;
     }
-}
-
-void ActiveRequest::forwardStreamed(std::string_view data)
-{
     if (!exchange_->isStarted()) {
         machine_.answerStarted();
         exchange_->startChunks(callerHead());
     }
-    exchange_->sendChunk(data);
+    exchange_->sendChunk(events);
 }
 
-void ActiveRequest::onEnd(const tl::expected<void, HttpCallFailure> &end)
+void ActiveRequest::onEnd(const tl::expected<void, AttemptFailure> &end)
 {
-    if (!end) {
-        failAttempt({ end.error().code_, end.error().wasOffered_, false });
+    if (isStreamed_ && !stream_.isWhole()) {
+        failAttempt(end ? AttemptFailure{ make_error_code(ErrorCode::EndpointLost), true, false } : end.error());
+        return;
+    }
+    if (!end && !isStreamed_) {
+        failAttempt(end.error());
         return;
     }
-    releaseEndpoint();
+    if (context_.quarantine_.size() > 0) {
+        context_.quarantine_.answered(digest());
+    }
+    closeAttempt();
     take(machine_.answerEnded());
 }
 
-void ActiveRequest::onSilence()
+void ActiveRequest::onCallerLeft()
 {
-    const bool wasOffered = call_->wasOffered();
-    failAttempt({ make_error_code(ErrorCode::EndpointTimedOut), wasOffered, false });
+    finish();
 }
 
-void ActiveRequest::onCallerLeft()
+void ActiveRequest::failAttempt(const AttemptFailure &failure)
 {
-    finish();
+    if (failure.isCrash_) {
+        noteCrash();
+    }
+    if (failure.isConnectionInDoubt_) {
+        selection_.markDoubtful(attempt_->endpoint());
+    } else {
+        selection_.markFailed(attempt_->endpoint());
+    }
+    closeAttempt();
+    take(machine_.attemptFailed(failure, true, context_.clock_.now()));
+}
+
+void ActiveRequest::noteCrash()
+{
+    const auto now = context_.clock_.now();
+    context_.quarantine_.crashed(digest(), attempt_->endpoint(), isAlone_, now);
+    if (context_.quarantine_.standing(digest(), now) == RequestStanding::Quarantined) {
+        logEvent(LogEvent::RequestQuarantined, { { "digest", digest().value() }, { "account", plan_.account_.value() } });
+    }
 }
 
-void ActiveRequest::failAttempt(const AttemptFailure &attempt)
+void ActiveRequest::closeAttempt()
 {
-    failedEndpoints_.insert(endpoint_);
-    releaseEndpoint();
-    const bool mayRetry = !exchange_->isStarted();
-    take(machine_.attemptFailed(attempt, mayRetry, context_.clock_.now()));
+    isAlone_ = false;
+    if (attempt_) {
+        attempt_->close();
+        // The attempt may be inside one of its own events, so it is destroyed in a later turn.
+        context_.loop_.defer([ended = std::shared_ptr<Attempt>(std::move(attempt_))] {});
+    }
+    context_.isolation_.leave(sequence_);
 }
 
-void ActiveRequest::releaseEndpoint()
+const RequestDigest &ActiveRequest::digest()
 {
-    silence_.cancel();
-    if (call_) {
-        std::exchange(call_, nullptr)->cancel();
-        context_.pool_.release(endpoint_);
+    if (!digest_) {
+        digest_ = RequestDigest(sha256Hex(request_.path_ + "\n" + request_.body_));
     }
+    return *digest_;
 }
 
 HttpResponseHead ActiveRequest::callerHead() const
@@ -225,7 +279,8 @@
 
 void ActiveRequest::finish()
 {
-    releaseEndpoint();
+    deadline_.cancel();
+    closeAttempt();
     exchange_->onCallerLeft(nullptr);
     if (const auto onEnd = std::exchange(onEnd_, nullptr)) {
         onEnd();
--- a/src/serve/activerequest.h
+++ b/src/serve/activerequest.h
@@ -3,15 +3,17 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <set>
+#include <optional>
 #include <string>
 
 #include "core/endpointid.h"
+#include "core/requestdigest.h"
 #include "decide/requestmachine.h"
 #include "decide/requestplan.h"
-#include "http/httpcallfailure.h"
 #include "http/httprequest.h"
 #include "http/httpresponsehead.h"
+#include "serve/answerstream.h"
+#include "serve/endpointselection.h"
 #include "task/timer.h"
 
 #include <tl/expected.hpp>
@@ -19,9 +21,10 @@
 namespace cowsliphead
 {
 
+class Attempt;
 class CallerExchange;
-class HttpCall;
 struct AttemptFailure;
+struct AttemptPlan;
 struct EndpointRecord;
 struct RequestFacts;
 struct ServingContext;
@@ -49,16 +52,20 @@
     void carryOut(const struct CompleteStep &step);
     void carryOut(const struct FailStep &step);
 
-    const EndpointRecord *chooseEndpoint() const;
-    void send(const EndpointRecord &endpoint, std::uint32_t attempt);
+    void tryAlone();
+    void onTurnAlone();
+    void onAlone(const EndpointId &endpoint);
+    void onDeadline();
+    void send(const EndpointRecord &endpoint);
+    AttemptPlan attemptPlan() const;
     void onHead(const HttpResponseHead &head);
     void onData(std::string_view data);
-    void onEnd(const tl::expected<void, HttpCallFailure> &end);
-    void onSilence();
+    void onEnd(const tl::expected<void, AttemptFailure> &end);
     void onCallerLeft();
-    void failAttempt(const AttemptFailure &attempt);
-    void releaseEndpoint();
-    void forwardStreamed(std::string_view data);
+    void failAttempt(const AttemptFailure &failure);
+    void noteCrash();
+    void closeAttempt();
+    const RequestDigest &digest();
     HttpResponseHead callerHead() const;
     void finish();
 
@@ -67,18 +74,25 @@
     RequestMachine machine_;
     HttpRequest request_;
     std::string key_;
-    bool isStreamed_;
+
+    /// True if the caller wants a stream; isStreamed_ is true if the attempt's answer is one.
+    bool wantsStream_;
+    bool isStreamed_ = false;
     std::shared_ptr<CallerExchange> exchange_;
     OnEnd onEnd_;
 
     std::uint64_t sequence_;
-    std::string attemptId_;
-    std::shared_ptr<HttpCall> call_;
-    EndpointId endpoint_;
-    std::set<EndpointId> failedEndpoints_;
+    std::uint32_t attemptNumber_ = 0;
+    std::unique_ptr<Attempt> attempt_;
+
+    /// True while the request has an endpoint for itself.
+    bool isAlone_ = false;
+    std::optional<RequestDigest> digest_;
+    EndpointSelection selection_;
     HttpResponseHead answerHead_;
     std::string answerBody_;
-    Timer silence_;
+    AnswerStream stream_;
+    Timer deadline_;
 };
 
 } // namespace cowsliphead
--- /dev/null
+++ b/src/serve/endpointselection.cpp
@@ -0,0 +1,31 @@
+#include "serve/endpointselection.h"
+
+#include "records/recordset.h"
+#include "serve/candidates.h"
+#include "serve/servingcontext.h"
+
+namespace cowsliphead
+{
+
+const EndpointRecord *EndpointSelection::choose(ServingContext &context, const RequestTarget &target) const
+{
+    const auto now = context.clock_.now();
+    auto candidates = candidatesFor(*context.records_, target);
+    std::erase_if(candidates, [this](const EndpointRecord *candidate) { return failed_.contains(candidate->endpoint_); });
+    candidates = preferred(candidates, [&context](const EndpointId &endpoint) { return !context.isolation_.isReserved(endpoint); });
+    candidates = preferred(candidates, [this](const EndpointId &endpoint) { return !doubtful_.contains(endpoint); });
+    candidates = preferred(candidates, [&context, now](const EndpointId &endpoint) { return !context.health_.isAvoided(endpoint, now); });
+    return context.chooser_.choose(candidates, [&context](const EndpointId &endpoint) { return context.pool_.load(endpoint); });
+}
+
+void EndpointSelection::markFailed(const EndpointId &endpoint)
+{
+    failed_.insert(endpoint);
+}
+
+void EndpointSelection::markDoubtful(const EndpointId &endpoint)
+{
+    doubtful_.insert(endpoint);
+}
+
+} // namespace cowsliphead
--- a/src/serve/servebehaviour.cpp
+++ b/src/serve/servebehaviour.cpp
@@ -35,10 +35,14 @@
                 .records_ = std::make_shared<const RecordSet>(),
                 .pool_ = EndpointPool(loop),
                 .chooser_ = EndpointChooser(std::random_device()()),
+                .health_ = {},
+                .quarantine_ = Quarantine(),
+                .isolation_ = Isolation(loop),
                 .failureDomain_ = settings.failureDomain_,
                 .incarnation_ = settings.instance_.value() + "-" + randomHex(IncarnationBytes) }
     , server_(loop, settings.limits_, [this](HttpRequest request, const std::shared_ptr<CallerExchange> &exchange) { handle(std::move(request), exchange); })
 {
+    context_.pool_.onIdle([this](const EndpointId &endpoint) { context_.isolation_.endpointIdle(endpoint); });
 }
 
 ServeBehaviour::~ServeBehaviour() = default;
--- a/src/serve/servingcontext.h
+++ b/src/serve/servingcontext.h
@@ -6,8 +6,11 @@
 #include "core/failuredomain.h"
 #include "core/systemclock.h"
 #include "decide/endpointchooser.h"
+#include "decide/endpointhealth.h"
+#include "decide/quarantine.h"
 #include "endpoint/endpointpool.h"
 #include "records/recordsnapshot.h"
+#include "serve/isolation.h"
 
 namespace cowsliphead
 {
@@ -21,6 +24,9 @@
     RecordSnapshot records_;
     EndpointPool pool_;
     EndpointChooser chooser_;
+    EndpointHealth health_;
+    Quarantine quarantine_;
+    Isolation isolation_;
     FailureDomain failureDomain_;
 
     /// Identifies this run of the instance, so that no two attempts of the fleet have the same identifier.
--- a/src/standin/engineanswer.cpp
+++ b/src/standin/engineanswer.cpp
@@ -1,113 +1,130 @@
 #include "standin/engineanswer.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
 #include "endpoint/endpointheaders.h"
-#include "http/httprequest.h"
 #include "http/httpresponder.h"
 #include "http/httpstatus.h"
+#include "standin/enginepieces.h"
 
 namespace cowsliphead
 {
 
-namespace
+EngineAnswer::EngineAnswer(EngineQuestion question, std::uint32_t reportedLoad, std::shared_ptr<HttpResponder> responder)
+    : question_(std::move(question))
+    , reportedLoad_(reportedLoad)
+    , responder_(std::move(responder))
+    , produced_(question_.resumeFrom_)
 {
+}
 
-constexpr std::size_t CharactersPerToken = 4;
+EngineAnswer::~EngineAnswer() = default;
 
-std::uint32_t countPromptTokens(const HttpRequest &request)
+void EngineAnswer::start(std::function<void()> onCancelled)
 {
-    return static_cast<std::uint32_t>(1 + request.body_.size() / CharactersPerToken);
+    onCancelled_ = std::move(onCancelled);
+    responder_->onClientLeft([this] {
+        isEnded_ = true;
+        onCancelled_();
+    });
+    if (question_.isStreamed_) {
+        responder_->startChunks(head("text/event-stream"));
+    }
 }
 
-HttpResponseHead headFor(const std::string &requestId, const char *contentType)
+void EngineAnswer::advance()
 {
-    return { httpstatus::Ok, { { "Content-Type", contentType }, { endpointheaders::RequestId, requestId } } };
+    if (delayedSteps_ > 0) {
+        --delayedSteps_;
+        return;
+    }
+    if (produced_ >= question_.wantedTokens_) {
+        end();
+        return;
+    }
+    if (tokensUntilSilence_ == 0U) {
+        return;
+    }
+    if (tokensUntilSilence_) {
+        --*tokensUntilSilence_;
+    }
+    if (question_.isStreamed_) {
+        responder_->sendChunk(eventFor(tokenText(produced_), nullptr));
+    }
+    ++produced_;
 }
 
-} // namespace
+bool EngineAnswer::isEnded() const
+{
+    return isEnded_;
+}
 
-EngineAnswer::EngineAnswer(EventLoop &loop, const EngineOptions &options, std::shared_ptr<HttpResponder> responder, std::function<void()> onEnd)
-    : options_(options)
-    , responder_(std::move(responder))
-    , onEnd_(std::move(onEnd))
-    , timer_(loop, [this] { produceToken(); })
+void EngineAnswer::delay(std::uint32_t steps)
 {
+    delayedSteps_ = steps;
 }
 
-EngineAnswer::~EngineAnswer() = default;
+void EngineAnswer::fallSilentAfter(std::uint32_t tokens)
+{
+    tokensUntilSilence_ = tokens;
+}
 
-void EngineAnswer::start(const HttpRequest &request)
+std::uint32_t EngineAnswer::kvPieces() const
 {
-    const auto question = nlohmann::json::parse(request.body_, nullptr, false);
-    if (!question.is_object()) {
-        responder_->reply(HttpResponseHead{ httpstatus::BadRequest, {} }, R"({"error":{"message":"no JSON object"}})");
-        onEnd_();
-        return;
-    }
-    requestId_ = headerValue(request.headers_, endpointheaders::RequestId);
-    const auto resumeFrom = headerValue(request.headers_, endpointheaders::ResumeFrom);
-    firstToken_ = resumeFrom.empty() ? 0 : static_cast<std::uint32_t>(std::stoul(resumeFrom));
-    model_ = question.value("model", options_.model_);
-    isChat_ = request.path_.find("chat") != std::string::npos;
-    isStreamed_ = question.value("stream", false);
-    wantedTokens_ = question.value("max_tokens", options_.defaultTokens_);
-    promptTokens_ = countPromptTokens(request);
-    producedTokens_ = firstToken_;
-    responder_->onClientLeft([this] { finish(); });
-    if (isStreamed_) {
-        responder_->startChunks(headFor(requestId_, "text/event-stream"));
+    return (question_.promptTokens_ + question_.wantedTokens_ + enginepieces::PieceTokens - 1) / enginepieces::PieceTokens;
+}
+
+const EngineQuestion &EngineAnswer::question() const
+{
+    return question_;
+}
+
+HttpResponseHead EngineAnswer::head(const char *contentType) const
+{
+    HttpResponseHead head{ httpstatus::Ok, { { "Content-Type", contentType }, { endpointheaders::RequestId, question_.requestId_ } } };
+    head.headers_.emplace_back(endpointheaders::ReportedLoad, std::to_string(reportedLoad_));
+    if (question_.resumeFrom_ > 0) {
+        head.headers_.emplace_back(endpointheaders::ResumeFrom, std::to_string(question_.resumeFrom_));
     }
-    timer_.startOnce(options_.prefillTimePerToken_ * promptTokens_ + options_.decodeTimePerToken_);
+    return head;
 }
 
-void EngineAnswer::produceToken()
+void EngineAnswer::end()
 {
-    if (producedTokens_ < wantedTokens_) {
-        if (isStreamed_) {
-            responder_->sendChunk(eventFor(tokenText(producedTokens_), nullptr));
-        }
-        ++producedTokens_;
-        timer_.startOnce(options_.decodeTimePerToken_);
+    isEnded_ = true;
+    if (!question_.isStreamed_) {
+        responder_->reply(head("application/json"), wholeBody());
         return;
     }
-    if (isStreamed_) {
+    // The event with the reason of the end counts as the one after the last token.
+    if (produced_ == question_.wantedTokens_) {
         responder_->sendChunk(eventFor({}, "stop"));
-        responder_->sendChunk("data: [DONE]\n\n");
-        responder_->endChunks();
-    } else {
-        responder_->reply(headFor(requestId_, "application/json"), wholeBody());
     }
-    finish();
-}
-
-void EngineAnswer::finish()
-{
-    timer_.cancel();
-    const auto onEnd = std::move(onEnd_);
-    onEnd();
+    responder_->sendChunk("data: [DONE]\n\n");
+    responder_->endChunks();
 }
 
 std::string EngineAnswer::tokenText(std::uint32_t index) const
 {
-    return "token" + std::to_string(index) + " ";
+    return question_.word_ + std::to_string(index) + " ";
 }
 
 std::string EngineAnswer::eventFor(const std::string &text, const char *finishReason) const
 {
     nlohmann::json choice = { { "index", 0 }, { "finish_reason", finishReason == nullptr ? nlohmann::json() : nlohmann::json(finishReason) } };
-    if (isChat_) {
+    if (question_.isChat_) {
         choice["delta"] = text.empty() ? nlohmann::json::object() : nlohmann::json{ { "content", text } };
     } else {
         choice["text"] = text;
     }
     const nlohmann::json event = {
-        { "id", "chatcmpl-" + requestId_ },
-        { "object", isChat_ ? "chat.completion.chunk" : "text_completion" },
+        { "id", "chatcmpl-" + question_.requestId_ },
+        { "object", question_.isChat_ ? "chat.completion.chunk" : "text_completion" },
         { "created", 0 },
-        { "model", model_ },
+        { "model", question_.model_ },
         { "choices", nlohmann::json::array({ choice }) },
     };
     return "data: " + event.dump() + "\n\n";
@@ -116,22 +133,25 @@
 std::string EngineAnswer::wholeBody() const
 {
     std::string text;
-    for (std::uint32_t index = 0; index < wantedTokens_; ++index) {
+    for (std::uint32_t index = 0; index < question_.wantedTokens_; ++index) {
         text += tokenText(index);
     }
     nlohmann::json choice = { { "index", 0 }, { "finish_reason", "stop" } };
-    if (isChat_) {
+    if (question_.isChat_) {
         choice["message"] = { { "role", "assistant" }, { "content", text } };
     } else {
         choice["text"] = text;
     }
     const nlohmann::json body = {
-        { "id", "chatcmpl-" + requestId_ },
-        { "object", isChat_ ? "chat.completion" : "text_completion" },
+        { "id", "chatcmpl-" + question_.requestId_ },
+        { "object", question_.isChat_ ? "chat.completion" : "text_completion" },
         { "created", 0 },
-        { "model", model_ },
+        { "model", question_.model_ },
         { "choices", nlohmann::json::array({ choice }) },
-        { "usage", { { "prompt_tokens", promptTokens_ }, { "completion_tokens", wantedTokens_ }, { "total_tokens", promptTokens_ + wantedTokens_ } } },
+        { "usage",
+          { { "prompt_tokens", question_.promptTokens_ },
+            { "completion_tokens", question_.wantedTokens_ },
+            { "total_tokens", question_.promptTokens_ + question_.wantedTokens_ } } },
     };
     return body.dump();
 }
--- a/src/standin/engineanswer.h
+++ b/src/standin/engineanswer.h
@@ -3,48 +3,63 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
-#include "standin/engineoptions.h"
-#include "task/timer.h"
+#include "http/httpresponsehead.h"
+#include "standin/enginequestion.h"
 
 namespace cowsliphead
 {
 
-class EventLoop;
 class HttpResponder;
-struct HttpRequest;
 
-/// One completion that an engine stand-in is working on.
+/// One completion that an engine stand-in is working on: a token a step, then the end.
 class EngineAnswer
 {
 public:
-    /// onEnd is called once after the last token, or when the client has left. Thread safety: the loop's task only.
-    EngineAnswer(EventLoop &loop, const EngineOptions &options, std::shared_ptr<HttpResponder> responder, std::function<void()> onEnd);
+    /// reportedLoad goes out with the answer's head. Thread safety: the loop's task only.
+    EngineAnswer(EngineQuestion question, std::uint32_t reportedLoad, std::shared_ptr<HttpResponder> responder);
     ~EngineAnswer();
 
-    /// Reads the request and starts to work on it; a request that is no completion is refused. Thread safety: the loop's task only.
-    void start(const HttpRequest &request);
+    /// Sends the head of a streamed answer; onCancelled is called once if the client leaves. Thread safety: the loop's task only.
+    void start(std::function<void()> onCancelled);
+
+    /// Gives one more token, or the end. Precondition: isEnded() is false. Thread safety: the loop's task only.
+    void advance();
+
+    /// True once the answer is whole, or nobody wants it any more. Thread safety: the loop's task only.
+    bool isEnded() const;
+
+    /// Produces nothing in so many steps to come. Thread safety: the loop's task only.
+    void delay(std::uint32_t steps);
+
+    /// Falls silent for good after so many tokens of this attempt. Thread safety: the loop's task only.
+    void fallSilentAfter(std::uint32_t tokens);
+
+    /// KV cache that the answer takes up, in pieces. Thread safety: the loop's task only.
+    std::uint32_t kvPieces() const;
+
+    /// Thread safety: the loop's task only.
+    const EngineQuestion &question() const;
 
 private:
-    void produceToken();
-    void finish();
+    HttpResponseHead head(const char *contentType) const;
+    void end();
     std::string tokenText(std::uint32_t index) const;
     std::string eventFor(const std::string &text, const char *finishReason) const;
     std::string wholeBody() const;
 
-    EngineOptions options_;
+    EngineQuestion question_;
+    std::uint32_t reportedLoad_;
     std::shared_ptr<HttpResponder> responder_;
-    std::function<void()> onEnd_;
-    std::string requestId_;
-    std::string model_;
-    bool isChat_ = true;
-    bool isStreamed_ = false;
-    std::uint32_t promptTokens_ = 0;
-    std::uint32_t wantedTokens_ = 0;
-    std::uint32_t firstToken_ = 0;
-    std::uint32_t producedTokens_ = 0;
-    Timer timer_;
+    std::function<void()> onCancelled_;
+
+    /// Events so far, those of the attempts before included.
+    std::uint32_t produced_ = 0;
+    std::uint32_t delayedSteps_ = 0;
+    std::optional<std::uint32_t> tokensUntilSilence_;
+    bool isEnded_ = false;
 };
 
 } // namespace cowsliphead
--- a/src/standin/enginestandin.cpp
+++ b/src/standin/enginestandin.cpp
@@ -1,44 +1,189 @@
 #include "standin/enginestandin.h"
 
-#include "http/httprequest.h"
+#include <nlohmann/json.hpp>
+
+#include "endpoint/endpointheaders.h"
 #include "http/httpresponder.h"
 #include "http/httpstatus.h"
 #include "standin/engineanswer.h"
+#include "standin/enginefaultreader.h"
 #include "task/eventloop.h"
 
 namespace cowsliphead
 {
 
+namespace
+{
+
+/// The stand-in's own paths, for tests.
+constexpr const char *FaultPath = "/standin/fault";
+constexpr const char *StatePath = "/standin/state";
+
+/// How long a request waits for another one to be crossed with.
+constexpr std::chrono::milliseconds CrossingPatience{ 100 };
+
+bool isCompletion(const HttpRequest &request)
+{
+    return request.method_ == HttpMethod::Post && (request.path_ == "/v1/chat/completions" || request.path_ == "/v1/completions");
+}
+
+void refuse(HttpResponder &responder, int status, const std::string &requestId, const char *message)
+{
+    const nlohmann::json body = { { "error", { { "message", message } } } };
+    responder.reply(HttpResponseHead{ status, { { endpointheaders::RequestId, requestId } } }, body.dump());
+}
+
+} // namespace
+
 EngineStandin::EngineStandin(EventLoop &loop, EngineOptions options)
     : loop_(loop)
     , options_(std::move(options))
-    , server_(loop, [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) { handle(request, responder); })
+    , server_(makeServer())
+    , scheduler_(loop, options_, faults_, [this] { loop_.defer([this] { crash(); }); })
+    , report_(loop, [this] { reported_ = scheduler_.load(); })
+    , downTime_(loop, [this] { comeBack(); })
+    , crossing_(loop, [this] { answerUncrossed(); })
 {
+    report_.startRepeating(options_.loadReportInterval_);
 }
 
 EngineStandin::~EngineStandin() = default;
 
 Result<std::uint16_t> EngineStandin::listen(const std::string &address, std::uint16_t port)
 {
-    return server_.listen(address, port);
+    const auto bound = server_->listen(address, port);
+    if (bound) {
+        address_ = address;
+        port_ = *bound;
+    }
+    return bound;
+}
+
+void EngineStandin::receive(Message message)
+{
+    bringAbout(std::get<EngineFaults>(std::move(message)));
 }
 
-void EngineStandin::receive(Message /*message*/)
+std::unique_ptr<HttpServer> EngineStandin::makeServer()
 {
+    return std::make_unique<HttpServer>(loop_,
+                                        [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) { handle(request, responder); });
 }
 
 void EngineStandin::handle(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
 {
-    const bool isCompletion = request.path_ == "/v1/chat/completions" || request.path_ == "/v1/completions";
-    if (!isCompletion || request.method_ != HttpMethod::Post) {
-        responder->reply(HttpResponseHead{ httpstatus::NotFound, {} }, R"({"error":{"message":"unknown path"}})");
+    if (request.path_ == FaultPath) {
+        handleFault(request, *responder);
+    } else if (request.path_ == StatePath) {
+        handleState(*responder);
+    } else if (isCompletion(request)) {
+        complete(request, responder);
+    } else {
+        refuse(*responder, httpstatus::NotFound, headerValue(request.headers_, endpointheaders::RequestId), "unknown path");
+    }
+}
+
+void EngineStandin::handleFault(const HttpRequest &request, HttpResponder &responder)
+{
+    auto faults = readEngineFaults(request.body_);
+    if (!faults) {
+        refuse(responder, httpstatus::BadRequest, {}, "no faults in JSON");
+        return;
+    }
+    bringAbout(std::move(*faults));
+    responder.reply(HttpResponseHead{}, "{}");
+}
+
+void EngineStandin::bringAbout(EngineFaults faults)
+{
+    faults_ = std::move(faults);
+    if (faults_.areOpenConnectionsMute_) {
+        mutePorts_ = openPorts_;
+    }
+}
+
+void EngineStandin::handleState(HttpResponder &responder) const
+{
+    const auto &load = scheduler_.load();
+    const nlohmann::json body = {
+        { "running", load.running_ },     { "waiting", load.waiting_ },     { "usedPieces", load.usedPieces_ },
+        { "cancelled", load.cancelled_ }, { "completed", load.completed_ }, { "crashes", crashes_ },
+    };
+    responder.reply(HttpResponseHead{ httpstatus::Ok, { { "Content-Type", "application/json" } } }, body.dump());
+}
+
+void EngineStandin::complete(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
+{
+    openPorts_.insert(responder->clientPort());
+    if (mutePorts_.contains(responder->clientPort())) {
+        unanswered_.push_back(responder);
+    } else if (!faults_.isCrossing_) {
+        answer(request, responder);
+    } else if (!crossed_) {
+        crossed_ = std::make_unique<Asked>(request, responder);
+        crossing_.startOnce(CrossingPatience);
+    } else {
+        const auto other = std::move(crossed_);
+        faults_.isCrossing_ = false;
+        answer(other->first, responder);
+        answer(request, other->second);
+    }
+}
+
+void EngineStandin::answer(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
+{
+    auto question = readEngineQuestion(request, options_);
+    if (!question) {
+        refuse(*responder, httpstatus::BadRequest, headerValue(request.headers_, endpointheaders::RequestId), "no completion");
         return;
     }
-    const auto place = answers_.insert(answers_.end(), nullptr);
-    // The answer ends inside its own timer, so it is destroyed in a later turn.
-    const auto forget = [this, place] { loop_.defer([this, place] { answers_.erase(place); }); };
-    *place = std::make_unique<EngineAnswer>(loop_, options_, responder, forget);
-    (*place)->start(request);
+    if (faults_.refusals_ > 0) {
+        --faults_.refusals_;
+        refuse(*responder, httpstatus::ServiceUnavailable, question->requestId_, "refused");
+        return;
+    }
+    if (faults_.wrongIds_ > 0) {
+        --faults_.wrongIds_;
+        question->requestId_ += "0";
+    }
+    if (faults_.ignoredResumes_ > 0 && question->resumeFrom_ > 0) {
+        --faults_.ignoredResumes_;
+        question->resumeFrom_ = 0;
+    }
+    auto answer = std::make_unique<EngineAnswer>(std::move(*question), reported_.running_ + reported_.waiting_, responder);
+    answer->delay(faults_.lateSteps_);
+    if (faults_.silentAfterTokens_) {
+        answer->fallSilentAfter(*faults_.silentAfterTokens_);
+    }
+    scheduler_.add(std::move(answer));
+}
+
+void EngineStandin::crash()
+{
+    ++crashes_;
+    scheduler_.clear();
+    crossed_.reset();
+    unanswered_.clear();
+    openPorts_.clear();
+    mutePorts_.clear();
+    server_.reset();
+    downTime_.startOnce(faults_.downTime_);
+}
+
+void EngineStandin::answerUncrossed()
+{
+    if (const auto alone = std::exchange(crossed_, nullptr)) {
+        answer(alone->first, alone->second);
+    }
+}
+
+void EngineStandin::comeBack()
+{
+    server_ = makeServer();
+    if (!server_->listen(address_, port_)) {
+        // The port may still be held by a closing connection.
+        downTime_.startOnce(faults_.downTime_);
+    }
 }
 
 } // namespace cowsliphead
--- /dev/null
+++ b/tests/decide/endpointhealthtest.cpp
@@ -0,0 +1,76 @@
+#include <boost/test/unit_test.hpp>
+
+#include "core/virtualclock.h"
+#include "decide/endpointhealth.h"
+
+using namespace cowsliphead;
+
+namespace
+{
+
+struct Fixture {
+    VirtualClock clock_;
+    EndpointHealth health_;
+    EndpointId endpoint_{ "e1" };
+
+    bool isAvoidedAfter(std::chrono::milliseconds wait)
+    {
+        clock_.advance(wait);
+        return health_.isAvoided(endpoint_, clock_.now());
+    }
+};
+
+constexpr std::chrono::milliseconds Moment{ 1 };
+constexpr std::chrono::seconds Long{ 31 };
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(an_endpoint)
+
+BOOST_FIXTURE_TEST_SUITE(whose_new_connection_went_silent, Fixture)
+
+BOOST_AUTO_TEST_CASE(is_avoided_for_a_while)
+{
+    health_.wentSilent(endpoint_, clock_.now());
+    BOOST_TEST(isAvoidedAfter(Moment));
+    BOOST_TEST(!isAvoidedAfter(Long));
+}
+
+BOOST_AUTO_TEST_CASE(is_no_longer_avoided_once_it_answers)
+{
+    health_.wentSilent(endpoint_, clock_.now());
+    health_.answered(endpoint_);
+    BOOST_TEST(!isAvoidedAfter(Moment));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(that_crashes_under_many_requests, Fixture)
+
+BOOST_AUTO_TEST_CASE(is_avoided_no_longer_than_under_one)
+{
+    for (int request = 0; request < 100; ++request) {
+        health_.crashed(endpoint_, clock_.now());
+    }
+    BOOST_TEST(isAvoidedAfter(Moment));
+    BOOST_TEST(!isAvoidedAfter(std::chrono::seconds(1)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(that_crashes_again_and_again, Fixture)
+
+BOOST_AUTO_TEST_CASE(is_avoided_longer_each_time_up_to_a_limit)
+{
+    for (int crash = 0; crash < 20; ++crash) {
+        health_.crashed(endpoint_, clock_.now());
+        clock_.advance(Long);
+    }
+    health_.crashed(endpoint_, clock_.now());
+    BOOST_TEST(isAvoidedAfter(std::chrono::seconds(29)));
+    BOOST_TEST(!isAvoidedAfter(std::chrono::seconds(2)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/decide/quarantinetest.cpp
@@ -0,0 +1,155 @@
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include "core/virtualclock.h"
+#include "decide/quarantine.h"
+
+using namespace cowsliphead;
+
+namespace
+{
+
+const RequestDigest Request("r");
+const EndpointId First("e1");
+const EndpointId Second("e2");
+const EndpointId Third("e3");
+
+RequestDigest digestOf(int number)
+{
+    return RequestDigest(std::to_string(number));
+}
+
+/// A fleet on which one request crashes whatever runs it, each time with some neighbours.
+struct Fleet {
+    VirtualClock clock_;
+    Quarantine quarantine_;
+
+    void crash(int poison, const std::vector<std::uint8_t> &neighbours, int endpoint)
+    {
+        const EndpointId crashed("e" + std::to_string(endpoint));
+        const bool isAlone = quarantine_.standing(digestOf(poison), clock_.now()) == RequestStanding::Suspect;
+        quarantine_.crashed(digestOf(poison), crashed, isAlone, clock_.now());
+        for (const auto neighbour : neighbours) {
+            // A suspect never has neighbours: it is tried alone.
+            const auto digest = digestOf(1000 + neighbour);
+            if (!isAlone && quarantine_.standing(digest, clock_.now()) == RequestStanding::Trusted) {
+                quarantine_.crashed(digest, crashed, false, clock_.now());
+            }
+        }
+    }
+};
+
+struct Fixture {
+    VirtualClock clock_;
+    Quarantine quarantine_;
+
+    RequestStanding standing() const
+    {
+        return quarantine_.standing(Request, clock_.now());
+    }
+
+    void makeSuspect()
+    {
+        quarantine_.crashed(Request, First, false, clock_.now());
+        quarantine_.crashed(Request, Second, false, clock_.now());
+    }
+
+    void makeQuarantined()
+    {
+        makeSuspect();
+        quarantine_.crashed(Request, Third, true, clock_.now());
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_request_around_which_endpoints_crash)
+
+BOOST_FIXTURE_TEST_SUITE(once, Fixture)
+
+BOOST_AUTO_TEST_CASE(is_trusted_though_its_connections_are_lost_twice)
+{
+    quarantine_.crashed(Request, First, false, clock_.now());
+    quarantine_.crashed(Request, First, false, clock_.now());
+    BOOST_TEST((standing() == RequestStanding::Trusted));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(on_several_endpoints, Fixture)
+
+BOOST_AUTO_TEST_CASE(is_a_suspect)
+{
+    makeSuspect();
+    BOOST_TEST((standing() == RequestStanding::Suspect));
+}
+
+BOOST_AUTO_TEST_CASE(is_cleared_by_a_whole_answer)
+{
+    makeSuspect();
+    quarantine_.answered(Request);
+    BOOST_TEST((standing() == RequestStanding::Trusted));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(while_it_is_alone, Fixture)
+
+BOOST_AUTO_TEST_CASE(is_quarantined_for_a_bounded_time)
+{
+    makeQuarantined();
+    BOOST_TEST((standing() == RequestStanding::Quarantined));
+    clock_.advance(std::chrono::minutes(10));
+    BOOST_TEST((standing() == RequestStanding::Trusted));
+}
+
+BOOST_AUTO_TEST_CASE(is_quarantined_at_a_daemon_that_takes_in_the_snapshot)
+{
+    makeQuarantined();
+    VirtualClock otherClock;
+    otherClock.advance(std::chrono::hours(100));
+    Quarantine other;
+    other.merge(quarantine_.snapshot(clock_.now()), otherClock.now());
+    BOOST_TEST((other.standing(Request, otherClock.now()) == RequestStanding::Quarantined));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(among_any_neighbours)
+
+RC_BOOST_PROP(is_quarantined_and_no_neighbour_is, (const std::vector<std::vector<std::uint8_t>> &neighbours))
+{
+    Fleet fleet;
+    for (std::size_t crash = 0; crash < neighbours.size(); ++crash) {
+        fleet.crash(0, neighbours[crash], static_cast<int>(crash));
+    }
+    const auto standing = fleet.quarantine_.standing(digestOf(0), fleet.clock_.now());
+    RC_ASSERT((standing == RequestStanding::Quarantined) == (neighbours.size() >= 3));
+    for (int neighbour = 0; neighbour < 256; ++neighbour) {
+        RC_ASSERT(fleet.quarantine_.standing(digestOf(1000 + neighbour), fleet.clock_.now()) != RequestStanding::Quarantined);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(in_greater_number_than_is_remembered)
+
+BOOST_AUTO_TEST_CASE(does_not_push_out_one_that_is_quarantined)
+{
+    QuarantineLimits limits;
+    limits.maxEntries_ = 8;
+    VirtualClock clock;
+    Quarantine quarantine(limits);
+    quarantine.crashed(Request, First, false, clock.now());
+    quarantine.crashed(Request, Second, false, clock.now());
+    quarantine.crashed(Request, Third, true, clock.now());
+    for (int number = 0; number < 100; ++number) {
+        quarantine.crashed(digestOf(number), First, false, clock.now());
+    }
+    BOOST_TEST(quarantine.size() == 8U);
+    BOOST_TEST((quarantine.standing(Request, clock.now()) == RequestStanding::Quarantined));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/serve/servingfleet.cpp
@@ -0,0 +1,226 @@
+#include "serve/servingfleet.h"
+
+#include <sstream>
+
+#include <nlohmann/json.hpp>
+
+#include "core/sha256.h"
+#include "http/httpcall.h"
+#include "http/httpclient.h"
+#include "http/httprequest.h"
+#include "records/change.h"
+#include "records/recordset.h"
+#include "task/listening.h"
+#include "task/timer.h"
+
+namespace cowsliphead
+{
+
+namespace
+{
+
+constexpr const char *Loopback = "127.0.0.1";
+constexpr const char *Key = "key-of-the-test";
+constexpr std::chrono::seconds Patience{ 30 };
+constexpr std::chrono::milliseconds BetweenChecks{ 5 };
+
+/// One call and what came of it.
+struct Asking {
+    CallerAnswer answer_;
+    std::shared_ptr<HttpCall> call_;
+    std::unique_ptr<HttpClient> client_;
+};
+
+nlohmann::json record(const std::string &kind, const std::string &name)
+{
+    return { { "schema", 2 }, { "kind", kind }, { "name", name } };
+}
+
+RecordSnapshot snapshotOf(const std::vector<nlohmann::json> &records)
+{
+    auto set = std::make_shared<const RecordSet>();
+    for (const auto &text : records) {
+        const RecordKey key{ text["kind"], text["name"] };
+        set = set->after({ set->revision() + 1, ChangeId("c"), ChangeAction::Put, key, text.dump() });
+    }
+    return set;
+}
+
+HttpRequest postOf(const std::string &path, const std::string &body)
+{
+    return { HttpMethod::Post, path, {}, { { "Authorization", std::string("Bearer ") + Key } }, body };
+}
+
+HttpCallEvents eventsInto(CallerAnswer &answer, std::function<void()> onEnd, std::function<void()> onFirstData = {})
+{
+    HttpCallEvents events;
+    events.onHead_ = [&answer](const HttpResponseHead &head) {
+        answer.status_ = head.status_;
+        answer.outcome_ = headerValue(head.headers_, "Cowsliphead-Outcome");
+    };
+    events.onData_ = [&answer, onFirstData = std::move(onFirstData)](std::string_view data) {
+        answer.text_ += data;
+        if (onFirstData) {
+            onFirstData();
+        }
+    };
+    events.onEnd_ = [&answer, onEnd = std::move(onEnd)](const tl::expected<void, HttpCallFailure> &end) {
+        answer.isWhole_ = end.has_value();
+        onEnd();
+    };
+    return events;
+}
+
+std::string bodyOf(const std::string &caller, int tokens, bool isStreamed)
+{
+    const nlohmann::json body = { { "model", "small" }, { "user", caller }, { "stream", isStreamed }, { "max_tokens", tokens } };
+    return body.dump();
+}
+
+} // namespace
+
+ServingFleet::ServingFleet(std::size_t engines, const std::string &policyFields)
+{
+    std::vector<nlohmann::json> records{ record("account", "a"), record("model", "small"), record("key", sha256Hex(Key)), record("policy", "default") };
+    records[2]["account"] = "a";
+    if (!policyFields.empty()) {
+        records[3].update(nlohmann::json::parse(policyFields));
+    }
+    for (std::size_t index = 0; index < engines; ++index) {
+        engines_.push_back(std::make_unique<Task<EngineStandin>>());
+        const auto port = startListening(
+            *engines_.back(),
+            [](EventLoop &loop) { return std::make_unique<EngineStandin>(loop, EngineOptions{}); },
+            [](EngineStandin &engine) { return engine.listen(Loopback, 0); });
+        enginePorts_.push_back(port.value());
+        auto endpoint = record("endpoint", "e" + std::to_string(index));
+        endpoint.update({ { "host", Loopback }, { "port", *port }, { "failureDomain", "d" }, { "serves", "engine" }, { "models", { "small" } } });
+        records.push_back(endpoint);
+    }
+    ServeSettings settings;
+    settings.instance_ = InstanceId("test");
+    port_ = startListening(
+                serve_,
+                [settings](EventLoop &loop) { return std::make_unique<ServeBehaviour>(loop, settings); },
+                [](ServeBehaviour &serve) { return serve.listen(); })
+                .value();
+    serve_.send(snapshotOf(records));
+}
+
+void ServingFleet::setFaults(std::size_t engine, const std::string &json)
+{
+    call(enginePorts_.at(engine), "/standin/fault", json);
+}
+
+void ServingFleet::setFaults(const std::string &json)
+{
+    for (std::size_t engine = 0; engine < engineCount(); ++engine) {
+        setFaults(engine, json);
+    }
+}
+
+std::uint64_t ServingFleet::state(std::size_t engine, const std::string &name)
+{
+    CallerAnswer answer;
+    waitUntil([&] {
+        answer = call(enginePorts_.at(engine), "/standin/state", "{}");
+        return answer.isWhole_;
+    });
+    return nlohmann::json::parse(answer.text_).at(name).get<std::uint64_t>();
+}
+
+std::vector<CallerAnswer> ServingFleet::ask(const std::vector<std::string> &bodies)
+{
+    std::vector<Asking> askings(bodies.size());
+    auto open = bodies.size();
+    for (std::size_t index = 0; index < bodies.size(); ++index) {
+        auto &asking = askings[index];
+        asking.client_ = std::make_unique<HttpClient>(loop_, Loopback, port_, Patience);
+        const auto onEnd = [this, &open] {
+            if (--open == 0) {
+                loop_.stop();
+            }
+        };
+        asking.call_ = asking.client_->call(postOf("/v1/chat/completions", bodies[index]), eventsInto(asking.answer_, onEnd));
+    }
+    loop_.run();
+    std::vector<CallerAnswer> answers;
+    for (auto &asking : askings) {
+        answers.push_back(std::move(asking.answer_));
+    }
+    return answers;
+}
+
+void ServingFleet::askAndLeave(const std::string &body)
+{
+    CallerAnswer answer;
+    HttpClient client(loop_, Loopback, port_, Patience);
+    std::shared_ptr<HttpCall> leaving;
+    const auto leave = [this, &leaving] {
+        leaving->cancel();
+        loop_.defer([this] { loop_.stop(); });
+    };
+    leaving = client.call(postOf("/v1/chat/completions", body),
+                          eventsInto(
+                              answer, [] {}, leave));
+    loop_.run();
+}
+
+void ServingFleet::waitUntil(const std::function<bool()> &condition)
+{
+    Timer pause(loop_, [this] { loop_.stop(); });
+    while (!condition()) {
+        pause.startOnce(BetweenChecks);
+        loop_.run();
+    }
+}
+
+std::size_t ServingFleet::engineCount() const
+{
+    return engines_.size();
+}
+
+CallerAnswer ServingFleet::call(std::uint16_t port, const std::string &path, const std::string &body)
+{
+    CallerAnswer answer;
+    HttpClient client(loop_, Loopback, port, Patience);
+    const auto call = client.call(postOf(path, body), eventsInto(answer, [this] { loop_.stop(); }));
+    loop_.run();
+    return answer;
+}
+
+std::string streamedBody(const std::string &caller, int tokens)
+{
+    return bodyOf(caller, tokens, true);
+}
+
+std::string wholeBody(const std::string &caller, int tokens)
+{
+    return bodyOf(caller, tokens, false);
+}
+
+std::string expectedTokens(const std::string &caller, int tokens)
+{
+    std::string text;
+    for (int index = 0; index < tokens; ++index) {
+        text += caller + std::to_string(index) + " ";
+    }
+    return text;
+}
+
+std::string tokensOf(const CallerAnswer &answer)
+{
+    std::string tokens;
+    std::istringstream lines(answer.text_);
+    for (std::string line; std::getline(lines, line);) {
+        const bool isEvent = line.starts_with("data: ");
+        const auto document = nlohmann::json::parse(isEvent ? line.substr(6) : line, nullptr, false);
+        if (document.is_object() && document.contains("choices")) {
+            const auto &choice = document["choices"][0];
+            tokens += choice.contains("delta") ? choice["delta"].value("content", "") : choice["message"].value("content", "");
+        }
+    }
+    return tokens;
+}
+
+} // namespace cowsliphead
