--- a/src/operate/parsesettings.cpp
+++ b/src/operate/parsesettings.cpp
@@ -37,6 +37,13 @@
     settings.limits_.maxConcurrentRequests_ = fields.numberOr("maxConcurrentRequests", settings.limits_.maxConcurrentRequests_, 1, MostRequests);
     settings.limits_.readTimeout_ = fields.millisecondsOr("readTimeoutMs", settings.limits_.readTimeout_);
     settings.limits_.writeTimeout_ = fields.millisecondsOr("writeTimeoutMs", settings.limits_.writeTimeout_);
+    settings.tls_.certificate_ = fields.textOr("tlsCertificate", {});
+    settings.tls_.key_ = fields.textOr("tlsKey", {});
+    if (settings.tls_.certificate_.empty() != settings.tls_.key_.empty()) {
+        fields.report("tlsKey", "one of two files", "tlsCertificate and tlsKey, or neither");
+    }
+    settings.drain_.announce_ = fields.millisecondsOr("drainAnnounceMs", settings.drain_.announce_);
+    settings.drain_.quiet_ = fields.millisecondsOr("drainQuietMs", settings.drain_.quiet_);
     fields.refuseOthers();
     return fields.mistake();
 }
@@ -51,6 +58,26 @@
     return fields.mistake();
 }
 
+SectionMistake readMetrics(const nlohmann::json &section, MetricsSettings &settings)
+{
+    FieldReader fields(section, "/metrics", ErrorCode::SettingsMalformed);
+    settings.isEnabled_ = true;
+    settings.address_ = fields.textOr("address", settings.address_);
+    settings.port_ = readPort(fields, 0);
+    fields.refuseOthers();
+    return fields.mistake();
+}
+
+SectionMistake readTraces(const nlohmann::json &section, TraceSettings &settings)
+{
+    FieldReader fields(section, "/traces", ErrorCode::SettingsMalformed);
+    settings.file_ = fields.textOr("file", {});
+    settings.collectorHost_ = fields.textOr("collectorHost", {});
+    settings.collectorPort_ = static_cast<std::uint16_t>(fields.numberOr("collectorPort", settings.collectorPort_, 1, LargestPort));
+    fields.refuseOthers();
+    return fields.mistake();
+}
+
 } // namespace
 
 tl::expected<DaemonSettings, Mistake> parseSettings(const std::string &text)
@@ -65,6 +92,8 @@
     settings.serve_.failureDomain_ = FailureDomain(fields.text("failureDomain"));
     const auto *callers = fields.object("callers");
     const auto *store = fields.object("store");
+    const auto *metrics = fields.object("metrics");
+    const auto *traces = fields.object("traces");
     if (store == nullptr) {
         fields.report("store", "nothing", "an object");
     }
@@ -78,6 +107,12 @@
     if (const auto mistake = readStore(*store, settings.store_)) {
         return tl::unexpected(*mistake);
     }
+    if (const auto mistake = metrics == nullptr ? SectionMistake() : readMetrics(*metrics, settings.metrics_)) {
+        return tl::unexpected(*mistake);
+    }
+    if (const auto mistake = traces == nullptr ? SectionMistake() : readTraces(*traces, settings.traces_)) {
+        return tl::unexpected(*mistake);
+    }
     return settings;
 }
 
--- a/src/serve/activerequest.cpp
+++ b/src/serve/activerequest.cpp
@@ -1,12 +1,10 @@
 #include "serve/activerequest.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "caller/callerexchange.h"
 #include "caller/errorresponse.h"
 #include "core/errorcode.h"
-#include "core/sha256.h"
 #include "decide/attemptfailure.h"
 #include "decide/requestfacts.h"
 #include "endpoint/endpointheaders.h"
@@ -22,6 +20,14 @@
 namespace cowsliphead
 {
 
+namespace
+{
+
+/// W3C's header field for the place in a trace.
+constexpr const char *TraceHeader = "traceparent";
+
+} // namespace
+
 ActiveRequest::ActiveRequest(
     ServingContext &context, RequestPlan plan, const RequestFacts &facts, HttpRequest request, std::shared_ptr<CallerExchange> exchange)
     : context_(context)
@@ -31,8 +37,9 @@
     , key_(facts.key_)
     , wantsStream_(facts.isStreamed_)
     , exchange_(std::move(exchange))
+    , telemetry_(context, plan_.account_, headerValue(request_.headers_, TraceHeader))
     , sequence_(context.nextRequest_++)
-    , deadline_(context.loop_, [this] { onDeadline(); })
+    , trial_(context, request_, sequence_)
 {
 }
 
@@ -62,7 +69,7 @@
 void ActiveRequest::carryOut(const DispatchStep &step)
 {
     attemptNumber_ = step.attempt_;
-    const auto standing = context_.quarantine_.size() == 0 ? RequestStanding::Trusted : context_.quarantine_.standing(digest(), context_.clock_.now());
+    const auto standing = trial_.standing();
     if (standing == RequestStanding::Quarantined) {
         take(machine_.refused(make_error_code(ErrorCode::RequestQuarantined)));
         return;
@@ -84,9 +91,10 @@
     if (isStreamed_) {
         exchange_->endChunks();
     } else {
+        telemetry_.answerStarted();
         exchange_->reply(callerHead(), answerBody_);
     }
-    finish();
+    finish(Outcome::Run, {});
 }
 
 void ActiveRequest::carryOut(const FailStep &step)
@@ -97,20 +105,19 @@
     } else {
         exchange_->reply(errorHead(step.code_, step.outcome_), errorBody(step.code_));
     }
-    finish();
+    finish(step.outcome_, step.code_);
 }
 
 void ActiveRequest::tryAlone()
 {
-    logEvent(LogEvent::RequestTriedAlone, { { "digest", digest().value() } });
-    deadline_.startOnce(std::max(std::chrono::microseconds(0), std::chrono::ceil<std::chrono::microseconds>(plan_.traits_.deadline_ - context_.clock_.now())));
-    context_.isolation_.enter(sequence_, [this] { onTurnAlone(); });
+    trial_.begin(
+        plan_.traits_.deadline_, [this] { onTurnAlone(); }, [this] { take(machine_.refused(make_error_code(ErrorCode::DeadlineUnreachable))); });
 }
 
 void ActiveRequest::onTurnAlone()
 {
     // While it waited, the same request may have crashed another endpoint.
-    if (context_.quarantine_.standing(digest(), context_.clock_.now()) == RequestStanding::Quarantined) {
+    if (trial_.standing() == RequestStanding::Quarantined) {
         take(machine_.refused(make_error_code(ErrorCode::RequestQuarantined)));
         return;
     }
@@ -119,27 +126,19 @@
         take(machine_.noEndpoint());
         return;
     }
-    const bool isFree = context_.pool_.load(endpoint->endpoint_).inFlight_ == 0;
-    context_.isolation_.reserve(endpoint->endpoint_, isFree, [this, id = endpoint->endpoint_] { onAlone(id); });
+    trial_.reserve(endpoint->endpoint_, [this, id = endpoint->endpoint_] { onAlone(id); });
 }
 
 void ActiveRequest::onAlone(const EndpointId &endpoint)
 {
-    deadline_.cancel();
     const auto *record = context_.records_->endpoint(endpoint);
     if (record == nullptr) {
         take(machine_.noEndpoint());
         return;
     }
-    isAlone_ = true;
     send(*record);
 }
 
-void ActiveRequest::onDeadline()
-{
-    take(machine_.refused(make_error_code(ErrorCode::DeadlineUnreachable)));
-}
-
 void ActiveRequest::send(const EndpointRecord &endpoint)
 {
     const auto id = context_.incarnation_ + "-" + std::to_string(sequence_) + "-" + std::to_string(attemptNumber_);
@@ -155,6 +154,8 @@
     events.onHead_ = [this](const HttpResponseHead &head) { onHead(head); };
     events.onData_ = [this](std::string_view data) { onData(data); };
     events.onEnd_ = [this](const tl::expected<void, AttemptFailure> &end) { onEnd(end); };
+    std::erase_if(forwarded.headers_, [](const auto &field) { return isSameHeader(field.first, TraceHeader); });
+    forwarded.headers_.emplace_back(TraceHeader, telemetry_.attemptStarted(endpoint.endpoint_));
     attempt_ = std::make_unique<Attempt>(context_, endpoint, id);
     attempt_->start(endpoint, forwarded, attemptPlan(), std::move(events));
 }
@@ -196,6 +197,7 @@
     }
     if (!exchange_->isStarted()) {
         machine_.answerStarted();
+        telemetry_.answerStarted();
         exchange_->startChunks(callerHead());
     }
     exchange_->sendChunk(events);
@@ -211,58 +213,39 @@
         failAttempt(end.error());
         return;
     }
-    if (context_.quarantine_.size() > 0) {
-        context_.quarantine_.answered(digest());
-    }
-    closeAttempt();
+    trial_.noteAnswered();
+    closeAttempt({});
     take(machine_.answerEnded());
 }
 
 void ActiveRequest::onCallerLeft()
 {
-    finish();
+    finish(machine_.mayHaveRun() || attempt_ ? Outcome::Unknown : Outcome::NotRun, make_error_code(ErrorCode::CallerLeft));
 }
 
 void ActiveRequest::failAttempt(const AttemptFailure &failure)
 {
     if (failure.isCrash_) {
-        noteCrash();
+        trial_.noteCrash(attempt_->endpoint());
     }
     if (failure.isConnectionInDoubt_) {
         selection_.markDoubtful(attempt_->endpoint());
     } else {
         selection_.markFailed(attempt_->endpoint());
     }
-    closeAttempt();
+    closeAttempt(failure.code_);
     take(machine_.attemptFailed(failure, true, context_.clock_.now()));
 }
 
-void ActiveRequest::noteCrash()
+void ActiveRequest::closeAttempt(std::error_code code)
 {
-    const auto now = context_.clock_.now();
-    context_.quarantine_.crashed(digest(), attempt_->endpoint(), isAlone_, now);
-    if (context_.quarantine_.standing(digest(), now) == RequestStanding::Quarantined) {
-        logEvent(LogEvent::RequestQuarantined, { { "digest", digest().value() }, { "account", plan_.account_.value() } });
-    }
-}
-
-void ActiveRequest::closeAttempt()
-{
-    isAlone_ = false;
     if (attempt_) {
         attempt_->close();
+        telemetry_.attemptEnded(code);
         // The attempt may be inside one of its own events, so it is destroyed in a later turn.
         context_.loop_.defer([ended = std::shared_ptr<Attempt>(std::move(attempt_))] {});
     }
-    context_.isolation_.leave(sequence_);
-}
-
-const RequestDigest &ActiveRequest::digest()
-{
-    if (!digest_) {
-        digest_ = RequestDigest(sha256Hex(request_.path_ + "\n" + request_.body_));
-    }
-    return *digest_;
+    trial_.end();
 }
 
 HttpResponseHead ActiveRequest::callerHead() const
@@ -277,10 +260,10 @@
     return head;
 }
 
-void ActiveRequest::finish()
+void ActiveRequest::finish(Outcome outcome, std::error_code code)
 {
-    deadline_.cancel();
-    closeAttempt();
+    closeAttempt(code);
+    telemetry_.requestEnded(outcome, code);
     exchange_->onCallerLeft(nullptr);
     if (const auto onEnd = std::exchange(onEnd_, nullptr)) {
         onEnd();
--- a/src/serve/activerequest.h
+++ b/src/serve/activerequest.h
@@ -3,18 +3,17 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 
 #include "core/endpointid.h"
-#include "core/requestdigest.h"
 #include "decide/requestmachine.h"
 #include "decide/requestplan.h"
 #include "http/httprequest.h"
 #include "http/httpresponsehead.h"
 #include "serve/answerstream.h"
 #include "serve/endpointselection.h"
-#include "task/timer.h"
+#include "serve/requesttelemetry.h"
+#include "serve/suspecttrial.h"
 
 #include <tl/expected.hpp>
 
@@ -55,7 +54,6 @@
     void tryAlone();
     void onTurnAlone();
     void onAlone(const EndpointId &endpoint);
-    void onDeadline();
     void send(const EndpointRecord &endpoint);
     AttemptPlan attemptPlan() const;
     void onHead(const HttpResponseHead &head);
@@ -63,11 +61,9 @@
     void onEnd(const tl::expected<void, AttemptFailure> &end);
     void onCallerLeft();
     void failAttempt(const AttemptFailure &failure);
-    void noteCrash();
-    void closeAttempt();
-    const RequestDigest &digest();
+    void closeAttempt(std::error_code code);
     HttpResponseHead callerHead() const;
-    void finish();
+    void finish(Outcome outcome, std::error_code code);
 
     ServingContext &context_;
     RequestPlan plan_;
@@ -81,18 +77,15 @@
     std::shared_ptr<CallerExchange> exchange_;
     OnEnd onEnd_;
 
+    RequestTelemetry telemetry_;
     std::uint64_t sequence_;
     std::uint32_t attemptNumber_ = 0;
     std::unique_ptr<Attempt> attempt_;
-
-    /// True while the request has an endpoint for itself.
-    bool isAlone_ = false;
-    std::optional<RequestDigest> digest_;
+    SuspectTrial trial_;
     EndpointSelection selection_;
     HttpResponseHead answerHead_;
     std::string answerBody_;
     AnswerStream stream_;
-    Timer deadline_;
 };
 
 } // namespace cowsliphead
--- a/src/serve/servebehaviour.h
+++ b/src/serve/servebehaviour.h
@@ -7,10 +7,14 @@
 
 #include "caller/callerserver.h"
 #include "core/result.h"
+#include "decide/drainmachine.h"
+#include "metrics/metricsquery.h"
 #include "records/recordsnapshot.h"
 #include "serve/drainrequest.h"
 #include "serve/servesettings.h"
 #include "serve/servingcontext.h"
+#include "serve/tlsreload.h"
+#include "task/timer.h"
 
 namespace cowsliphead
 {
@@ -23,13 +27,13 @@
 class ServeBehaviour
 {
 public:
-    using Message = std::variant<RecordSnapshot, DrainRequest>;
+    using Message = std::variant<RecordSnapshot, DrainRequest, MetricsQuery, TlsReload>;
 
-    /// Precondition: the loop outlives the behaviour. Thread safety: the loop's task only.
-    ServeBehaviour(EventLoop &loop, const ServeSettings &settings);
+    /// spans is where ended spans go. Precondition: the loop outlives the behaviour. Thread safety: the loop's task only.
+    ServeBehaviour(EventLoop &loop, const ServeSettings &settings, Address<Span> spans);
     ~ServeBehaviour();
 
-    /// Returns the port. Errors: ListenFailed. Thread safety: the loop's task only.
+    /// Returns the port. Errors: ListenFailed, TlsFilesUnusable. Thread safety: the loop's task only.
     Result<std::uint16_t> listen();
 
     /// Thread safety: the loop's task only.
@@ -38,16 +42,21 @@
 private:
     void handle(HttpRequest request, const std::shared_ptr<CallerExchange> &exchange);
     void begin(const RequestFacts &facts, HttpRequest request, const std::shared_ptr<CallerExchange> &exchange);
-    void refuse(CallerExchange &exchange, std::error_code code) const;
-    void listModels(const HttpRequest &request, CallerExchange &exchange) const;
+    void refuse(CallerExchange &exchange, std::error_code code);
+    void listModels(const HttpRequest &request, CallerExchange &exchange);
     void take(RecordSnapshot records);
     void take(DrainRequest request);
-    void stopIfDrained();
+    void take(const MetricsQuery &query);
+    void take(TlsReload request);
+    Result<void> loadTls();
+    void health(CallerExchange &exchange) const;
+    void checkDrain();
 
     ServeSettings settings_;
     ServingContext context_;
     std::list<std::unique_ptr<ActiveRequest>> active_;
-    bool isDraining_ = false;
+    DrainMachine drain_;
+    Timer drainCheck_;
     CallerServer server_;
 };
 
--- a/tests/decide/endpointhealthtest.cpp
+++ b/tests/decide/endpointhealthtest.cpp
@@ -1,4 +1,5 @@
 #include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
 
 #include "core/virtualclock.h"
 #include "decide/endpointhealth.h"
@@ -73,4 +74,23 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(under_any_sequence_of_failures)
+
+RC_BOOST_PROP(is_avoided_at_once_and_never_for_long, (const std::vector<std::pair<bool, std::uint16_t>> &failures))
+{
+    Fixture fixture;
+    for (const auto &[isCrash, pauseMs] : failures) {
+        if (isCrash) {
+            fixture.health_.crashed(fixture.endpoint_, fixture.clock_.now());
+        } else {
+            fixture.health_.wentSilent(fixture.endpoint_, fixture.clock_.now());
+        }
+        RC_ASSERT(fixture.isAvoidedAfter(Moment));
+        fixture.clock_.advance(std::chrono::milliseconds(pauseMs));
+    }
+    RC_ASSERT(!fixture.isAvoidedAfter(Long));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/http/httpcalltest.cpp
+++ b/tests/http/httpcalltest.cpp
@@ -77,13 +77,20 @@
         auto *server = static_cast<BytesServer *>(self);
         bufferevent_write(connection, server->bytes_.data(), server->bytes_.size());
         // Only from now on does an empty output mean that the answer was written.
-        bufferevent_setcb(connection, &BytesServer::onRead, &BytesServer::onWritten, nullptr, self);
+        bufferevent_setcb(connection, &BytesServer::onRead, &BytesServer::onWritten, &BytesServer::onEvent, self);
+    }
+
+    static void onEvent(bufferevent * /*connection*/, short what, void *self)
+    {
+        if ((what & BEV_EVENT_EOF) != 0) {
+            static_cast<BytesServer *>(self)->loop_.stop();
+        }
     }
 
     static void onWritten(bufferevent *connection, void *self)
     {
         if (static_cast<BytesServer *>(self)->closes_) {
-            shutdown(bufferevent_getfd(connection), SHUT_RDWR);
+            shutdown(bufferevent_getfd(connection), SHUT_WR);
         }
     }
 
@@ -172,7 +179,7 @@
 {
     serve("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfull", true);
     BOOST_TEST(isTakenForWhole());
-    loop_.defer([this] { loop_.stop(); });
+    // The loop stops once the client has noticed, and closed its own end.
     loop_.run();
     BOOST_TEST(isTakenForWhole());
 }
