Test of an idle connection closed by the server waits for the client to notice

Cause of the failure: the test's server stopped the loop at any end of a connection, also of one that the client rightly did not use again.

--- a/tests/http/httpcalltest.cpp
+++ b/tests/http/httpcalltest.cpp
@@ -60,6 +60,14 @@
         return connections_.size();
     }
 
+    /// Runs the loop until a client has closed its end of a connection.
+    void waitUntilLeft()
+    {
+        stopsWhenLeft_ = true;
+        loop_.run();
+        stopsWhenLeft_ = false;
+    }
+
 private:
     static void onAccept(evconnlistener * /*listener*/, evutil_socket_t descriptor, sockaddr * /*address*/, int /*length*/, void *self)
     {
@@ -82,8 +90,9 @@
 
     static void onEvent(bufferevent * /*connection*/, short what, void *self)
     {
-        if ((what & BEV_EVENT_EOF) != 0) {
-            static_cast<BytesServer *>(self)->loop_.stop();
+        auto *server = static_cast<BytesServer *>(self);
+        if ((what & BEV_EVENT_EOF) != 0 && server->stopsWhenLeft_) {
+            server->loop_.stop();
         }
     }
 
@@ -97,6 +106,7 @@
     EventLoop &loop_;
     std::string bytes_;
     bool closes_;
+    bool stopsWhenLeft_ = false;
     evconnlistener *listener_ = nullptr;
     std::vector<bufferevent *> connections_;
 };
@@ -179,8 +189,7 @@
 {
     serve("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfull", true);
     BOOST_TEST(isTakenForWhole());
-    // The loop stops once the client has noticed, and closed its own end.
-    loop_.run();
+    server_->waitUntilLeft();
     BOOST_TEST(isTakenForWhole());
 }
 
