--- a/tests/serve/wholeanswertest.cpp
+++ b/tests/serve/wholeanswertest.cpp
@@ -135,6 +135,13 @@
     checkAllWhole(ask(bodies(streamedBody)));
 }
 
+BOOST_AUTO_TEST_CASE(need_no_more_than_one_further_attempt)
+{
+    checkAllWhole(ask(bodies(streamedBody)));
+    setFaults(R"({"muteOpenConnections":true})");
+    checkAllWhole(ask({ streamedBody(nameOf(0), Tokens) }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(who_leave, OneEngine)
