--- a/src/logs/eventcatalogue.cpp
+++ b/src/logs/eventcatalogue.cpp
@@ -29,6 +29,10 @@
     { LogEvent::AnswerCrossed, LogLevel::Error, "answer_crossed", "An endpoint answered with the identifier of another attempt; nothing of it is passed on." },
     { LogEvent::RecordsAdvanced, LogLevel::Debug, "records_advanced", "The daemon's records are at a newer revision." },
     { LogEvent::StoreNotAnswering, LogLevel::Warning, "store_not_answering", "The platform's store did not answer; the daemon tries again." },
+    { LogEvent::ClaimStoreNotAnswering, LogLevel::Warning, "claim_store_not_answering", "The store did not answer a read of claims; the daemon tries again." },
+    { LogEvent::ClaimsMalformed, LogLevel::Error, "claims_malformed", "A value of claims cannot be read; no claim of its shard is granted." },
+    { LogEvent::ClaimWriteUnsettled, LogLevel::Warning, "claim_write_unsettled", "Nothing is known of a write of claims; the daemon reads it back." },
+    { LogEvent::UsageLeftBehind, LogLevel::Warning, "usage_left_behind", "The store did not take the last usage before the daemon had to end." },
 });
 
 }
--- a/src/logs/logevent.h
+++ b/src/logs/logevent.h
@@ -28,10 +28,14 @@
     StoreNotAnswering = 401,
 
     // 500 to 599: claims
+    ClaimStoreNotAnswering = 500,
+    ClaimsMalformed = 501,
+    ClaimWriteUnsettled = 502,
 
     // 600 to 699: duties and leases
 
     // 700 to 799: usage and reports
+    UsageLeftBehind = 700,
 
     // 800 to 899: peers and membership
 };
--- a/src/serve/activerequest.cpp
+++ b/src/serve/activerequest.cpp
@@ -4,8 +4,12 @@
 
 #include "caller/callerexchange.h"
 #include "caller/errorresponse.h"
+#include "claim/claimcodec.h"
 #include "core/errorcode.h"
 #include "decide/attemptfailure.h"
+#include "decide/claimlimits.h"
+#include "decide/claimrefusal.h"
+#include "decide/claimverdict.h"
 #include "decide/requestfacts.h"
 #include "endpoint/endpointheaders.h"
 #include "endpoint/forwardedrequest.h"
@@ -41,6 +45,13 @@
     , sequence_(context.nextRequest_++)
     , trial_(context, request_, sequence_)
 {
+    if (plan_.traits_.needsClaim_) {
+        claim_.key_ = claimKey(plan_.account_, facts.idempotencyKey_);
+        claim_.fingerprint_ = requestFingerprint(httpMethodName(request_.method_), request_.path_ + "?" + request_.query_, request_.body_);
+        claim_.owner_ = { context_.incarnation_, sequence_ };
+        claim_.receivedAt_ = context_.clock_.wallNow();
+        claim_.askedAt_ = context_.clock_.now();
+    }
 }
 
 ActiveRequest::~ActiveRequest() = default;
@@ -49,6 +60,7 @@
 {
     onEnd_ = std::move(onEnd);
     exchange_->onCallerLeft([this] { onCallerLeft(); });
+    usage_.begin(request_.body_.size());
     take(machine_.begin(context_.clock_.now()));
 }
 
@@ -63,7 +75,40 @@
 
 void ActiveRequest::carryOut(const ClaimStep & /*step*/)
 {
-    take(machine_.claimRefused(make_error_code(ErrorCode::StoreUnavailable)));
+    context_.claims_.ask(claim_, [this](const ClaimVerdict &verdict) { onClaimVerdict(verdict); });
+}
+
+void ActiveRequest::onClaimVerdict(const ClaimVerdict &verdict)
+{
+    if (verdict.kind_ == ClaimVerdictKind::Granted) {
+        hasClaim_ = true;
+        take(machine_.claimGranted(context_.clock_.now(), verdict.validUntil_));
+    } else if (verdict.kind_ == ClaimVerdictKind::Replayed) {
+        isStreamed_ = false;
+        answerHead_ = { verdict.answer_->status_, { { "Content-Type", verdict.answer_->contentType_ } } };
+        answerBody_ = verdict.answer_->body_;
+        take(machine_.claimReplayed());
+    } else {
+        take(machine_.claimRefused(claimRefusal(verdict.kind_)));
+    }
+}
+
+void ActiveRequest::endClaim(Outcome outcome)
+{
+    // The claim of a request that may have run stays, so that no later sending runs it again.
+    if (std::exchange(hasClaim_, false) && outcome != Outcome::Unknown) {
+        const bool hasRun = outcome == Outcome::Run;
+        const auto giveUpAt = context_.clock_.now() + ClaimLimits().endPatience_;
+        context_.claims_.end({ claim_.key_, claim_.owner_, hasRun, context_.clock_.wallNow(), giveUpAt, hasRun ? answerToKeep() : std::nullopt });
+    }
+}
+
+std::optional<ClaimAnswer> ActiveRequest::answerToKeep() const
+{
+    if (isStreamed_ || answerBody_.size() > ClaimLimits().longestAnswer_ || !isEncodable(answerBody_)) {
+        return std::nullopt;
+    }
+    return ClaimAnswer{ answerHead_.status_, headerValue(answerHead_.headers_, "Content-Type"), answerBody_ };
 }
 
 void ActiveRequest::carryOut(const DispatchStep &step)
@@ -92,6 +137,7 @@
         exchange_->endChunks();
     } else {
         telemetry_.answerStarted();
+        usage_.takeWhole(answerBody_);
         exchange_->reply(callerHead(), answerBody_);
     }
     finish(Outcome::Run, {});
@@ -200,6 +246,7 @@
         telemetry_.answerStarted();
         exchange_->startChunks(callerHead());
     }
+    usage_.takeStreamed(events);
     exchange_->sendChunk(events);
 }
 
@@ -220,7 +267,8 @@
 
 void ActiveRequest::onCallerLeft()
 {
-    finish(machine_.mayHaveRun() || attempt_ ? Outcome::Unknown : Outcome::NotRun, make_error_code(ErrorCode::CallerLeft));
+    const bool mayHaveRun = machine_.mayHaveRun() || (attempt_ && attempt_->wasOffered());
+    finish(mayHaveRun ? Outcome::Unknown : Outcome::NotRun, make_error_code(ErrorCode::CallerLeft));
 }
 
 void ActiveRequest::failAttempt(const AttemptFailure &failure)
@@ -234,7 +282,11 @@
         selection_.markFailed(attempt_->endpoint());
     }
     closeAttempt(failure.code_);
-    take(machine_.attemptFailed(failure, true, context_.clock_.now()));
+    const auto step = machine_.attemptFailed(failure, context_.retryBudget_.mayRetry(), context_.clock_.now());
+    if (std::holds_alternative<DispatchStep>(step)) {
+        context_.retryBudget_.spend();
+    }
+    take(step);
 }
 
 void ActiveRequest::closeAttempt(std::error_code code)
@@ -260,10 +312,25 @@
     return head;
 }
 
+void ActiveRequest::emitUsage(Outcome outcome)
+{
+    const bool isCutOff = outcome != Outcome::Run;
+    // An answer that is no success, or that was given to nobody in particular, is not billed.
+    if (!usage_.hasPassedOn() || plan_.account_.isEmpty() || answerHead_.status_ != httpstatus::Ok) {
+        return;
+    }
+    const bool isCompletion = !plan_.target_.model_.isEmpty();
+    const auto figures = isCompletion ? usage_.figures(isCutOff) : UsageFigures{ 1, isCutOff ? 1U : 0U, 0, 0 };
+    context_.usage_.send({ 0, { plan_.account_, plan_.target_.model_ }, figures });
+}
+
 void ActiveRequest::finish(Outcome outcome, std::error_code code)
 {
+    context_.claims_.forget(sequence_);
+    endClaim(outcome);
     closeAttempt(code);
     telemetry_.requestEnded(outcome, code);
+    emitUsage(outcome);
     exchange_->onCallerLeft(nullptr);
     if (const auto onEnd = std::exchange(onEnd_, nullptr)) {
         onEnd();
--- a/src/serve/activerequest.h
+++ b/src/serve/activerequest.h
@@ -3,9 +3,13 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "core/endpointid.h"
+#include "core/outcome.h"
+#include "decide/claimanswer.h"
+#include "decide/claimrequest.h"
 #include "decide/requestmachine.h"
 #include "decide/requestplan.h"
 #include "http/httprequest.h"
@@ -14,6 +18,7 @@
 #include "serve/endpointselection.h"
 #include "serve/requesttelemetry.h"
 #include "serve/suspecttrial.h"
+#include "usage/usagemeter.h"
 
 #include <tl/expected.hpp>
 
@@ -24,6 +29,7 @@
 class CallerExchange;
 struct AttemptFailure;
 struct AttemptPlan;
+struct ClaimVerdict;
 struct EndpointRecord;
 struct RequestFacts;
 struct ServingContext;
@@ -51,6 +57,10 @@
     void carryOut(const struct CompleteStep &step);
     void carryOut(const struct FailStep &step);
 
+    void onClaimVerdict(const ClaimVerdict &verdict);
+    void endClaim(Outcome outcome);
+    std::optional<ClaimAnswer> answerToKeep() const;
+
     void tryAlone();
     void onTurnAlone();
     void onAlone(const EndpointId &endpoint);
@@ -63,10 +73,15 @@
     void failAttempt(const AttemptFailure &failure);
     void closeAttempt(std::error_code code);
     HttpResponseHead callerHead() const;
+    void emitUsage(Outcome outcome);
     void finish(Outcome outcome, std::error_code code);
 
     ServingContext &context_;
     RequestPlan plan_;
+
+    /// What the request claims; it has no key without an idempotency key.
+    ClaimRequest claim_;
+    bool hasClaim_ = false;
     RequestMachine machine_;
     HttpRequest request_;
     std::string key_;
@@ -86,6 +101,7 @@
     HttpResponseHead answerHead_;
     std::string answerBody_;
     AnswerStream stream_;
+    UsageMeter usage_;
 };
 
 } // namespace cowsliphead
--- a/src/serve/attempt.cpp
+++ b/src/serve/attempt.cpp
@@ -62,6 +62,11 @@
     }
 }
 
+bool Attempt::wasOffered() const
+{
+    return call_ && call_->wasOffered();
+}
+
 const EndpointId &Attempt::endpoint() const
 {
     return endpoint_;
--- a/src/serve/attempt.h
+++ b/src/serve/attempt.h
@@ -37,6 +37,9 @@
     /// Thread safety: the serving task only.
     void close();
 
+    /// False only if it is certain that no byte of the request left this process. Thread safety: the serving task only.
+    bool wasOffered() const;
+
     /// Thread safety: the serving task only.
     const EndpointId &endpoint() const;
 
--- a/src/serve/servebehaviour.cpp
+++ b/src/serve/servebehaviour.cpp
@@ -11,6 +11,7 @@
 #include "core/errorcode.h"
 #include "core/randomtext.h"
 #include "decide/authorization.h"
+#include "decide/claimrefusal.h"
 #include "decide/requestplanner.h"
 #include "http/httprequest.h"
 #include "http/httpstatus.h"
@@ -33,7 +34,7 @@
 
 } // namespace
 
-ServeBehaviour::ServeBehaviour(EventLoop &loop, const ServeSettings &settings, Address<Span> spans)
+ServeBehaviour::ServeBehaviour(EventLoop &loop, const ServeSettings &settings, const ServeLinks &links)
     : settings_(settings)
     , context_{ .loop_ = loop,
                 .clock_ = {},
@@ -45,8 +46,11 @@
                 .isolation_ = Isolation(loop),
                 .failureDomain_ = settings.failureDomain_,
                 .incarnation_ = settings.instance_.value() + "-" + randomHex(IncarnationBytes),
+                .claims_ = ClaimClient(links.claimRequests_, links.claimEnds_),
+                .retryBudget_ = {},
                 .metrics_ = {},
-                .spans_ = std::move(spans) }
+                .spans_ = links.spans_,
+                .usage_ = links.usage_ }
     , drain_(settings.drain_)
     , drainCheck_(loop, [this] { checkDrain(); })
     , server_(loop, settings.limits_, [this](HttpRequest request, const std::shared_ptr<CallerExchange> &exchange) { handle(std::move(request), exchange); })
@@ -80,7 +84,7 @@
         exchange->closeConnectionAfter();
     }
     if (active_.size() >= settings_.limits_.maxConcurrentRequests_) {
-        refuse(*exchange, make_error_code(ErrorCode::AccountOverLimit));
+        refuse(request, *exchange, make_error_code(ErrorCode::AccountOverLimit));
         return;
     }
     if (request.path_ == "/v1/models" && request.method_ == HttpMethod::Get) {
@@ -89,7 +93,7 @@
     }
     const auto facts = readRequestFacts(request);
     if (!facts) {
-        refuse(*exchange, facts.error());
+        refuse(request, *exchange, facts.error());
         return;
     }
     begin(*facts, std::move(request), exchange);
@@ -99,9 +103,10 @@
 {
     auto plan = planRequest(*context_.records_, facts, context_.clock_.now());
     if (!plan) {
-        refuse(*exchange, plan.error());
+        refuse(request, *exchange, plan.error());
         return;
     }
+    context_.retryBudget_.requestArrived(context_.records_->policy().retryPercent_);
     const auto place = active_.insert(active_.end(), nullptr);
     *place = std::make_unique<ActiveRequest>(context_, std::move(*plan), facts, std::move(request), exchange);
     (*place)->start([this, place] {
@@ -110,10 +115,12 @@
     });
 }
 
-void ServeBehaviour::refuse(CallerExchange &exchange, std::error_code code)
+void ServeBehaviour::refuse(const HttpRequest &request, CallerExchange &exchange, std::error_code code)
 {
-    context_.metrics_.requests_.increment({ { "account", "" }, { "outcome", outcomeName(Outcome::NotRun) }, { "error", code.message() } });
-    exchange.reply(errorHead(code, Outcome::NotRun), errorBody(code));
+    const bool hasIdempotencyKey = !headerValue(request.headers_, "Idempotency-Key").empty();
+    const auto outcome = unclaimedOutcome(hasIdempotencyKey);
+    context_.metrics_.requests_.increment({ { "account", "" }, { "outcome", outcomeName(outcome) }, { "error", code.message() } });
+    exchange.reply(errorHead(code, outcome), errorBody(code));
 }
 
 void ServeBehaviour::listModels(const HttpRequest &request, CallerExchange &exchange)
@@ -121,7 +128,7 @@
     const auto facts = readRequestFacts(request);
     const auto account = authorize(*context_.records_, facts->key_);
     if (!account) {
-        refuse(exchange, account.error());
+        refuse(request, exchange, account.error());
         return;
     }
     auto models = nlohmann::json::array();
@@ -138,6 +145,11 @@
     context_.records_ = std::move(records);
 }
 
+void ServeBehaviour::take(const ClaimVerdict &verdict)
+{
+    context_.claims_.take(verdict);
+}
+
 void ServeBehaviour::take(DrainRequest /*request*/)
 {
     drain_.begin(context_.clock_.now());
--- a/src/serve/servingcontext.h
+++ b/src/serve/servingcontext.h
@@ -8,8 +8,11 @@
 #include "decide/endpointchooser.h"
 #include "decide/endpointhealth.h"
 #include "decide/quarantine.h"
+#include "decide/retrybudget.h"
+#include "decide/usageentry.h"
 #include "endpoint/endpointpool.h"
 #include "records/recordsnapshot.h"
+#include "serve/claimclient.h"
 #include "serve/isolation.h"
 #include "serve/servemetrics.h"
 #include "task/address.h"
@@ -35,10 +38,15 @@
     /// Identifies this run of the instance, so that no two attempts of the fleet have the same identifier.
     std::string incarnation_;
     std::uint64_t nextRequest_ = 1;
+    ClaimClient claims_;
+    RetryBudget retryBudget_;
     ServeMetrics metrics_;
 
     /// Where ended spans go; nowhere if traces are off.
     Address<Span> spans_;
+
+    /// Takes the usage of each ended request.
+    Address<UsageEntry> usage_;
 };
 
 } // namespace cowsliphead
--- a/tests/serve/servingfleet.cpp
+++ b/tests/serve/servingfleet.cpp
@@ -104,7 +104,7 @@
     settings.instance_ = InstanceId("test");
     port_ = startListening(
                 serve_,
-                [settings](EventLoop &loop) { return std::make_unique<ServeBehaviour>(loop, settings, Address<Span>()); },
+                [settings](EventLoop &loop) { return std::make_unique<ServeBehaviour>(loop, settings, ServeLinks{}); },
                 [](ServeBehaviour &serve) { return serve.listen(); })
                 .value();
     serve_.send(snapshotOf(records));
