--- a/src/decide/requestmachine.cpp
+++ b/src/decide/requestmachine.cpp
@@ -43,6 +43,11 @@
     return fail(make_error_code(ErrorCode::EndpointUnavailable), dispatchedAt_);
 }
 
+RequestStep RequestMachine::refused(std::error_code code)
+{
+    return fail(code, dispatchedAt_);
+}
+
 void RequestMachine::answerStarted()
 {
     isAnswerStarted_ = true;
--- a/src/operate/daemon.h
+++ b/src/operate/daemon.h
@@ -39,7 +39,6 @@
     Task<ClaimBehaviour> claims_;
     Task<UsageBehaviour> usage_;
     Task<ReporterBehaviour> reporter_;
-    Task<ClaimBehaviour> claims_;
     Task<MetricsBehaviour> metrics_;
     Task<TraceBehaviour> traces_;
 };
--- a/src/serve/activerequest.cpp
+++ b/src/serve/activerequest.cpp
@@ -1,7 +1,6 @@
 #include "serve/activerequest.h"
 
 #include <utility>
-#include <vector>
 
 #include "caller/callerexchange.h"
 #include "caller/errorresponse.h"
@@ -14,10 +13,13 @@
 #include "decide/requestfacts.h"
 #include "endpoint/endpointheaders.h"
 #include "endpoint/forwardedrequest.h"
-#include "http/httpcall.h"
 #include "http/httpstatus.h"
+#include "logs/log.h"
 #include "records/recordset.h"
+#include "serve/attempt.h"
+#include "serve/attemptplan.h"
 #include "serve/servingcontext.h"
+#include "task/eventloop.h"
 
 namespace cowsliphead
 {
@@ -28,11 +30,6 @@
 /// W3C's header field for the place in a trace.
 constexpr const char *TraceHeader = "traceparent";
 
-bool isRefusal(int status)
-{
-    return status == httpstatus::ServiceUnavailable || status == httpstatus::TooManyRequests;
-}
-
 } // namespace
 
 ActiveRequest::ActiveRequest(
@@ -42,11 +39,11 @@
     , machine_(plan_.traits_)
     , request_(std::move(request))
     , key_(facts.key_)
-    , isStreamed_(facts.isStreamed_)
+    , wantsStream_(facts.isStreamed_)
     , exchange_(std::move(exchange))
     , telemetry_(context, plan_.account_, headerValue(request_.headers_, TraceHeader))
     , sequence_(context.nextRequest_++)
-    , silence_(context.loop_, [this] { onSilence(); })
+    , trial_(context, request_, sequence_)
 {
     if (plan_.traits_.needsClaim_) {
         claim_.key_ = claimKey(plan_.account_, facts.idempotencyKey_);
@@ -57,12 +54,7 @@
     }
 }
 
-ActiveRequest::~ActiveRequest()
-{
-    if (call_) {
-        call_->cancel();
-    }
-}
+ActiveRequest::~ActiveRequest() = default;
 
 void ActiveRequest::start(OnEnd onEnd)
 {
@@ -93,6 +85,7 @@
         take(machine_.claimGranted(context_.clock_.now(), verdict.validUntil_));
     } else if (verdict.kind_ == ClaimVerdictKind::Replayed) {
         isStreamed_ = false;
+        isReplay_ = true;
         answerHead_ = { verdict.answer_->status_, { { "Content-Type", verdict.answer_->contentType_ } } };
         answerBody_ = verdict.answer_->body_;
         take(machine_.claimReplayed());
@@ -113,20 +106,31 @@
 
 std::optional<ClaimAnswer> ActiveRequest::answerToKeep() const
 {
-    if (isStreamed_ || answerBody_.size() > ClaimLimits().longestAnswer_ || !isEncodable(answerBody_)) {
+    const auto contentType = headerValue(answerHead_.headers_, "Content-Type");
+    if (isStreamed_ || answerBody_.size() > ClaimLimits().longestAnswer_ || !isEncodable(contentType + answerBody_)) {
         return std::nullopt;
     }
-    return ClaimAnswer{ answerHead_.status_, headerValue(answerHead_.headers_, "Content-Type"), answerBody_ };
+    return ClaimAnswer{ answerHead_.status_, contentType, answerBody_ };
 }
 
 void ActiveRequest::carryOut(const DispatchStep &step)
 {
-    const auto *endpoint = chooseEndpoint();
+    attemptNumber_ = step.attempt_;
+    const auto standing = trial_.standing();
+    if (standing == RequestStanding::Quarantined) {
+        take(machine_.refused(make_error_code(ErrorCode::RequestQuarantined)));
+        return;
+    }
+    if (standing == RequestStanding::Suspect) {
+        tryAlone();
+        return;
+    }
+    const auto *endpoint = selection_.choose(context_, plan_.target_);
     if (endpoint == nullptr) {
         take(machine_.noEndpoint());
         return;
     }
-    send(*endpoint, step.attempt_);
+    send(*endpoint);
 }
 
 void ActiveRequest::carryOut(const CompleteStep & /*step*/)
@@ -144,6 +148,7 @@
 void ActiveRequest::carryOut(const FailStep &step)
 {
     if (exchange_->isStarted()) {
+        logEvent(LogEvent::AnswerAborted, { { "request", sequence_ }, { "code", step.code_.message() } });
         exchange_->abort();
     } else {
         exchange_->reply(errorHead(step.code_, step.outcome_), errorBody(step.code_));
@@ -151,117 +156,150 @@
     finish(step.outcome_, step.code_);
 }
 
-const EndpointRecord *ActiveRequest::chooseEndpoint() const
+void ActiveRequest::tryAlone()
 {
-    std::vector<const EndpointRecord *> candidates;
-    const auto &target = plan_.target_;
-    const auto &records = *context_.records_;
-    const auto &serving = target.model_.isEmpty() ? records.endpointsOf(target.service_) : records.enginesOf(target.model_);
-    for (const auto *endpoint : serving) {
-        if (!endpoint->isDraining_ && !failedEndpoints_.contains(endpoint->endpoint_)) {
-            candidates.push_back(endpoint);
-        }
+    trial_.begin(
+        plan_.traits_.deadline_, [this] { onTurnAlone(); }, [this] { take(machine_.refused(make_error_code(ErrorCode::DeadlineUnreachable))); });
+}
+
+void ActiveRequest::onTurnAlone()
+{
+    // While it waited, the same request may have crashed another endpoint.
+    if (trial_.standing() == RequestStanding::Quarantined) {
+        take(machine_.refused(make_error_code(ErrorCode::RequestQuarantined)));
+        return;
+    }
+    const auto *endpoint = selection_.choose(context_, plan_.target_);
+    if (endpoint == nullptr) {
+        take(machine_.noEndpoint());
+        return;
+    }
+    trial_.reserve(endpoint->endpoint_, [this, id = endpoint->endpoint_] { onAlone(id); });
+}
+
+void ActiveRequest::onAlone(const EndpointId &endpoint)
+{
+    const auto *record = context_.records_->endpoint(endpoint);
+    if (record == nullptr) {
+        take(machine_.noEndpoint());
+        return;
     }
-    return context_.chooser_.choose(candidates, [this](const EndpointId &endpoint) { return context_.pool_.load(endpoint); });
+    send(*record);
 }
 
-void ActiveRequest::send(const EndpointRecord &endpoint, std::uint32_t attempt)
+void ActiveRequest::send(const EndpointRecord &endpoint)
 {
-    endpoint_ = endpoint.endpoint_;
-    attemptId_ = context_.incarnation_ + "-" + std::to_string(sequence_) + "-" + std::to_string(attempt);
+    const auto id = context_.incarnation_ + "-" + std::to_string(sequence_) + "-" + std::to_string(attemptNumber_);
     answerHead_ = {};
     answerBody_.clear();
-    HttpCallEvents events;
+    stream_.beginAttempt(id);
+    auto forwarded = forwardedRequest(request_, endpoint, key_, id);
+    if (stream_.eventCount() > 0) {
+        logEvent(LogEvent::AnswerResumed, { { "attempt", id }, { "endpoint", endpoint.endpoint_.value() }, { "from", stream_.eventCount() } });
+        forwarded.headers_.emplace_back(endpointheaders::ResumeFrom, std::to_string(stream_.eventCount()));
+    }
+    AttemptEvents events;
     events.onHead_ = [this](const HttpResponseHead &head) { onHead(head); };
     events.onData_ = [this](std::string_view data) { onData(data); };
-    events.onEnd_ = [this](const tl::expected<void, HttpCallFailure> &end) { onEnd(end); };
-    auto forwarded = forwardedRequest(request_, endpoint, key_, attemptId_);
+    events.onEnd_ = [this](const tl::expected<void, AttemptFailure> &end) { onEnd(end); };
     std::erase_if(forwarded.headers_, [](const auto &field) { return isSameHeader(field.first, TraceHeader); });
     forwarded.headers_.emplace_back(TraceHeader, telemetry_.attemptStarted(endpoint.endpoint_));
-    call_ = context_.pool_.call(endpoint, forwarded, std::move(events));
-    silence_.startOnce(plan_.firstByteTimeout_);
+    attempt_ = std::make_unique<Attempt>(context_, endpoint, id);
+    attempt_->start(endpoint, forwarded, attemptPlan(), std::move(events));
+}
+
+AttemptPlan ActiveRequest::attemptPlan() const
+{
+    AttemptPlan plan{ plan_.firstByteTimeout_, plan_.silenceTimeout_, ConnectionChoice::Any };
+    if (!wantsStream_ && !plan_.target_.model_.isEmpty()) {
+        // A whole completion shows nothing until its last token.
+        plan.firstByteTimeout_ = std::chrono::ceil<std::chrono::milliseconds>(plan_.traits_.deadline_ - context_.clock_.now());
+    }
+    // The server may be closing an idle connection, or it may have gone silent: neither shall cost a request its only or its second attempt.
+    if (!plan_.traits_.isRepeatable_ || attemptNumber_ > 1) {
+        plan.connection_ = ConnectionChoice::Fresh;
+    }
+    return plan;
 }
 
 void ActiveRequest::onHead(const HttpResponseHead &head)
 {
     answerHead_ = head;
-    if (headerValue(head.headers_, endpointheaders::RequestId) != attemptId_) {
+    const bool isEventStream = headerValue(head.headers_, "Content-Type").starts_with("text/event-stream");
+    isStreamed_ = wantsStream_ && head.status_ == httpstatus::Ok && isEventStream;
+    const bool fits = isStreamed_ ? stream_.mayJoin(headerValue(head.headers_, endpointheaders::ResumeFrom)) : !exchange_->isStarted();
+    if (!fits) {
         failAttempt({ make_error_code(ErrorCode::EndpointAnswerMalformed), true, false });
-        return;
-    }
-    const bool isEngine = !plan_.target_.model_.isEmpty();
-    if (isEngine && isRefusal(head.status_)) {
-        failAttempt({ make_error_code(ErrorCode::EndpointRefused), true, true });
-    } else if (isEngine && head.status_ >= httpstatus::InternalServerError) {
-        failAttempt({ make_error_code(ErrorCode::EndpointLost), true, false });
-    } else if (head.status_ != httpstatus::Ok) {
-        isStreamed_ = false;
     }
 }
 
 void ActiveRequest::onData(std::string_view data)
 {
-    silence_.startOnce(plan_.silenceTimeout_);
-    if (isStreamed_) {
-        forwardStreamed(data);
-    } else {
+    if (!isStreamed_) {
         answerBody_.append(data);
+        return;
+    }
+    const auto events = stream_.add(data);
+    if (events.empty()) {
+        return;
     }
-}
-
-void ActiveRequest::forwardStreamed(std::string_view data)
-{
     if (!exchange_->isStarted()) {
         machine_.answerStarted();
         telemetry_.answerStarted();
         exchange_->startChunks(callerHead());
     }
-    usage_.takeStreamed(data);
-    exchange_->sendChunk(data);
+    usage_.takeStreamed(events);
+    exchange_->sendChunk(events);
 }
 
-void ActiveRequest::onEnd(const tl::expected<void, HttpCallFailure> &end)
+void ActiveRequest::onEnd(const tl::expected<void, AttemptFailure> &end)
 {
-    if (!end) {
-        failAttempt({ end.error().code_, end.error().wasOffered_, false });
+    if (isStreamed_ && !stream_.isWhole()) {
+        failAttempt(end ? AttemptFailure{ make_error_code(ErrorCode::EndpointLost), true, false } : end.error());
+        return;
+    }
+    if (!end && !isStreamed_) {
+        failAttempt(end.error());
         return;
     }
-    releaseEndpoint({});
+    trial_.noteAnswered();
+    closeAttempt({});
     take(machine_.answerEnded());
 }
 
-void ActiveRequest::onSilence()
-{
-    const bool wasOffered = call_->wasOffered();
-    failAttempt({ make_error_code(ErrorCode::EndpointTimedOut), wasOffered, false });
-}
-
 void ActiveRequest::onCallerLeft()
 {
-    const bool mayHaveRun = machine_.mayHaveRun() || (call_ && call_->wasOffered());
+    const bool mayHaveRun = machine_.mayHaveRun() || (attempt_ && attempt_->wasOffered());
     finish(mayHaveRun ? Outcome::Unknown : Outcome::NotRun, make_error_code(ErrorCode::CallerLeft));
 }
 
-void ActiveRequest::failAttempt(const AttemptFailure &attempt)
+void ActiveRequest::failAttempt(const AttemptFailure &failure)
 {
-    failedEndpoints_.insert(endpoint_);
-    releaseEndpoint(attempt.code_);
-    const bool mayRetry = !exchange_->isStarted() && context_.retryBudget_.mayRetry();
-    const auto step = machine_.attemptFailed(attempt, mayRetry, context_.clock_.now());
+    if (failure.isCrash_) {
+        trial_.noteCrash(attempt_->endpoint());
+    }
+    if (failure.isConnectionInDoubt_) {
+        selection_.markDoubtful(attempt_->endpoint());
+    } else {
+        selection_.markFailed(attempt_->endpoint());
+    }
+    closeAttempt(failure.code_);
+    const auto step = machine_.attemptFailed(failure, context_.retryBudget_.mayRetry(), context_.clock_.now());
     if (std::holds_alternative<DispatchStep>(step)) {
         context_.retryBudget_.spend();
     }
     take(step);
 }
 
-void ActiveRequest::releaseEndpoint(std::error_code code)
+void ActiveRequest::closeAttempt(std::error_code code)
 {
-    silence_.cancel();
-    if (call_) {
-        std::exchange(call_, nullptr)->cancel();
-        context_.pool_.release(endpoint_);
+    if (attempt_) {
+        attempt_->close();
         telemetry_.attemptEnded(code);
+        // The attempt may be inside one of its own events, so it is destroyed in a later turn.
+        context_.loop_.defer([ended = std::shared_ptr<Attempt>(std::move(attempt_))] {});
     }
+    trial_.end();
 }
 
 HttpResponseHead ActiveRequest::callerHead() const
@@ -279,8 +317,8 @@
 void ActiveRequest::emitUsage(Outcome outcome)
 {
     const bool isCutOff = outcome != Outcome::Run;
-    // An answer that is no success, or that was given to nobody in particular, is not billed.
-    if (!usage_.hasPassedOn() || plan_.account_.isEmpty() || answerHead_.status_ != httpstatus::Ok) {
+    // An answer that is no success, that was given to nobody in particular, or that was billed before, is not billed.
+    if (isReplay_ || !usage_.hasPassedOn() || plan_.account_.isEmpty() || answerHead_.status_ != httpstatus::Ok) {
         return;
     }
     const bool isCompletion = !plan_.target_.model_.isEmpty();
@@ -292,7 +330,7 @@
 {
     context_.claims_.forget(sequence_);
     endClaim(outcome);
-    releaseEndpoint(code);
+    closeAttempt(code);
     telemetry_.requestEnded(outcome, code);
     emitUsage(outcome);
     exchange_->onCallerLeft(nullptr);
--- a/src/serve/activerequest.h
+++ b/src/serve/activerequest.h
@@ -4,7 +4,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "core/endpointid.h"
@@ -13,11 +12,12 @@
 #include "decide/claimrequest.h"
 #include "decide/requestmachine.h"
 #include "decide/requestplan.h"
-#include "http/httpcallfailure.h"
 #include "http/httprequest.h"
 #include "http/httpresponsehead.h"
+#include "serve/answerstream.h"
+#include "serve/endpointselection.h"
 #include "serve/requesttelemetry.h"
-#include "task/timer.h"
+#include "serve/suspecttrial.h"
 #include "usage/usagemeter.h"
 
 #include <tl/expected.hpp>
@@ -25,9 +25,10 @@
 namespace cowsliphead
 {
 
+class Attempt;
 class CallerExchange;
-class HttpCall;
 struct AttemptFailure;
+struct AttemptPlan;
 struct ClaimVerdict;
 struct EndpointRecord;
 struct RequestFacts;
@@ -60,16 +61,17 @@
     void endClaim(Outcome outcome);
     std::optional<ClaimAnswer> answerToKeep() const;
 
-    const EndpointRecord *chooseEndpoint() const;
-    void send(const EndpointRecord &endpoint, std::uint32_t attempt);
+    void tryAlone();
+    void onTurnAlone();
+    void onAlone(const EndpointId &endpoint);
+    void send(const EndpointRecord &endpoint);
+    AttemptPlan attemptPlan() const;
     void onHead(const HttpResponseHead &head);
     void onData(std::string_view data);
-    void onEnd(const tl::expected<void, HttpCallFailure> &end);
-    void onSilence();
+    void onEnd(const tl::expected<void, AttemptFailure> &end);
     void onCallerLeft();
-    void failAttempt(const AttemptFailure &attempt);
-    void releaseEndpoint(std::error_code code);
-    void forwardStreamed(std::string_view data);
+    void failAttempt(const AttemptFailure &failure);
+    void closeAttempt(std::error_code code);
     HttpResponseHead callerHead() const;
     void emitUsage(Outcome outcome);
     void finish(Outcome outcome, std::error_code code);
@@ -80,23 +82,29 @@
     /// What the request claims; it has no key without an idempotency key.
     ClaimRequest claim_;
     bool hasClaim_ = false;
+
+    /// True if the answer is that of an earlier sending.
+    bool isReplay_ = false;
     RequestMachine machine_;
     HttpRequest request_;
     std::string key_;
-    bool isStreamed_;
+
+    /// True if the caller wants a stream; isStreamed_ is true if the attempt's answer is one.
+    bool wantsStream_;
+    bool isStreamed_ = false;
     std::shared_ptr<CallerExchange> exchange_;
     OnEnd onEnd_;
 
     RequestTelemetry telemetry_;
     std::uint64_t sequence_;
-    std::string attemptId_;
-    std::shared_ptr<HttpCall> call_;
-    EndpointId endpoint_;
-    std::set<EndpointId> failedEndpoints_;
+    std::uint32_t attemptNumber_ = 0;
+    std::unique_ptr<Attempt> attempt_;
+    SuspectTrial trial_;
+    EndpointSelection selection_;
     HttpResponseHead answerHead_;
     std::string answerBody_;
+    AnswerStream stream_;
     UsageMeter usage_;
-    Timer silence_;
 };
 
 } // namespace cowsliphead
--- a/src/serve/servingcontext.h
+++ b/src/serve/servingcontext.h
@@ -7,11 +7,14 @@
 #include "core/systemclock.h"
 #include "core/time.h"
 #include "decide/endpointchooser.h"
+#include "decide/endpointhealth.h"
+#include "decide/quarantine.h"
 #include "decide/retrybudget.h"
 #include "decide/usageentry.h"
 #include "endpoint/endpointpool.h"
 #include "records/recordsnapshot.h"
 #include "serve/claimclient.h"
+#include "serve/isolation.h"
 #include "serve/servemetrics.h"
 #include "task/address.h"
 #include "traces/span.h"
@@ -30,6 +33,9 @@
     MonotonicTime recordsConfirmedAt_{};
     EndpointPool pool_;
     EndpointChooser chooser_;
+    EndpointHealth health_;
+    Quarantine quarantine_;
+    Isolation isolation_;
     FailureDomain failureDomain_;
 
     /// Identifies this run of the instance, so that no two attempts of the fleet have the same identifier.
