--- a/src/core/errorcode.cpp
+++ b/src/core/errorcode.cpp
@@ -1,6 +1,9 @@
 #include "core/errorcode.h"
 
+#include <algorithm>
+#include <array>
 #include <string>
+#include <utility>
 
 namespace cowsliphead
 {
@@ -8,6 +11,47 @@
 namespace
 {
 
+constexpr auto ErrorNames = std::to_array<std::pair<ErrorCode, const char *>>({
+    { ErrorCode::KeyMissing, "key_missing" },
+    { ErrorCode::KeyUnknown, "key_unknown" },
+    { ErrorCode::KeyNotAllowed, "key_not_allowed" },
+    { ErrorCode::RequestMalformed, "request_malformed" },
+    { ErrorCode::RequestTooLarge, "request_too_large" },
+    { ErrorCode::RouteUnknown, "route_unknown" },
+    { ErrorCode::ModelUnknown, "model_unknown" },
+    { ErrorCode::EndpointUnavailable, "endpoint_unavailable" },
+    { ErrorCode::EndpointRefused, "endpoint_refused" },
+    { ErrorCode::EndpointLost, "endpoint_lost" },
+    { ErrorCode::EndpointTimedOut, "endpoint_timed_out" },
+    { ErrorCode::EndpointAnswerMalformed, "endpoint_answer_malformed" },
+    { ErrorCode::RetryBudgetSpent, "retry_budget_spent" },
+    { ErrorCode::DeadlineUnreachable, "deadline_unreachable" },
+    { ErrorCode::AccountOverLimit, "account_over_limit" },
+    { ErrorCode::RequestQuarantined, "request_quarantined" },
+    { ErrorCode::IdempotencyKeyInUse, "idempotency_key_in_use" },
+    { ErrorCode::IdempotencyKeyReused, "idempotency_key_reused" },
+    { ErrorCode::IdempotencyKeyRequired, "idempotency_key_required" },
+    { ErrorCode::StoreUnavailable, "store_unavailable" },
+    { ErrorCode::StoreConflict, "store_conflict" },
+    { ErrorCode::StoreValueTooLarge, "store_value_too_large" },
+    { ErrorCode::StoreLeaseUnknown, "store_lease_unknown" },
+    { ErrorCode::StoreAnswerMalformed, "store_answer_malformed" },
+    { ErrorCode::RecordMalformed, "record_malformed" },
+    { ErrorCode::RecordSchemaUnknown, "record_schema_unknown" },
+    { ErrorCode::RecordUnknown, "record_unknown" },
+    { ErrorCode::SettingsMalformed, "settings_malformed" },
+    { ErrorCode::CodecMalformed, "codec_malformed" },
+    { ErrorCode::ListenFailed, "listen_failed" },
+    { ErrorCode::Draining, "draining" },
+    { ErrorCode::CallerLeft, "caller_left" },
+    { ErrorCode::RecordsNotLoaded, "records_not_loaded" },
+    { ErrorCode::TlsFilesUnusable, "tls_files_unusable" },
+    { ErrorCode::PlatformUnavailable, "platform_unavailable" },
+    { ErrorCode::PlatformRefused, "platform_refused" },
+    { ErrorCode::OrderWithheld, "order_withheld" },
+    { ErrorCode::RecordsTooOld, "records_too_old" },
+});
+
 class ErrorCategory final : public std::error_category
 {
 public:
@@ -37,85 +81,8 @@
 
 const char *errorName(ErrorCode code) noexcept
 {
-    switch (code) {
-    case ErrorCode::KeyMissing:
-        return "key_missing";
-    case ErrorCode::KeyUnknown:
-        return "key_unknown";
-    case ErrorCode::KeyNotAllowed:
-        return "key_not_allowed";
-    case ErrorCode::RequestMalformed:
-        return "request_malformed";
-    case ErrorCode::RequestTooLarge:
-        return "request_too_large";
-    case ErrorCode::RouteUnknown:
-        return "route_unknown";
-    case ErrorCode::ModelUnknown:
-        return "model_unknown";
-    case ErrorCode::EndpointUnavailable:
-        return "endpoint_unavailable";
-    case ErrorCode::EndpointRefused:
-        return "endpoint_refused";
-    case ErrorCode::EndpointLost:
-        return "endpoint_lost";
-    case ErrorCode::EndpointTimedOut:
-        return "endpoint_timed_out";
-    case ErrorCode::EndpointAnswerMalformed:
-        return "endpoint_answer_malformed";
-    case ErrorCode::RetryBudgetSpent:
-        return "retry_budget_spent";
-    case ErrorCode::DeadlineUnreachable:
-        return "deadline_unreachable";
-    case ErrorCode::AccountOverLimit:
-        return "account_over_limit";
-    case ErrorCode::RequestQuarantined:
-        return "request_quarantined";
-    case ErrorCode::IdempotencyKeyInUse:
-        return "idempotency_key_in_use";
-    case ErrorCode::IdempotencyKeyReused:
-        return "idempotency_key_reused";
-    case ErrorCode::IdempotencyKeyRequired:
-        return "idempotency_key_required";
-    case ErrorCode::StoreUnavailable:
-        return "store_unavailable";
-    case ErrorCode::StoreConflict:
-        return "store_conflict";
-    case ErrorCode::StoreValueTooLarge:
-        return "store_value_too_large";
-    case ErrorCode::StoreLeaseUnknown:
-        return "store_lease_unknown";
-    case ErrorCode::StoreAnswerMalformed:
-        return "store_answer_malformed";
-    case ErrorCode::RecordMalformed:
-        return "record_malformed";
-    case ErrorCode::RecordSchemaUnknown:
-        return "record_schema_unknown";
-    case ErrorCode::RecordUnknown:
-        return "record_unknown";
-    case ErrorCode::SettingsMalformed:
-        return "settings_malformed";
-    case ErrorCode::CodecMalformed:
-        return "codec_malformed";
-    case ErrorCode::ListenFailed:
-        return "listen_failed";
-    case ErrorCode::Draining:
-        return "draining";
-    case ErrorCode::CallerLeft:
-        return "caller_left";
-    case ErrorCode::RecordsNotLoaded:
-        return "records_not_loaded";
-    case ErrorCode::TlsFilesUnusable:
-        return "tls_files_unusable";
-    case ErrorCode::PlatformUnavailable:
-        return "platform_unavailable";
-    case ErrorCode::PlatformRefused:
-        return "platform_refused";
-    case ErrorCode::OrderWithheld:
-        return "order_withheld";
-    case ErrorCode::RecordsTooOld:
-        return "records_too_old";
-    }
-    return "unknown_error";
+    const auto found = std::find_if(ErrorNames.begin(), ErrorNames.end(), [code](const auto &entry) { return entry.first == code; });
+    return found == ErrorNames.end() ? "unknown_error" : found->second;
 }
 
 } // namespace cowsliphead
--- /dev/null
+++ b/src/decide/followpeer.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "decide/peeraddress.h"
+
+namespace cowsliphead
+{
+
+/// Ask this peer for what follows the own revision.
+struct FollowPeer {
+    PeerAddress address_;
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/decide/followstore.h
@@ -0,0 +1,10 @@
+#pragma once
+
+namespace cowsliphead
+{
+
+/// Ask the store for what follows the own revision.
+struct FollowStore {
+};
+
+} // namespace cowsliphead
--- a/src/duty/recordspreader.h
+++ b/src/duty/recordspreader.h
@@ -42,11 +42,11 @@
     static constexpr std::chrono::milliseconds TickInterval{ 50 };
 
     /// Precondition: clock, store and link outlive the spreader. Thread safety: the store's task only.
-    RecordSpreader(const C &clock, S &store, L &link, Member self, std::vector<PeerAddress> seeds, std::uint64_t seed, Listener listener)
+    RecordSpreader(const C &clock, S &store, L &link, const Member &self, std::vector<PeerAddress> seeds, std::uint64_t seed, Listener listener)
         : clock_(clock)
         , link_(link)
         , listener_(std::move(listener))
-        , members_(std::move(self))
+        , members_(self)
         , decision_(std::move(seeds), limits_, seed)
         , reader_(store, log_)
         , seat_(clock, store, members_, seed)
--- a/src/metrics/metricsbehaviour.cpp
+++ b/src/metrics/metricsbehaviour.cpp
@@ -34,7 +34,7 @@
     return server_.listen(address, port);
 }
 
-void MetricsBehaviour::receive(Message message)
+void MetricsBehaviour::receive(const Message &message)
 {
     const auto found = scrapes_.find(message.query_);
     if (found == scrapes_.end()) {
--- a/src/metrics/metricsbehaviour.h
+++ b/src/metrics/metricsbehaviour.h
@@ -34,7 +34,7 @@
     Result<std::uint16_t> listen(const std::string &address, std::uint16_t port);
 
     /// Takes a task's answer. Thread safety: the loop's task only.
-    void receive(Message message);
+    void receive(const Message &message);
 
 private:
     struct Scrape {
--- a/src/serve/activerequest.cpp
+++ b/src/serve/activerequest.cpp
@@ -2,12 +2,11 @@
 
 #include <utility>
 
+#include "caller/answerhead.h"
 #include "caller/callerexchange.h"
 #include "caller/errorresponse.h"
-#include "claim/claimcodec.h"
 #include "core/errorcode.h"
 #include "decide/attemptfailure.h"
-#include "decide/claimlimits.h"
 #include "decide/claimrefusal.h"
 #include "decide/claimverdict.h"
 #include "decide/requestfacts.h"
@@ -43,15 +42,9 @@
     , exchange_(std::move(exchange))
     , telemetry_(context, plan_.account_, headerValue(request_.headers_, TraceHeader))
     , sequence_(context.nextRequest_++)
+    , claim_(context, plan_, facts, request_, sequence_)
     , trial_(context, request_, sequence_)
 {
-    if (plan_.traits_.needsClaim_) {
-        claim_.key_ = claimKey(plan_.account_, facts.idempotencyKey_);
-        claim_.fingerprint_ = requestFingerprint(httpMethodName(request_.method_), request_.path_ + "?" + request_.query_, request_.body_);
-        claim_.owner_ = { context_.incarnation_, sequence_ };
-        claim_.receivedAt_ = context_.clock_.wallNow();
-        claim_.askedAt_ = context_.clock_.now();
-    }
 }
 
 ActiveRequest::~ActiveRequest() = default;
@@ -75,13 +68,13 @@
 
 void ActiveRequest::carryOut(const ClaimStep & /*step*/)
 {
-    context_.claims_.ask(claim_, [this](const ClaimVerdict &verdict) { onClaimVerdict(verdict); });
+    claim_.ask([this](const ClaimVerdict &verdict) { onClaimVerdict(verdict); });
 }
 
 void ActiveRequest::onClaimVerdict(const ClaimVerdict &verdict)
 {
     if (verdict.kind_ == ClaimVerdictKind::Granted) {
-        hasClaim_ = true;
+        claim_.granted();
         take(machine_.claimGranted(context_.clock_.now(), verdict.validUntil_));
     } else if (verdict.kind_ == ClaimVerdictKind::Replayed) {
         isStreamed_ = false;
@@ -94,25 +87,6 @@
     }
 }
 
-void ActiveRequest::endClaim(Outcome outcome)
-{
-    // The claim of a request that may have run stays, so that no later sending runs it again.
-    if (std::exchange(hasClaim_, false) && outcome != Outcome::Unknown) {
-        const bool hasRun = outcome == Outcome::Run;
-        const auto giveUpAt = context_.clock_.now() + ClaimLimits().endPatience_;
-        context_.claims_.end({ claim_.key_, claim_.owner_, hasRun, context_.clock_.wallNow(), giveUpAt, hasRun ? answerToKeep() : std::nullopt });
-    }
-}
-
-std::optional<ClaimAnswer> ActiveRequest::answerToKeep() const
-{
-    const auto contentType = headerValue(answerHead_.headers_, "Content-Type");
-    if (isStreamed_ || answerBody_.size() > ClaimLimits().longestAnswer_ || !isEncodable(contentType + answerBody_)) {
-        return std::nullopt;
-    }
-    return ClaimAnswer{ answerHead_.status_, contentType, answerBody_ };
-}
-
 void ActiveRequest::carryOut(const DispatchStep &step)
 {
     attemptNumber_ = step.attempt_;
@@ -140,7 +114,7 @@
     } else {
         telemetry_.answerStarted();
         usage_.takeWhole(answerBody_);
-        exchange_->reply(callerHead(), answerBody_);
+        exchange_->reply(answerHeadFor(answerHead_), answerBody_);
     }
     finish(Outcome::Run, {});
 }
@@ -205,21 +179,7 @@
     std::erase_if(forwarded.headers_, [](const auto &field) { return isSameHeader(field.first, TraceHeader); });
     forwarded.headers_.emplace_back(TraceHeader, telemetry_.attemptStarted(endpoint.endpoint_));
     attempt_ = std::make_unique<Attempt>(context_, endpoint, id);
-    attempt_->start(endpoint, forwarded, attemptPlan(), std::move(events));
-}
-
-AttemptPlan ActiveRequest::attemptPlan() const
-{
-    AttemptPlan plan{ plan_.firstByteTimeout_, plan_.silenceTimeout_, ConnectionChoice::Any };
-    if (!wantsStream_ && !plan_.target_.model_.isEmpty()) {
-        // A whole completion shows nothing until its last token.
-        plan.firstByteTimeout_ = std::chrono::ceil<std::chrono::milliseconds>(plan_.traits_.deadline_ - context_.clock_.now());
-    }
-    // The server may be closing an idle connection, or it may have gone silent: neither shall cost a request its only or its second attempt.
-    if (!plan_.traits_.isRepeatable_ || attemptNumber_ > 1) {
-        plan.connection_ = ConnectionChoice::Fresh;
-    }
-    return plan;
+    attempt_->start(endpoint, forwarded, planAttempt(plan_, wantsStream_, attemptNumber_, context_.clock_.now()), std::move(events));
 }
 
 void ActiveRequest::onHead(const HttpResponseHead &head)
@@ -246,7 +206,7 @@
     if (!exchange_->isStarted()) {
         machine_.answerStarted();
         telemetry_.answerStarted();
-        exchange_->startChunks(callerHead());
+        exchange_->startChunks(answerHeadFor(answerHead_));
     }
     usage_.takeStreamed(events);
     exchange_->sendChunk(events);
@@ -302,18 +262,6 @@
     trial_.end();
 }
 
-HttpResponseHead ActiveRequest::callerHead() const
-{
-    HttpResponseHead head;
-    head.status_ = answerHead_.status_;
-    const auto contentType = headerValue(answerHead_.headers_, "Content-Type");
-    if (!contentType.empty()) {
-        head.headers_.emplace_back("Content-Type", contentType);
-    }
-    head.headers_.emplace_back(OutcomeHeader, outcomeName(Outcome::Run));
-    return head;
-}
-
 void ActiveRequest::emitUsage(Outcome outcome)
 {
     const bool isCutOff = outcome != Outcome::Run;
@@ -328,8 +276,7 @@
 
 void ActiveRequest::finish(Outcome outcome, std::error_code code)
 {
-    context_.claims_.forget(sequence_);
-    endClaim(outcome);
+    claim_.end(outcome, isStreamed_ ? std::nullopt : RequestClaim::answerToKeep(answerHead_, answerBody_));
     closeAttempt(code);
     telemetry_.requestEnded(outcome, code);
     emitUsage(outcome);
--- a/src/serve/activerequest.h
+++ b/src/serve/activerequest.h
@@ -3,19 +3,17 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 
 #include "core/endpointid.h"
 #include "core/outcome.h"
-#include "decide/claimanswer.h"
-#include "decide/claimrequest.h"
 #include "decide/requestmachine.h"
 #include "decide/requestplan.h"
 #include "http/httprequest.h"
 #include "http/httpresponsehead.h"
 #include "serve/answerstream.h"
 #include "serve/endpointselection.h"
+#include "serve/requestclaim.h"
 #include "serve/requesttelemetry.h"
 #include "serve/suspecttrial.h"
 #include "usage/usagemeter.h"
@@ -28,7 +26,6 @@
 class Attempt;
 class CallerExchange;
 struct AttemptFailure;
-struct AttemptPlan;
 struct ClaimVerdict;
 struct EndpointRecord;
 struct RequestFacts;
@@ -58,31 +55,23 @@
     void carryOut(const struct FailStep &step);
 
     void onClaimVerdict(const ClaimVerdict &verdict);
-    void endClaim(Outcome outcome);
-    std::optional<ClaimAnswer> answerToKeep() const;
 
     void tryAlone();
     void onTurnAlone();
     void onAlone(const EndpointId &endpoint);
     void send(const EndpointRecord &endpoint);
-    AttemptPlan attemptPlan() const;
     void onHead(const HttpResponseHead &head);
     void onData(std::string_view data);
     void onEnd(const tl::expected<void, AttemptFailure> &end);
     void onCallerLeft();
     void failAttempt(const AttemptFailure &failure);
     void closeAttempt(std::error_code code);
-    HttpResponseHead callerHead() const;
     void emitUsage(Outcome outcome);
     void finish(Outcome outcome, std::error_code code);
 
     ServingContext &context_;
     RequestPlan plan_;
 
-    /// What the request claims; it has no key without an idempotency key.
-    ClaimRequest claim_;
-    bool hasClaim_ = false;
-
     /// True if the answer is that of an earlier sending.
     bool isReplay_ = false;
     RequestMachine machine_;
@@ -97,6 +86,7 @@
 
     RequestTelemetry telemetry_;
     std::uint64_t sequence_;
+    RequestClaim claim_;
     std::uint32_t attemptNumber_ = 0;
     std::unique_ptr<Attempt> attempt_;
     SuspectTrial trial_;
