--- a/tests/admission/fairqueuetest.cpp
+++ b/tests/admission/fairqueuetest.cpp
@@ -15,8 +15,8 @@
 
 using Ticket = int;
 
-const AccountId press("press");
-const AccountId mill("mill");
+const AccountId Press("press");
+const AccountId Mill("mill");
 
 Waiting<Ticket> waitingFor(Ticket ticket, TokenCost cost)
 {
@@ -40,12 +40,12 @@
     const auto weights = *rc::gen::pair(rc::gen::inRange(1U, 10U), rc::gen::inRange(1U, 10U));
     FairQueue<Ticket> queue;
     for (int ticket = 0; ticket < 400; ++ticket) {
-        queue.push(press, weights.first, waitingFor(ticket, *rc::gen::inRange<TokenCost>(1, LargestCost)));
-        queue.push(mill, weights.second, waitingFor(1000 + ticket, *rc::gen::inRange<TokenCost>(1, LargestCost)));
+        queue.push(Press, weights.first, waitingFor(ticket, *rc::gen::inRange<TokenCost>(1, LargestCost)));
+        queue.push(Mill, weights.second, waitingFor(1000 + ticket, *rc::gen::inRange<TokenCost>(1, LargestCost)));
     }
     double pressShare = 0;
     double millShare = 0;
-    while (queue.size(press) > 0 && queue.size(mill) > 0) {
+    while (queue.size(Press) > 0 && queue.size(Mill) > 0) {
         const auto taken = queue.pop();
         (taken->ticket_ < 1000 ? pressShare : millShare) += static_cast<double>(taken->cost_) / (taken->ticket_ < 1000 ? weights.first : weights.second);
         RC_ASSERT(std::abs(pressShare - millShare) <= 2.0 * LargestCost);
@@ -56,13 +56,13 @@
 {
     FairQueue<Ticket> queue;
     for (int ticket = 0; ticket < 100; ++ticket) {
-        queue.push(press, 1, waitingFor(ticket, 10));
+        queue.push(Press, 1, waitingFor(ticket, 10));
     }
     for (int taken = 0; taken < 50; ++taken) {
         queue.pop();
     }
     for (int ticket = 0; ticket < 10; ++ticket) {
-        queue.push(mill, 1, waitingFor(1000 + ticket, 10));
+        queue.push(Mill, 1, waitingFor(1000 + ticket, 10));
     }
     int millTaken = 0;
     for (int taken = 0; taken < 10; ++taken) {
@@ -91,7 +91,7 @@
             inFlight += verdict == AdmissionVerdict::Admitted ? 1 : 0;
             waiting += verdict == AdmissionVerdict::Queued ? 1 : 0;
         } else if (inFlight > 0) {
-            gate.finished(press, 100, clock.now());
+            gate.finished(Press, 100, clock.now());
             --inFlight;
         }
         while (gate.next()) {
@@ -112,19 +112,19 @@
 {
     VirtualClock clock;
     AdmissionGate<Ticket> gate(1);
-    gate.arrive(requestOf(press, 1, std::chrono::hours(1)), clock.now());
+    gate.arrive(requestOf(Press, 1, std::chrono::hours(1)), clock.now());
     for (int served = 0; served < 10; ++served) {
         clock.advance(std::chrono::milliseconds(100));
-        gate.finished(press, 100, clock.now());
-        gate.arrive(requestOf(press, 2, std::chrono::hours(1)), clock.now());
+        gate.finished(Press, 100, clock.now());
+        gate.arrive(requestOf(Press, 2, std::chrono::hours(1)), clock.now());
     }
     for (int waiting = 0; waiting < 20; ++waiting) {
-        gate.arrive(requestOf(press, 100 + waiting, std::chrono::hours(1)), clock.now());
+        gate.arrive(requestOf(Press, 100 + waiting, std::chrono::hours(1)), clock.now());
     }
     // Twenty requests of a hundred tokens at a thousand a second wait already.
-    const auto verdict = gate.arrive({ press, 1, 0, { 200, 100, clock.now() + std::chrono::seconds(1) } }, clock.now());
+    const auto verdict = gate.arrive({ Press, 1, 0, { 200, 100, clock.now() + std::chrono::seconds(1) } }, clock.now());
     BOOST_TEST(static_cast<int>(verdict) == static_cast<int>(AdmissionVerdict::DeadlineUnreachable));
-    const auto patient = gate.arrive({ press, 1, 0, { 201, 100, clock.now() + std::chrono::seconds(10) } }, clock.now());
+    const auto patient = gate.arrive({ Press, 1, 0, { 201, 100, clock.now() + std::chrono::seconds(10) } }, clock.now());
     BOOST_TEST(static_cast<int>(patient) == static_cast<int>(AdmissionVerdict::Queued));
 }
 
@@ -132,8 +132,8 @@
 {
     VirtualClock clock;
     AdmissionGate<Ticket> gate(1);
-    gate.arrive(requestOf(press, 1, std::chrono::hours(1)), clock.now());
-    gate.arrive(requestOf(press, 2, std::chrono::milliseconds(50)), clock.now());
+    gate.arrive(requestOf(Press, 1, std::chrono::hours(1)), clock.now());
+    gate.arrive(requestOf(Press, 2, std::chrono::milliseconds(50)), clock.now());
     clock.advance(std::chrono::milliseconds(51));
     int expired = 0;
     gate.expire(clock.now(), [&](const Waiting<Ticket> &late) { expired += late.ticket_; });
--- a/tests/decide/drainmachinetest.cpp
+++ b/tests/decide/drainmachinetest.cpp
@@ -9,11 +9,11 @@
 namespace
 {
 
-const DrainPolicy policy{ std::chrono::milliseconds(3000), std::chrono::milliseconds(500) };
+const DrainPolicy Policy{ std::chrono::milliseconds(3000), std::chrono::milliseconds(500) };
 
 struct Fixture {
     VirtualClock clock_;
-    DrainMachine drain_{ policy };
+    DrainMachine drain_{ Policy };
 };
 
 } // namespace
@@ -38,10 +38,10 @@
 BOOST_AUTO_TEST_CASE(only_when_no_answer_is_under_way_and_nothing_comes_any_more)
 {
     drain_.begin(clock_.now());
-    clock_.advance(policy.announce_);
+    clock_.advance(Policy.announce_);
     drain_.requestArrived(clock_.now());
     BOOST_TEST(!drain_.mayEnd(clock_.now(), true));
-    clock_.advance(policy.quiet_);
+    clock_.advance(Policy.quiet_);
     BOOST_TEST(!drain_.mayEnd(clock_.now(), false));
     BOOST_TEST(drain_.mayEnd(clock_.now(), true));
 }
@@ -49,7 +49,7 @@
 RC_BOOST_PROP(at_the_time_that_it_said_it_would_check_again, (const std::vector<std::uint16_t> &gaps))
 {
     VirtualClock clock;
-    DrainMachine drain(policy);
+    DrainMachine drain(Policy);
     drain.begin(clock.now());
     for (const auto gap : gaps) {
         clock.advance(std::chrono::milliseconds(gap % 700));
--- a/tests/endpoint/keyhygienetest.cpp
+++ b/tests/endpoint/keyhygienetest.cpp
@@ -56,7 +56,7 @@
 {
     std::string seen = request.path_ + "\n" + request.query_ + "\n";
     for (const auto &[field, value] : request.headers_) {
-        seen += field + ": " + value + "\n";
+        seen.append(field).append(": ").append(value).append("\n");
     }
     seen += request.body_;
     seen += percentDecoded(seen) + percentDecoded(percentDecoded(seen));
--- a/tests/serve/servingfleet.cpp
+++ b/tests/serve/servingfleet.cpp
@@ -148,6 +148,7 @@
     }
     loop_.run();
     std::vector<CallerAnswer> answers;
+    answers.reserve(askings.size());
     for (auto &asking : askings) {
         answers.push_back(std::move(asking.answer_));
     }
