Stories: one wait in place of two, and one word for streams that have begun

eventually_asking stood beside eventually only while the runner could not ask inside a waiting condition; it can now. Two stories opened their streams with the same ten lines.

--- a/tests/scenarios/stories/leaving_endpoint.lua
+++ b/tests/scenarios/stories/leaving_endpoint.lua
@@ -4,16 +4,7 @@
 local daemon = start_daemon("a1", "a")
 eventually_serves(daemon, site.key)
 
-local streams = {}
-for each = 1, 8 do
-    streams[each] = ask_later(daemon, site.key, completion(400, true))
-end
-eventually("all streams have begun", function()
-    for _, stream in ipairs(streams) do
-        if #tokens_of(look(stream)) < 3 then return false end
-    end
-    return true
-end)
+local streams = begin_streams(daemon, site.key, 8, 400)
 
 put_engine("engine1", site.engines[1], "a", {draining = true})
 for _, stream in ipairs(streams) do
--- a/tests/scenarios/stories/rolling_restart.lua
+++ b/tests/scenarios/stories/rolling_restart.lua
@@ -14,16 +14,7 @@
 for index, domain in ipairs{"a", "b", "c"} do
     local leaving = daemons[index]
     expect_equal(health_of(leaving), 200, "health before")
-    local streams = {}
-    for each = 1, 5 do
-        streams[each] = ask_later(leaving, site.key, completion(400, true))
-    end
-    eventually("all streams have begun", function()
-        for _, stream in ipairs(streams) do
-            if #tokens_of(look(stream)) < 3 then return false end
-        end
-        return true
-    end)
+    local streams = begin_streams(leaving, site.key, 5, 400)
     terminate(leaving)
     eventually("the daemon announces that it leaves", function() return health_of(leaving) == 503 end)
 
--- a/tests/scenarios/stories/usage_reports.lua
+++ b/tests/scenarios/stories/usage_reports.lua
@@ -15,14 +15,14 @@
     end
     return answer.status == 200
 end
-eventually_asking("the first daemon serves", function() return serve(first, 1) end)
-eventually_asking("the second daemon serves", function() return serve(second, 1) end)
+eventually("the first daemon serves", function() return serve(first, 1) end)
+eventually("the second daemon serves", function() return serve(second, 1) end)
 
 -- The platform takes reports and loses its answers.
 set_platform_fault(platform, "lose-answers")
 serve(first, 20, true)
 serve(second, 30)
-eventually_asking("a report is sent twice", function() return #reports(platform) > 1 end)
+eventually("a report is sent twice", function() return #reports(platform) > 1 end)
 set_platform_fault(platform, "none")
 
 -- The caller leaves in mid-stream, and the daemon stops.
@@ -33,7 +33,7 @@
 terminate(second)
 expect_equal(exit_code(second), 0, "exit code of the stopped daemon")
 
-eventually_asking("everything is reported", function()
+eventually("everything is reported", function()
     local sum = billed(platform)
     return sum.requests == served + 1 and sum.cutOff == 1
 end)
--- a/tests/scenarios/words.lua
+++ b/tests/scenarios/words.lua
@@ -155,17 +155,6 @@
     wait_until(function() return false end, seconds)
 end
 
--- As eventually, for conditions that ask something and so wait themselves.
-function eventually_asking(what, condition)
-    for _ = 1, PATIENCE * 5 do
-        if condition() then
-            return
-        end
-        let_pass(0.2)
-    end
-    error("did not happen in time: " .. what, 2)
-end
-
 function start_platform()
     local number, port = spawn({"standin", "platform"}, "")
     expect(port > 0, "the platform did not start")
@@ -201,3 +190,18 @@
     end
     return sum
 end
+
+-- Opens streams at the daemon and waits until each has begun.
+function begin_streams(daemon, key, count, tokens)
+    local streams = {}
+    for each = 1, count do
+        streams[each] = ask_later(daemon, key, completion(tokens, true))
+    end
+    eventually("all streams have begun", function()
+        for _, stream in ipairs(streams) do
+            if #tokens_of(look(stream)) < 3 then return false end
+        end
+        return true
+    end)
+    return streams
+end
