Platform path, thin: HTTP/1.1 connections, fleet registry, gateway, duties and the adapter

Cause: the product serves only on its own stand-ins. This sets down the folders and one path from end to end; nothing of it is measured yet.

--- a/src/core/errorcode.cpp
+++ b/src/core/errorcode.cpp
@@ -50,6 +50,7 @@
     { ErrorCode::PlatformRefused, "platform_refused" },
     { ErrorCode::OrderWithheld, "order_withheld" },
     { ErrorCode::RecordsTooOld, "records_too_old" },
+    { ErrorCode::StoreHistoryGone, "store_history_gone" },
 });
 
 class ErrorCategory final : public std::error_category
--- a/src/core/errorcode.h
+++ b/src/core/errorcode.h
@@ -45,6 +45,7 @@
     PlatformRefused,
     OrderWithheld,
     RecordsTooOld,
+    StoreHistoryGone,
 };
 
 /// The category of ErrorCode. Thread safety: any thread.
--- /dev/null
+++ b/src/core/servicename.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "core/identifier.h"
+
+namespace cowsliphead
+{
+
+/// A service: a pool of endpoints that run the same requests.
+using ServiceName = Identifier<struct ServiceNameTag>;
+
+} // namespace cowsliphead
--- a/src/core/systemclock.h
+++ b/src/core/systemclock.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <ctime>
+
 #include "core/time.h"
 
 namespace cowsliphead
@@ -9,10 +11,12 @@
 class SystemClock
 {
 public:
-    /// Thread safety: any thread.
+    /// Counts the time that the machine is suspended, as what lapses elsewhere goes on lapsing. Thread safety: any thread.
     MonotonicTime now() const
     {
-        return std::chrono::steady_clock::now();
+        timespec time{};
+        clock_gettime(CLOCK_BOOTTIME, &time);
+        return MonotonicTime(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
     }
 
     /// Thread safety: any thread.
--- /dev/null
+++ b/src/duty/dutykeeper.h
@@ -0,0 +1,178 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <utility>
+#include <variant>
+
+#include "core/clock.h"
+#include "duty/dutysettings.h"
+#include "duty/leaseholder.h"
+#include "duty/windowreporter.h"
+#include "duty/windowwriter.h"
+#include "serve/drainrequest.h"
+#include "task/eventloop.h"
+#include "task/timer.h"
+#include "usage/requestbegun.h"
+
+namespace cowsliphead
+{
+
+/// Counts this gateway's usage, and carries out the duties while it holds their lease. A task's behaviour.
+template <RangedStore S, DutyPlatform P, Clock C>
+class DutyKeeper
+{
+public:
+    using Message = std::variant<RequestBegun, DrainRequest>;
+
+    /// incarnation names this process for good. Precondition: loop, store, platform and clock outlive the keeper.
+    /// Thread safety: the loop's task only.
+    DutyKeeper(EventLoop &loop, S &store, P &platform, const C &clock, DutySettings settings, const InstanceId &incarnation)
+        : loop_(loop)
+        , clock_(clock)
+        , settings_(std::move(settings))
+        , startedAt_(clock.now())
+        , startedOn_(clock.wallNow())
+        , lease_(store, clock, leasePolicy(settings_), "duty/leader", incarnation.value())
+        , writer_(store, incarnation)
+        , reporter_(
+              store, platform, [this] { return authority(); }, [this] { lease_.resign(); })
+        , timer_(loop, [this] { tick(); })
+    {
+    }
+
+    /// Precondition: called once. Thread safety: the loop's task only.
+    void start()
+    {
+        timer_.startRepeating(TickInterval);
+    }
+
+    /// Thread safety: the loop's task only.
+    void receive(Message message)
+    {
+        std::visit([this](const auto &part) { take(part); }, std::move(message));
+    }
+
+private:
+    static constexpr std::chrono::milliseconds TickInterval{ 100 };
+
+    /// What a killed process loses of its counts.
+    static constexpr std::chrono::milliseconds FlushInterval{ 1500 };
+
+    /// After a window's end: the last flush of each gateway and the store's answer.
+    static constexpr std::chrono::milliseconds ReportDelay{ 2500 };
+
+    /// Between two tries to report.
+    static constexpr std::chrono::milliseconds ReportInterval{ 500 };
+
+    /// Windows that a new holder looks back for.
+    static constexpr UsageWindow WindowsBack = 2;
+
+    /// What a stopping process waits for the store to take its last counts.
+    static constexpr std::chrono::milliseconds LastFlush{ 1000 };
+
+    static LeasePolicy leasePolicy(const DutySettings &settings)
+    {
+        LeasePolicy policy;
+        policy.duration_ = settings.leaseDuration_;
+        policy.margin_ = settings.leaseDuration_ / 3;
+        policy.renewInterval_ = settings.leaseDuration_ / 4;
+        policy.successorWait_ = settings.leaseDuration_ / 10;
+        policy.candidateInterval_ = settings.leaseDuration_ * 2 / 3;
+        return policy;
+    }
+
+    /// True time, by the wall clock at the start: later jumps of the wall clock do not count.
+    WallTime trueTime(MonotonicTime at) const
+    {
+        return startedOn_ + std::chrono::duration_cast<WallTime::duration>(at - startedAt_);
+    }
+
+    UsageWindow windowAt(MonotonicTime at) const
+    {
+        return usageWindowAt(trueTime(at), settings_.windowLength_);
+    }
+
+    std::optional<FencingNumber> authority() const
+    {
+        return lease_.mayAct() ? std::optional<FencingNumber>(lease_.fencingNumber()) : std::nullopt;
+    }
+
+    void take(const RequestBegun &begun)
+    {
+        writer_.count(begun.account_, windowAt(begun.at_));
+    }
+
+    void take(const DrainRequest & /*request*/)
+    {
+        drainedAt_ = clock_.now();
+        writer_.flush(windowAt(*drainedAt_));
+        lease_.resign();
+    }
+
+    void tick()
+    {
+        const auto now = clock_.now();
+        if (drainedAt_) {
+            if (writer_.isFlushed() || now - *drainedAt_ > LastFlush) {
+                loop_.stop();
+            }
+            return;
+        }
+        lease_.tick();
+        noteTenure();
+        flush(now);
+        report(now);
+    }
+
+    void noteTenure()
+    {
+        const bool mayAct = lease_.mayAct();
+        if (mayAct == wasHolding_) {
+            return;
+        }
+        wasHolding_ = mayAct;
+        logEvent(mayAct ? LogEvent::DutyTaken : LogEvent::DutyLeft, { { "fence", lease_.fencingNumber() } });
+    }
+
+    /// Writes at each window's end, and in between at intervals.
+    void flush(MonotonicTime now)
+    {
+        const auto window = windowAt(now);
+        if (window != flushedWindow_ || now - flushedAt_ >= FlushInterval) {
+            flushedWindow_ = window;
+            flushedAt_ = now;
+            writer_.flush(window);
+        }
+    }
+
+    void report(MonotonicTime now)
+    {
+        if (!lease_.mayAct() || now - reportedAt_ < ReportInterval) {
+            return;
+        }
+        reportedAt_ = now;
+        const auto newest = windowAt(now - ReportDelay) - 1;
+        const auto oldest = std::max(newest - WindowsBack, windowAt(startedAt_));
+        for (auto window = oldest; window <= newest; ++window) {
+            reporter_.report(window);
+        }
+    }
+
+    EventLoop &loop_;
+    const C &clock_;
+    DutySettings settings_;
+    MonotonicTime startedAt_;
+    WallTime startedOn_;
+    LeaseHolder<S, C> lease_;
+    WindowWriter<S> writer_;
+    WindowReporter<S, P> reporter_;
+    Timer timer_;
+    MonotonicTime flushedAt_;
+    MonotonicTime reportedAt_;
+    UsageWindow flushedWindow_ = 0;
+    std::optional<MonotonicTime> drainedAt_;
+    bool wasHolding_ = false;
+};
+
+} // namespace cowsliphead
--- a/src/duty/leaseholder.h
+++ b/src/duty/leaseholder.h
@@ -61,7 +61,16 @@
         return state_ == LeaseState::Holding && term_.mayAct(clock_.now());
     }
 
-    /// Precondition: mayAct(). Thread safety: the store's task only.
+    /// Gives the duty up, so that another process can take it at once. Thread safety: the store's task only.
+    void resign()
+    {
+        if (!lease_.isEmpty()) {
+            leave();
+        }
+        asksFrom_ = clock_.now() + policy_.duration_;
+    }
+
+    /// The last one that was taken. Thread safety: the store's task only.
     FencingNumber fencingNumber() const
     {
         return fencing_;
--- /dev/null
+++ b/src/duty/windowcountscodec.cpp
@@ -0,0 +1,36 @@
+#include "duty/windowcountscodec.h"
+
+#include <nlohmann/json.hpp>
+
+#include "core/errorcode.h"
+
+namespace cowsliphead::windowcountscodec
+{
+
+std::string toText(const WindowCounts &counts)
+{
+    auto document = nlohmann::json::object();
+    for (const auto &[account, requests] : counts.requests_) {
+        document[account.value()] = requests;
+    }
+    return document.dump();
+}
+
+Result<WindowCounts> fromText(UsageWindow window, const std::string &text)
+{
+    const auto document = nlohmann::json::parse(text, nullptr, false);
+    if (!document.is_object()) {
+        return failure(ErrorCode::CodecMalformed);
+    }
+    WindowCounts counts;
+    counts.window_ = window;
+    for (const auto &[account, requests] : document.items()) {
+        if (!requests.is_number_unsigned()) {
+            return failure(ErrorCode::CodecMalformed);
+        }
+        counts.requests_[AccountId(account)] = requests.get<std::uint64_t>();
+    }
+    return counts;
+}
+
+} // namespace cowsliphead::windowcountscodec
--- /dev/null
+++ b/src/duty/windowreporter.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "core/errorcode.h"
+#include "duty/dutyplatform.h"
+#include "duty/windowcountscodec.h"
+#include "logs/log.h"
+#include "store/rangedstore.h"
+#include "usage/usagecountkeys.h"
+
+namespace cowsliphead
+{
+
+/// Gathers all gateways' counts of a window, seals the sum in the store and reports it. Once sealed, every report of the window, by
+/// whichever holder of the duty, bears the same figures.
+template <RangedStore S, DutyPlatform P>
+class WindowReporter
+{
+public:
+    /// onRefused: another holder has a higher fencing number. Precondition: store and platform outlive the reporter, and it outlives
+    /// their answers. Thread safety: the store's task only.
+    WindowReporter(S &store, P &platform, std::function<std::optional<FencingNumber>()> authority, std::function<void()> onRefused)
+        : store_(store)
+        , platform_(platform)
+        , authority_(std::move(authority))
+        , onRefused_(std::move(onRefused))
+    {
+    }
+
+    /// Reports the window unless that was done or is under way. Precondition: its counts can be expected to lie in the store.
+    /// Thread safety: the store's task only.
+    void report(UsageWindow window)
+    {
+        if (reported_.contains(window) || !inHand_.insert(window).second) {
+            return;
+        }
+        store_.read(usagecountkeys::sealedCounts(window), [this, window](const Result<std::optional<StoreEntry>> &answer) {
+            if (!answer || !authority_()) {
+                inHand_.erase(window);
+            } else if (*answer) {
+                submit(window, (*answer)->value_);
+            } else {
+                gather(window, {}, WindowCounts{ window, {} });
+            }
+        });
+    }
+
+private:
+    /// Windows that are remembered as reported.
+    static constexpr std::size_t Remembered = 64;
+
+    void gather(UsageWindow window, const std::string &after, WindowCounts sums)
+    {
+        store_.range(usagecountkeys::countsOf(window), after, [this, window, sums = std::move(sums)](const Result<StoreRange> &page) mutable {
+            if (!page || !authority_()) {
+                inHand_.erase(window);
+                return;
+            }
+            for (const auto &entry : page->entries_) {
+                add(entry, sums);
+            }
+            if (page->hasMore_ && !page->entries_.empty()) {
+                gather(window, page->entries_.back().key_, std::move(sums));
+            } else {
+                seal(window, windowcountscodec::toText(sums));
+            }
+        });
+    }
+
+    static void add(const StoreEntry &entry, WindowCounts &sums)
+    {
+        const auto counts = windowcountscodec::fromText(sums.window_, entry.value_);
+        if (!counts) {
+            logEvent(LogEvent::UsageCountsLost, { { "window", std::uint64_t(sums.window_) }, { "key", entry.key_ } });
+            return;
+        }
+        for (const auto &[account, requests] : counts->requests_) {
+            sums.requests_[account] += requests;
+        }
+    }
+
+    void seal(UsageWindow window, const std::string &text)
+    {
+        StoreWrite write;
+        write.key_ = usagecountkeys::sealedCounts(window);
+        write.value_ = text;
+        store_.compareAndSwap(write, [this, window, text](const Result<StoreRevision> &answer) {
+            if (answer) {
+                submit(window, text);
+            } else {
+                // Another holder sealed it, or an answer was lost: the next call reads what lies there.
+                inHand_.erase(window);
+            }
+        });
+    }
+
+    void submit(UsageWindow window, const std::string &text)
+    {
+        const auto counts = windowcountscodec::fromText(window, text);
+        const auto fence = authority_();
+        if (!counts || !fence) {
+            inHand_.erase(window);
+            return;
+        }
+        platform_.reportUsage(*counts, *fence, [this, window, fence = *fence](const Result<void> &answer) { submitted(window, fence, answer); });
+    }
+
+    void submitted(UsageWindow window, FencingNumber fence, const Result<void> &answer)
+    {
+        inHand_.erase(window);
+        if (answer) {
+            logEvent(LogEvent::UsageReported, { { "window", std::uint64_t(window) }, { "fence", fence } });
+            reported_.insert(window);
+            while (reported_.size() > Remembered) {
+                reported_.erase(reported_.begin());
+            }
+        } else if (answer.error() == ErrorCode::PlatformRefused) {
+            logEvent(LogEvent::DutyCallRefused, { { "window", std::uint64_t(window) }, { "fence", fence } });
+            onRefused_();
+        } else {
+            logEvent(LogEvent::DutyCallUnanswered, { { "window", std::uint64_t(window) }, { "fence", fence } });
+        }
+    }
+
+    S &store_;
+    P &platform_;
+    std::function<std::optional<FencingNumber>()> authority_;
+    std::function<void()> onRefused_;
+    std::set<UsageWindow> inHand_;
+    std::set<UsageWindow> reported_;
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/duty/windowwriter.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "core/errorcode.h"
+#include "duty/windowcounts.h"
+#include "duty/windowcountscodec.h"
+#include "logs/log.h"
+#include "store/store.h"
+#include "usage/usagecountkeys.h"
+
+namespace cowsliphead
+{
+
+/// Counts this gateway's requests by window and keeps the counts in the store, where the reporter finds them.
+template <Store S>
+class WindowWriter
+{
+public:
+    /// incarnation names this process for good. Precondition: the store outlives the writer. Thread safety: the store's task only.
+    WindowWriter(S &store, InstanceId incarnation)
+        : store_(store)
+        , incarnation_(std::move(incarnation))
+    {
+    }
+
+    /// Thread safety: the store's task only.
+    void count(const AccountId &account, UsageWindow window)
+    {
+        auto &pending = pending_[window];
+        ++pending.counts_.requests_[account];
+        pending.isDirty_ = true;
+    }
+
+    /// Writes what has changed since the last call, oldest window first; a window that has begun is written even without a request,
+    /// so that the reporter knows that nothing is missing. Thread safety: the store's task only.
+    void flush(UsageWindow current)
+    {
+        pending_.try_emplace(current);
+        std::erase_if(pending_, [current](const auto &item) { return item.first + KeptWindows < current && reportDropped(item.first, item.second); });
+        for (auto &[window, pending] : pending_) {
+            if (!pending.isWriting_ && (pending.isDirty_ || pending.revision_ == 0)) {
+                write(window, pending);
+            }
+        }
+    }
+
+    /// True if all counts lie in the store. Thread safety: the store's task only.
+    bool isFlushed() const
+    {
+        for (const auto &[window, pending] : pending_) {
+            if (pending.isDirty_ || pending.isWriting_) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+private:
+    /// Windows after which counts that the store did not take are of no use to the reporter.
+    static constexpr UsageWindow KeptWindows = 3;
+
+    struct Pending {
+        WindowCounts counts_;
+        StoreRevision revision_ = 0;
+        bool isDirty_ = false;
+        bool isWriting_ = false;
+    };
+
+    static bool reportDropped(UsageWindow window, const Pending &pending)
+    {
+        if (pending.isDirty_) {
+            logEvent(LogEvent::UsageCountsLost, { { "window", std::uint64_t(window) } });
+        }
+        return true;
+    }
+
+    void write(UsageWindow window, Pending &pending)
+    {
+        StoreWrite write;
+        write.key_ = usagecountkeys::countsOf(window, incarnation_);
+        write.value_ = windowcountscodec::toText(pending.counts_);
+        write.expectedRevision_ = pending.revision_;
+        pending.isWriting_ = true;
+        pending.isDirty_ = false;
+        store_.compareAndSwap(write, [this, window](const Result<StoreRevision> &answer) { written(window, answer); });
+    }
+
+    void written(UsageWindow window, const Result<StoreRevision> &answer)
+    {
+        const auto found = pending_.find(window);
+        if (found == pending_.end()) {
+            return;
+        }
+        auto &pending = found->second;
+        pending.isWriting_ = false;
+        if (answer) {
+            pending.revision_ = *answer;
+            return;
+        }
+        pending.isDirty_ = true;
+        if (answer.error() == ErrorCode::StoreConflict) {
+            readBack(window);
+        }
+    }
+
+    /// A write whose answer was lost took effect; only this process writes the key.
+    void readBack(UsageWindow window)
+    {
+        pending_[window].isWriting_ = true;
+        store_.read(usagecountkeys::countsOf(window, incarnation_), [this, window](const Result<std::optional<StoreEntry>> &answer) {
+            const auto found = pending_.find(window);
+            if (found == pending_.end()) {
+                return;
+            }
+            found->second.isWriting_ = false;
+            if (answer) {
+                found->second.revision_ = *answer ? (*answer)->revision_ : 0;
+            }
+        });
+    }
+
+    S &store_;
+    InstanceId incarnation_;
+    std::map<UsageWindow, Pending> pending_;
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/fleet/lookconfirmed.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "core/time.h"
+
+namespace cowsliphead
+{
+
+/// The configuration last handed on was still the newest at some time after this one.
+struct LookConfirmed {
+    MonotonicTime askedAt_;
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/fleet/registrylinks.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "fleet/fleetsnapshot.h"
+#include "fleet/gatewaycount.h"
+#include "fleet/lookconfirmed.h"
+#include "task/address.h"
+
+namespace cowsliphead
+{
+
+/// Who hears what the registry reads.
+struct RegistryLinks {
+    Address<FleetSnapshot> snapshots_;
+    Address<FleetSnapshot> dutySnapshots_;
+    Address<LookConfirmed> looks_;
+    Address<GatewayCount> counts_;
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/gateway/callersession.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <utility>
+
+#include "gateway/exchange.h"
+#include "http1/callerconnection.h"
+
+namespace cowsliphead
+{
+
+/// A caller's connection with the request in hand.
+template <Dialect D>
+class CallerSession
+{
+public:
+    /// Takes over the socket; onClosed follows once. Precondition: the context outlives the session. Thread safety: the loop's task only.
+    CallerSession(GatewayContext &context, int socket, const CallerConnectionLimits &limits, std::function<void()> onClosed)
+        : context_(context)
+        , connection_(context.loop_,
+                      socket,
+                      limits,
+                      {
+                          .onRequest_ = [this](CallerRequest request) { begin(std::move(request)); },
+                          .onLeft_ = [this] { left(); },
+                          .onRefused_ =
+                              [](int status) { logEvent(LogEvent::RequestMalformed, { { "status", std::uint64_t(status) } }); },
+                          .onClosed_ = std::move(onClosed),
+                      })
+    {
+    }
+
+    /// Thread safety: the loop's task only.
+    CallerConnection &connection()
+    {
+        return connection_;
+    }
+
+private:
+    void begin(CallerRequest request)
+    {
+        const auto number = ++exchangeNumber_;
+        exchange_ = std::make_unique<Exchange<D>>(context_, connection_, std::move(request), [this, alive = std::weak_ptr(alive_), number] {
+            if (!alive.expired() && number == exchangeNumber_) {
+                exchange_.reset();
+            }
+        });
+        exchange_->start();
+    }
+
+    void left()
+    {
+        if (exchange_) {
+            exchange_->callerLeft();
+        }
+    }
+
+    GatewayContext &context_;
+    CallerConnection connection_;
+    std::unique_ptr<Exchange<D>> exchange_;
+    std::uint64_t exchangeNumber_ = 0;
+
+    /// Tells deferred actions whether the session still exists.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/gateway/endpointbook.cpp
@@ -0,0 +1,108 @@
+#include "gateway/endpointbook.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cowsliphead
+{
+
+namespace
+{
+
+void closeIdle(EndpointState &state)
+{
+    for (const auto &connection : std::exchange(state.idle_, {})) {
+        connection->close();
+    }
+}
+
+} // namespace
+
+EndpointBook::EndpointBook(EventLoop &loop)
+    : loop_(loop)
+{
+}
+
+EndpointBook::~EndpointBook() = default;
+
+void EndpointBook::update(const std::vector<EndpointEntry> &entries)
+{
+    std::map<EndpointId, std::shared_ptr<EndpointState>> states;
+    for (const auto &entry : entries) {
+        if (entry.isLeaving_) {
+            continue;
+        }
+        const auto known = states_.find(entry.id_);
+        const bool isSame = known != states_.end() && known->second->entry_.incarnation_ == entry.incarnation_ && known->second->entry_.address_ == entry.address_;
+        auto state = isSame ? known->second : std::make_shared<EndpointState>();
+        state->entry_ = entry;
+        states.emplace(entry.id_, std::move(state));
+    }
+    for (const auto &[id, state] : states_) {
+        const auto kept = states.find(id);
+        if (kept == states.end() || kept->second != state) {
+            state->isListed_ = false;
+            closeIdle(*state);
+        }
+    }
+    states_ = std::move(states);
+}
+
+placement::Candidates EndpointBook::candidates(const ServiceName &service, EngineStage stage, const std::set<EndpointId> &excluded, MonotonicTime now)
+{
+    placement::Candidates sound;
+    placement::Candidates avoided;
+    for (const auto &[id, state] : states_) {
+        if (state->entry_.service_ == service && state->entry_.stage_ == stage && !excluded.contains(id)) {
+            (health_.isAvoided(id, now) ? avoided : sound).push_back(state.get());
+        }
+    }
+    return sound.empty() ? avoided : sound;
+}
+
+std::shared_ptr<EndpointState> EndpointBook::find(const EndpointId &id) const
+{
+    const auto found = states_.find(id);
+    return found == states_.end() ? nullptr : found->second;
+}
+
+bool EndpointBook::hasStage(const ServiceName &service, EngineStage stage) const
+{
+    return std::any_of(states_.begin(), states_.end(), [&](const auto &item) {
+        return item.second->entry_.service_ == service && item.second->entry_.stage_ == stage;
+    });
+}
+
+std::shared_ptr<ClientConnection> EndpointBook::connect(EndpointState &state, bool isNew, MonotonicTime now)
+{
+    while (!isNew && !state.idle_.empty()) {
+        auto connection = std::move(state.idle_.back());
+        state.idle_.pop_back();
+        if (connection->isReusable(now)) {
+            return connection;
+        }
+        connection->close();
+    }
+    return std::make_shared<ClientConnection>(loop_, state.entry_.address_);
+}
+
+void EndpointBook::giveBack(EndpointState &state, std::shared_ptr<ClientConnection> connection, MonotonicTime now)
+{
+    if (state.isListed_ && connection->isReusable(now)) {
+        state.idle_.push_back(std::move(connection));
+    } else {
+        connection->close();
+    }
+}
+
+EndpointHealth &EndpointBook::health()
+{
+    return health_;
+}
+
+bool EndpointBook::isEmpty() const
+{
+    return states_.empty();
+}
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/gateway/gatewaycontext.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <random>
+
+#include "core/systemclock.h"
+#include "fleet/configuration.h"
+#include "gateway/configurationage.h"
+#include "gateway/endpointbook.h"
+#include "gateway/gatewaymetrics.h"
+#include "gateway/gatewaysettings.h"
+#include "gateway/retryallowance.h"
+#include "task/address.h"
+#include "task/eventloop.h"
+#include "usage/requestbegun.h"
+
+namespace cowsliphead
+{
+
+/// What all requests of a gateway share. It belongs to the gateway's task.
+struct GatewayContext {
+    EventLoop &loop_;
+    GatewaySettings settings_;
+    Address<RequestBegun> usage_;
+    SystemClock clock_{};
+    std::shared_ptr<const Configuration> configuration_{};
+    ConfigurationAge age_{};
+    EndpointBook endpoints_{ loop_ };
+    std::map<ServiceName, RetryAllowance> allowances_{};
+    std::size_t gatewayCount_ = 0;
+    GatewayMetrics metrics_{};
+    std::mt19937_64 random_{ std::random_device()() };
+
+    /// Thread safety: the loop's task only.
+    RetryAllowance &allowanceOf(const ServiceName &service)
+    {
+        const auto [found, isNew] = allowances_.try_emplace(service, settings_.retryRatio_, settings_.retryReserve_);
+        found->second.setGatewayCount(gatewayCount_);
+        return found->second;
+    }
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/gateway/nextstep.cpp
@@ -0,0 +1,33 @@
+#include "gateway/nextstep.h"
+
+namespace cowsliphead
+{
+
+namespace
+{
+
+NextStep giveUp(const RequestProgress &progress)
+{
+    return progress.mayHaveRun_ ? NextStep::Fail : NextStep::Refuse;
+}
+
+} // namespace
+
+NextStep nextStep(AttemptEnd end, const RequestProgress &progress)
+{
+    const bool canRunAgain = progress.mayRunAgain_ && progress.hasAttemptsLeft_ && progress.canAffordRetry_;
+    switch (end) {
+    case AttemptEnd::Answered:
+        return NextStep::PassOn;
+    case AttemptEnd::Failed:
+        return canRunAgain ? NextStep::TryAgain : NextStep::PassOn;
+    case AttemptEnd::Lost:
+        return canRunAgain ? NextStep::TryAgain : NextStep::Fail;
+    case AttemptEnd::NotExecuted:
+    case AttemptEnd::NotOffered:
+        break;
+    }
+    return progress.canAffordRetry_ ? NextStep::TryAgain : giveUp(progress);
+}
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/gateway/parsegatewaysettings.cpp
@@ -0,0 +1,83 @@
+#include "gateway/parsegatewaysettings.h"
+
+#include <limits>
+
+#include <nlohmann/json.hpp>
+
+#include "http1/parsesocketaddress.h"
+#include "records/fieldreader.h"
+#include "records/jsontext.h"
+
+namespace cowsliphead
+{
+
+namespace
+{
+
+constexpr std::uint64_t LargestPort = std::numeric_limits<std::uint16_t>::max();
+constexpr std::uint64_t LargestReserve = 1000000;
+constexpr std::uint64_t LargestPercent = 1000;
+constexpr double Percent = 100.0;
+
+SocketAddress readAddress(FieldReader &fields, const std::string &field)
+{
+    const auto text = fields.text(field);
+    const auto address = parseSocketAddress(text);
+    if (!address) {
+        fields.report(field, text, "IP:PORT");
+        return {};
+    }
+    return *address;
+}
+
+void readIdentity(FieldReader &fields, GatewayDaemonSettings &settings)
+{
+    settings.gateway_.instance_ = InstanceId(fields.text("instance"));
+    settings.gateway_.domain_ = FailureDomain(fields.text("failureDomain"));
+    settings.duty_.instance_ = settings.gateway_.instance_;
+}
+
+void readAddresses(FieldReader &fields, GatewayDaemonSettings &settings)
+{
+    settings.gateway_.callers_ = readAddress(fields, "callers");
+    settings.gateway_.readiness_ = readAddress(fields, "readiness");
+    settings.store_ = readAddress(fields, "store");
+    settings.platform_ = readAddress(fields, "platform");
+    settings.metrics_.port_ = static_cast<std::uint16_t>(fields.numberOr("metricsPort", 0, 0, LargestPort));
+    settings.metrics_.address_ = settings.gateway_.callers_.host_;
+    settings.metrics_.isEnabled_ = settings.metrics_.port_ != 0;
+}
+
+void readBounds(FieldReader &fields, GatewayDaemonSettings &settings)
+{
+    auto &gateway = settings.gateway_;
+    gateway.keyWithdrawalBound_ = fields.millisecondsOr("keyWithdrawalMs", gateway.keyWithdrawalBound_);
+    gateway.configurationBound_ = fields.millisecondsOr("configurationMs", gateway.configurationBound_);
+    gateway.stopGrace_ = fields.millisecondsOr("stopGraceMs", gateway.stopGrace_);
+    gateway.retryRatio_ = static_cast<double>(fields.numberOr("retryPercent", 20, 0, LargestPercent)) / Percent;
+    gateway.retryReserve_ = static_cast<double>(fields.numberOr("retryReserve", 0, 0, LargestReserve));
+    settings.duty_.windowLength_ = fields.millisecondsOr("usageWindowMs", settings.duty_.windowLength_);
+    settings.duty_.reportBound_ = fields.millisecondsOr("usageReportMs", settings.duty_.reportBound_);
+    settings.duty_.leaseDuration_ = fields.millisecondsOr("leaseMs", settings.duty_.leaseDuration_);
+}
+
+} // namespace
+
+tl::expected<GatewayDaemonSettings, Mistake> parseGatewaySettings(const std::string &text)
+{
+    const auto document = parseJsonText(text, ErrorCode::SettingsMalformed);
+    if (!document) {
+        return tl::unexpected(document.error());
+    }
+    FieldReader fields(*document, "", ErrorCode::SettingsMalformed);
+    GatewayDaemonSettings settings;
+    readIdentity(fields, settings);
+    readAddresses(fields, settings);
+    readBounds(fields, settings);
+    if (fields.mistake()) {
+        return tl::unexpected(*fields.mistake());
+    }
+    return settings;
+}
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/gateway/readinessserver.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "http1/callerconnection.h"
+#include "http1/listener.h"
+
+namespace cowsliphead
+{
+
+/// Tells the balancer whether this process takes callers: 200, or 503.
+class ReadinessServer
+{
+public:
+    /// Precondition: the loop outlives the server. Thread safety: the loop's task only.
+    ReadinessServer(EventLoop &loop, std::function<bool()> isReady);
+    ~ReadinessServer();
+    ReadinessServer(const ReadinessServer &) = delete;
+    ReadinessServer &operator=(const ReadinessServer &) = delete;
+
+    /// Returns the port. Errors: ListenFailed. Thread safety: the loop's task only.
+    Result<std::uint16_t> listen(const SocketAddress &address);
+
+private:
+    void accept(int socket);
+
+    EventLoop &loop_;
+    std::function<bool()> isReady_;
+    std::uint64_t nextNumber_ = 0;
+    std::map<std::uint64_t, std::unique_ptr<CallerConnection>> connections_;
+    Listener listener_;
+};
+
+} // namespace cowsliphead
--- a/src/http/httpheaders.cpp
+++ b/src/http/httpheaders.cpp
@@ -1,6 +1,6 @@
 #include "http/httpheaders.h"
 
-#include <boost/algorithm/string/predicate.hpp>
+#include <strings.h>
 
 namespace cowsliphead
 {
@@ -17,7 +17,7 @@
 
 bool isSameHeader(const std::string &left, const std::string &right)
 {
-    return boost::algorithm::iequals(left, right);
+    return left.size() == right.size() && strcasecmp(left.c_str(), right.c_str()) == 0;
 }
 
 } // namespace cowsliphead
--- /dev/null
+++ b/src/http1/callanswer.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string>
+
+namespace cowsliphead
+{
+
+/// A server's whole answer to a call.
+struct CallAnswer {
+    int status_ = 0;
+    std::string body_;
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/http1/requestparser.cpp
@@ -0,0 +1,110 @@
+#include "http1/requestparser.h"
+
+#include <utility>
+
+#include <http_parser.h>
+
+namespace cowsliphead
+{
+
+struct RequestParser::Callbacks {
+    static RequestParser &owner(http_parser *parser)
+    {
+        return *static_cast<RequestParser *>(parser->data);
+    }
+
+    static int onTarget(http_parser *parser, const char *at, std::size_t length)
+    {
+        owner(parser).head_.target_.append(at, length);
+        return 0;
+    }
+
+    static int onName(http_parser *parser, const char *at, std::size_t length)
+    {
+        owner(parser).headers_.addName({ at, length });
+        return 0;
+    }
+
+    static int onValue(http_parser *parser, const char *at, std::size_t length)
+    {
+        owner(parser).headers_.addValue({ at, length });
+        return 0;
+    }
+
+    static int onHeadersComplete(http_parser *parser)
+    {
+        return owner(parser).finishHead() ? 0 : -1;
+    }
+
+    static int onBody(http_parser *parser, const char *at, std::size_t length)
+    {
+        auto &self = owner(parser);
+        self.isStopped_ = !self.events_.onBody_({ at, length });
+        return self.isStopped_ ? -1 : 0;
+    }
+
+    static int onComplete(http_parser *parser)
+    {
+        owner(parser).isComplete_ = true;
+        http_parser_pause(parser, 1);
+        return 0;
+    }
+
+    static const http_parser_settings &settings()
+    {
+        static const http_parser_settings table = [] {
+            http_parser_settings made{};
+            made.on_url = onTarget;
+            made.on_header_field = onName;
+            made.on_header_value = onValue;
+            made.on_headers_complete = onHeadersComplete;
+            made.on_body = onBody;
+            made.on_message_complete = onComplete;
+            return made;
+        }();
+        return table;
+    }
+};
+
+RequestParser::RequestParser(RequestParserEvents events)
+    : events_(std::move(events))
+    , parser_(std::make_unique<http_parser>())
+{
+    http_parser_init(parser_.get(), HTTP_REQUEST);
+    parser_->data = this;
+}
+
+RequestParser::~RequestParser() = default;
+
+std::size_t RequestParser::headSize() const
+{
+    return headers_.size() + head_.target_.size();
+}
+
+bool RequestParser::finishHead()
+{
+    head_.method_ = http_method_str(static_cast<http_method>(parser_->method));
+    head_.headers_ = headers_.take();
+    isStopped_ = !events_.onHead_(std::exchange(head_, {}));
+    return !isStopped_;
+}
+
+ParseOutcome RequestParser::parse(std::string_view bytes, std::size_t &taken)
+{
+    taken = http_parser_execute(parser_.get(), &Callbacks::settings(), bytes.data(), bytes.size());
+    if (isStopped_) {
+        return ParseOutcome::Stopped;
+    }
+    if (isComplete_) {
+        isComplete_ = false;
+        const bool isUpgrade = parser_->upgrade != 0;
+        http_parser_init(parser_.get(), HTTP_REQUEST);
+        if (!events_.onComplete_()) {
+            return ParseOutcome::Stopped;
+        }
+        return isUpgrade ? ParseOutcome::Malformed : ParseOutcome::Complete;
+    }
+    return HTTP_PARSER_ERRNO(parser_) == HPE_OK ? ParseOutcome::NeedsMore : ParseOutcome::Malformed;
+}
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/http1/requestparserevents.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <functional>
+#include <string_view>
+
+#include "http1/requesthead.h"
+
+namespace cowsliphead
+{
+
+/// What a request parser finds, in order. Each returns false to stop parsing.
+struct RequestParserEvents {
+    std::function<bool(RequestHead)> onHead_;
+    std::function<bool(std::string_view)> onBody_;
+    std::function<bool()> onComplete_;
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/http1/responseparser.cpp
@@ -0,0 +1,124 @@
+#include "http1/responseparser.h"
+
+#include <limits>
+#include <utility>
+
+#include <http_parser.h>
+
+namespace cowsliphead
+{
+
+struct ResponseParser::Callbacks {
+    static ResponseParser &owner(http_parser *parser)
+    {
+        return *static_cast<ResponseParser *>(parser->data);
+    }
+
+    static int onReason(http_parser *parser, const char *at, std::size_t length)
+    {
+        owner(parser).head_.reason_.append(at, length);
+        return 0;
+    }
+
+    static int onName(http_parser *parser, const char *at, std::size_t length)
+    {
+        owner(parser).headers_.addName({ at, length });
+        return 0;
+    }
+
+    static int onValue(http_parser *parser, const char *at, std::size_t length)
+    {
+        owner(parser).headers_.addValue({ at, length });
+        return 0;
+    }
+
+    static int onHeadersComplete(http_parser *parser)
+    {
+        return owner(parser).finishHead() ? 0 : -1;
+    }
+
+    static int onBody(http_parser *parser, const char *at, std::size_t length)
+    {
+        auto &self = owner(parser);
+        self.isStopped_ = !self.events_.onBody_({ at, length });
+        return self.isStopped_ ? -1 : 0;
+    }
+
+    static int onComplete(http_parser *parser)
+    {
+        auto &self = owner(parser);
+        self.isComplete_ = true;
+        self.keepsAlive_ = http_should_keep_alive(parser) != 0;
+        http_parser_pause(parser, 1);
+        return 0;
+    }
+
+    static const http_parser_settings &settings()
+    {
+        static const http_parser_settings table = [] {
+            http_parser_settings made{};
+            made.on_status = onReason;
+            made.on_header_field = onName;
+            made.on_header_value = onValue;
+            made.on_headers_complete = onHeadersComplete;
+            made.on_body = onBody;
+            made.on_message_complete = onComplete;
+            return made;
+        }();
+        return table;
+    }
+};
+
+ResponseParser::ResponseParser(ResponseParserEvents events)
+    : events_(std::move(events))
+    , parser_(std::make_unique<http_parser>())
+{
+    http_parser_init(parser_.get(), HTTP_RESPONSE);
+    parser_->data = this;
+}
+
+ResponseParser::~ResponseParser() = default;
+
+bool ResponseParser::keepsAlive() const
+{
+    return keepsAlive_;
+}
+
+bool ResponseParser::finishHead()
+{
+    head_.status_ = parser_->status_code;
+    head_.headers_ = headers_.take();
+    const bool hasLength = parser_->content_length != std::numeric_limits<std::uint64_t>::max();
+    if (hasLength && (parser_->flags & F_CHUNKED) == 0) {
+        head_.contentLength_ = parser_->content_length;
+    }
+    isStopped_ = !events_.onHead_(std::exchange(head_, {}));
+    return !isStopped_;
+}
+
+ParseOutcome ResponseParser::parse(std::string_view bytes, std::size_t &taken)
+{
+    taken = http_parser_execute(parser_.get(), &Callbacks::settings(), bytes.data(), bytes.size());
+    return outcome();
+}
+
+ParseOutcome ResponseParser::finish()
+{
+    http_parser_execute(parser_.get(), &Callbacks::settings(), nullptr, 0);
+    return outcome();
+}
+
+ParseOutcome ResponseParser::outcome()
+{
+    if (isStopped_) {
+        return ParseOutcome::Stopped;
+    }
+    if (isComplete_) {
+        isComplete_ = false;
+        http_parser_init(parser_.get(), HTTP_RESPONSE);
+        return ParseOutcome::Complete;
+    }
+    return HTTP_PARSER_ERRNO(parser_) == HPE_OK ? ParseOutcome::NeedsMore : ParseOutcome::Malformed;
+}
+
+} // namespace cowsliphead
--- a/src/logs/logevent.h
+++ b/src/logs/logevent.h
@@ -18,16 +18,27 @@
     RequestTriedAlone = 202,
     RequestQuarantined = 203,
 
+    RequestEnded = 204,
+    DispatchEnded = 205,
+    RequestMalformed = 206,
+
     // 300 to 399: endpoints
     EndpointLost = 300,
     EndpointSilent = 301,
     AnswerCrossed = 302,
 
+    EndpointsUpdated = 303,
+
     // 400 to 499: records and their spreading
     RecordsAdvanced = 400,
     StoreNotAnswering = 401,
     RelayTaken = 402,
     RelayLeft = 403,
+    ConfigurationTaken = 404,
+    ConfigurationMalformed = 405,
+    EndpointEntryMalformed = 406,
+    StoreLost = 407,
+    StoreRegained = 408,
 
     // 500 to 599: claims
     ClaimStoreNotAnswering = 500,
@@ -35,9 +46,15 @@
     ClaimWriteUnsettled = 502,
 
     // 600 to 699: duties and leases
+    DutyTaken = 600,
+    DutyLeft = 601,
+    DutyCallRefused = 602,
+    DutyCallUnanswered = 603,
 
     // 700 to 799: usage and reports
     UsageLeftBehind = 700,
+    UsageReported = 701,
+    UsageCountsLost = 702,
 
     // 800 to 899: peers and membership
 };
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -16,7 +16,7 @@
 const std::map<std::string, std::function<int(int, char **)>> &commandTable()
 {
     static const std::map<std::string, std::function<int(int, char **)>> table{
-        { "serve", commands::serve },   { "config", commands::config },   { "record", commands::record }, { "key", commands::key },
+        { "gateway", commands::gateway }, { "serve", commands::serve },   { "config", commands::config },   { "record", commands::record }, { "key", commands::key },
         { "status", commands::status }, { "standin", commands::standin }, { "bench", commands::bench },   { "experiment", commands::experiment },
     };
     return table;
--- a/src/operate/commands.h
+++ b/src/operate/commands.h
@@ -6,6 +6,9 @@
 /// Runs a daemon, or with --embedded a daemon and its stand-ins. Returns an exit code.
 int serve(int argc, char **argv);
 
+/// Serves callers on the users' platform. Returns an exit code.
+int gateway(int argc, char **argv);
+
 /// Checks a settings file. Returns an exit code.
 int config(int argc, char **argv);
 
