--- a/src/http1/callerconnection.cpp
+++ b/src/http1/callerconnection.cpp
@@ -4,6 +4,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/event.h>
 
 #include "core/systemclock.h"
 #include "http/httpstatus.h"
@@ -283,7 +284,7 @@
     timer_.startOnce(limits_.idleTimeout_);
     if (evbuffer_get_length(bufferevent_get_input(buffer_.get())) > 0) {
         // A request that was sent early is read in a turn of its own, after the one in hand has unwound.
-        bufferevent_trigger(buffer_.get(), EV_READ, BEV_OPT_DEFER_CALLBACKS | BEV_TRIG_IGNORE_WATERMARKS);
+        bufferevent_trigger(buffer_.get(), EV_READ, static_cast<int>(BEV_OPT_DEFER_CALLBACKS) | static_cast<int>(BEV_TRIG_IGNORE_WATERMARKS));
     }
 }
 
--- a/src/http1/clientconnection.cpp
+++ b/src/http1/clientconnection.cpp
@@ -7,6 +7,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/event.h>
 
 #include "core/systemclock.h"
 #include "http1/connectionheaders.h"
