--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -31,13 +31,13 @@
         , silence_(context.loop_, [this] { wentSilent(); })
     {
         ++endpoint_->running_;
-        endpoint_->promptTokens_ += plan_.promptTokens_;
+        endpoint_->queue_.began(plan_.promptTokens_);
     }
 
     ~Dispatch()
     {
         --endpoint_->running_;
-        endpoint_->promptTokens_ -= plan_.promptTokens_;
+        endpoint_->queue_.ended(plan_.promptTokens_);
         if (connection_) {
             connection_->close();
         }
@@ -68,6 +68,12 @@
         return isWritten_;
     }
 
+    /// Thread safety: the loop's task only.
+    const DispatchPlan &plan() const
+    {
+        return plan_;
+    }
+
     /// When the request was written. Precondition: isWritten(). Thread safety: the loop's task only.
     MonotonicTime writtenAt() const
     {
@@ -75,7 +81,7 @@
     }
 
     /// Thread safety: the loop's task only.
-    const EndpointState &endpoint() const
+    EndpointState &endpoint() const
     {
         return *endpoint_;
     }
@@ -137,7 +143,12 @@
     void complete()
     {
         auto connection = std::exchange(connection_, nullptr);
-        context_.endpoints_.giveBack(*endpoint_, std::move(connection), context_.clock_.now());
+        if (plan_.needsNewConnection_) {
+            // The next such request would not use it, and an endpoint takes only so many connections.
+            connection->close();
+        } else {
+            context_.endpoints_.giveBack(*endpoint_, std::move(connection), context_.clock_.now());
+        }
         end({ endOfAnswer(), std::move(head_), std::move(body_), "" });
     }
 
--- a/src/gateway/dispatchfacts.h
+++ b/src/gateway/dispatchfacts.h
@@ -24,6 +24,9 @@
     /// Where the KV cache of the prompt lies; empty if the endpoint reads the prompt itself.
     std::string cacheSource_;
 
+    /// The engine from which the endpoint first takes what it lacks of the prompt's KV cache; empty for none.
+    std::string fetchSource_;
+
     /// The event after which a stream goes on; empty from its start.
     std::string lastEventId_;
 };
--- a/src/gateway/endpointbook.cpp
+++ b/src/gateway/endpointbook.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+/// Idle connections kept to one endpoint; all gateways together stay below what an endpoint takes.
+constexpr std::size_t MostIdle = 6;
+
 void closeIdle(EndpointState &state)
 {
     for (const auto &connection : std::exchange(state.idle_, {})) {
@@ -73,6 +76,19 @@
     });
 }
 
+double EndpointBook::occupancy(const ServiceName &service, EngineStage stage) const
+{
+    double running = 0;
+    double places = 0;
+    for (const auto &[id, state] : states_) {
+        if (state->entry_.service_ == service && state->entry_.stage_ == stage) {
+            running += state->running_;
+            places += state->entry_.slots_;
+        }
+    }
+    return places > 0 ? running / places : 0;
+}
+
 std::shared_ptr<ClientConnection> EndpointBook::connect(EndpointState &state, bool isNew, MonotonicTime now)
 {
     while (!isNew && !state.idle_.empty()) {
@@ -88,10 +104,15 @@
 
 void EndpointBook::giveBack(EndpointState &state, std::shared_ptr<ClientConnection> connection, MonotonicTime now)
 {
-    if (state.isListed_ && connection->isReusable(now)) {
-        state.idle_.push_back(std::move(connection));
-    } else {
+    if (!state.isListed_ || !connection->isReusable(now)) {
         connection->close();
+        return;
+    }
+    state.idle_.push_back(std::move(connection));
+    const auto &oldest = state.idle_.front();
+    if (state.idle_.size() > MostIdle || !oldest->isReusable(now)) {
+        oldest->close();
+        state.idle_.pop_front();
     }
 }
 
--- a/src/gateway/endpointbook.h
+++ b/src/gateway/endpointbook.h
@@ -40,6 +40,9 @@
     /// True if an engine of this stage is listed. Thread safety: the loop's task only.
     bool hasStage(const ServiceName &service, EngineStage stage) const;
 
+    /// The share of the places of these engines that this gateway's requests take. Thread safety: the loop's task only.
+    double occupancy(const ServiceName &service, EngineStage stage) const;
+
     /// A connection for one request: an idle one, unless isNew asks for a new one. Thread safety: the loop's task only.
     std::shared_ptr<ClientConnection> connect(EndpointState &state, bool isNew, MonotonicTime now);
 
--- a/src/gateway/endpointstate.h
+++ b/src/gateway/endpointstate.h
@@ -6,6 +6,7 @@
 
 #include "fleet/endpointentry.h"
 #include "gateway/latenesslevel.h"
+#include "gateway/readqueue.h"
 
 namespace cowsliphead
 {
@@ -19,8 +20,8 @@
     /// Requests of this gateway that the endpoint works on.
     std::uint32_t running_ = 0;
 
-    /// Prompt tokens of those that it has still to read, as far as this gateway knows.
-    std::uint64_t promptTokens_ = 0;
+    /// Prompts that it has to read.
+    ReadQueue queue_;
     LatenessLevel lateness_;
 
     /// Open connections without a request; the one used last is at the back.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -76,6 +76,12 @@
     /// A longer prompt is read by a prefill engine, since it would hold up the streams of the engine that generates.
     static constexpr std::uint64_t LongPrompt = 2000;
 
+    /// Share of the decode engines' places above which other engines read short prompts too.
+    static constexpr double BusyDecode = 0.4;
+
+    /// An engine whose queue takes less than this has nothing to read.
+    static constexpr std::chrono::milliseconds IdleQueue{ 10 };
+
     /// Prefill engines that are tried before the engine that generates reads the prompt itself.
     static constexpr int MostPrefills = 2;
 
@@ -138,8 +144,25 @@
 
     bool wantsPrefill() const
     {
-        return cache_ == std::nullopt && prefills_ < MostPrefills && facts_.promptTokens_ >= LongPrompt
-            && context_.endpoints_.hasStage(service_, EngineStage::Prefill);
+        const bool isPossible = cache_ == std::nullopt && prefills_ < MostPrefills && facts_.promptTokens_ > 0;
+        return isPossible && (isLongPrompt() || mayRelieveDecode()) && context_.endpoints_.hasStage(service_, EngineStage::Prefill);
+    }
+
+    /// A short prompt is best read where it is answered, unless the engines there are busy and one of the others has nothing to read.
+    bool mayRelieveDecode() const
+    {
+        if (prefills_ > 0 || context_.decodeOccupancy(service_) < BusyDecode) {
+            return false;
+        }
+        const auto now = context_.clock_.now();
+        const auto candidates = context_.endpoints_.candidates(service_, EngineStage::Prefill, triedPrefill_, now);
+        const auto *idle = placement::shortestQueue(candidates, context_.settings_.domain_, now);
+        return idle != nullptr && idle->queue_.wait(now) < IdleQueue;
+    }
+
+    bool isLongPrompt() const
+    {
+        return facts_.promptTokens_ >= LongPrompt;
     }
 
     std::string sharedPartsName() const
@@ -153,36 +176,45 @@
 
     void prefill()
     {
-        auto &allowance = context_.allowanceOf(service_);
-        if (prefills_ > 0 && !allowance.spend()) {
+        if (!payForRepeat()) {
             prefills_ = MostPrefills;
-            run();
+            giveUp(ErrorCode::RetryBudgetSpent);
             return;
         }
         ++prefills_;
-        const auto candidates = context_.endpoints_.candidates(service_, EngineStage::Prefill, triedPrefill_, context_.clock_.now());
-        auto *chosen = placement::holderOf(sharedPartsName(), candidates);
-        if (chosen == nullptr) {
+        const auto now = context_.clock_.now();
+        const auto candidates = context_.endpoints_.candidates(service_, EngineStage::Prefill, triedPrefill_, now);
+        const auto choice = isLongPrompt() ? placement::prefillEngine(sharedPartsName(), candidates, now)
+                                           : PrefillChoice{ placement::shortestQueue(candidates, context_.settings_.domain_, now), nullptr };
+        if (choice.engine_ == nullptr) {
             prefills_ = MostPrefills;
             run();
             return;
         }
-        triedPrefill_.insert(chosen->entry_.id_);
-        auto plan = planFor(*chosen);
+        triedPrefill_.insert(choice.engine_->entry_.id_);
+        auto plan = planFor(*choice.engine_);
         plan.facts_.isPrefill_ = true;
         plan.promptTokens_ = facts_.promptTokens_ - facts_.sharedTokens();
-        plan.silenceLimit_ = silenceLimit();
-        send(*chosen, std::move(plan), [this](AttemptResult result) { prefillEnded(std::move(result)); });
+        if (choice.home_ != nullptr) {
+            plan.facts_.fetchSource_ = textOf(choice.home_->entry_.address_);
+        }
+        if (prefills_ < MostPrefills) {
+            plan.silenceLimit_ = std::max(ShortestSilence, timeLeft() / 2);
+        }
+        send(*choice.engine_, std::move(plan), [this](AttemptResult result) { prefillEnded(std::move(result)); });
     }
 
     void prefillEnded(AttemptResult result)
     {
-        const auto &engine = dispatch_->endpoint();
-        const auto handle = result.end_ == AttemptEnd::Answered || result.head_.status_ == httpstatus::Ok ? D::readHandle(result.body_) : Result<std::string>(tl::unexpect, make_error_code(ErrorCode::EndpointRefused));
+        auto &engine = dispatch_->endpoint();
+        const auto handle = result.head_.status_ == httpstatus::Ok ? D::readHandle(result.body_) : failure(ErrorCode::EndpointRefused);
         if (handle) {
+            const auto now = context_.clock_.now();
+            engine.queue_.read(dispatch_->plan().promptTokens_, now - dispatch_->writtenAt(), now);
             cache_ = CacheHandle{ engine.entry_.address_, *handle };
             context_.endpoints_.health().answered(engine.entry_.id_);
         } else {
+            arrivals_ += dispatch_->isWritten() ? 1 : 0;
             logDispatch(result);
             noteFailure(engine, result.end_);
         }
@@ -190,6 +222,24 @@
         advance();
     }
 
+    static std::string textOf(const SocketAddress &address)
+    {
+        return address.host_ + ":" + std::to_string(address.port_);
+    }
+
+    /// Every call to an endpoint beyond a request's first draws on the allowance; a prompt that was read does not count as one.
+    bool payForRepeat()
+    {
+        if (arrivals_ == 0) {
+            return true;
+        }
+        if (!context_.allowanceOf(service_).spend()) {
+            return false;
+        }
+        context_.metrics_.retries_.increment({ { "service", service_.value() } });
+        return true;
+    }
+
     void run()
     {
         const auto stage = isEngineService() ? EngineStage::Decode : EngineStage::None;
@@ -199,11 +249,15 @@
             giveUp(ErrorCode::EndpointUnavailable);
             return;
         }
+        if (!payForRepeat()) {
+            giveUp(ErrorCode::RetryBudgetSpent);
+            return;
+        }
         auto plan = planFor(*chosen);
         plan.isStream_ = route().kind_ == RouteKind::Streaming;
         plan.needsNewConnection_ = !route().mayRunAgain();
         if (cache_) {
-            plan.facts_.cacheSource_ = cache_->engine_.host_ + ":" + std::to_string(cache_->engine_.port_) + "/" + cache_->id_;
+            plan.facts_.cacheSource_ = textOf(cache_->engine_) + "/" + cache_->id_;
         }
         if (route().mayRunAgain()) {
             plan.silenceLimit_ = silenceLimit();
@@ -305,6 +359,7 @@
 
     void noteTried(const EndpointState &endpoint, AttemptEnd end)
     {
+        arrivals_ += end == AttemptEnd::NotOffered ? 0 : 1;
         tried_.insert(endpoint.entry_.id_);
         lastEndpoint_ = endpoint.entry_.id_.value();
         if (end == AttemptEnd::Lost || end == AttemptEnd::Failed) {
@@ -326,12 +381,11 @@
             return;
         }
         auto &allowance = context_.allowanceOf(service_);
-        const bool isFree = result.end_ == AttemptEnd::NotOffered && unopened_ < MostUnopened;
         const RequestProgress progress{
             .mayRunAgain_ = route().mayRunAgain(),
             .mayHaveRun_ = mayHaveRun_,
             .hasAttemptsLeft_ = runs_ < route().maxAttempts_,
-            .canAffordRetry_ = isFree || allowance.hasRoom(),
+            .canAffordRetry_ = (arrivals_ == 0 && unopened_ < MostUnopened) || allowance.hasRoom(),
         };
         auto step = nextStep(result.end_, progress);
         if (step == NextStep::PassOn && isAnswerBegun_ && result.end_ == AttemptEnd::Failed) {
@@ -342,7 +396,7 @@
             passOn(result);
             return;
         case NextStep::TryAgain:
-            retry(isFree);
+            retry();
             return;
         case NextStep::Refuse:
             giveUp(ErrorCode::EndpointRefused);
@@ -353,12 +407,8 @@
         }
     }
 
-    void retry(bool isFree)
+    void retry()
     {
-        if (!isFree) {
-            context_.allowanceOf(service_).spend();
-            context_.metrics_.retries_.increment({ { "service", service_.value() } });
-        }
         if (mayHaveRun_ && cache_) {
             // The engine that was lost has taken the cache.
             cache_.reset();
@@ -505,6 +555,9 @@
     std::size_t heldBytes_ = 0;
     std::uint32_t dispatches_ = 0;
     std::uint32_t runs_ = 0;
+
+    /// Calls that endpoints got for this request, but for prompts that were read.
+    std::uint32_t arrivals_ = 0;
     int unopened_ = 0;
     int prefills_ = 0;
     bool mayHaveRun_ = false;
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <random>
@@ -39,6 +40,12 @@
         found->second.setGatewayCount(gatewayCount_);
         return found->second;
     }
+
+    /// The share of the decode engines' places that all gateways take, if each takes as many as this one. Thread safety: the loop's task only.
+    double decodeOccupancy(const ServiceName &service) const
+    {
+        return endpoints_.occupancy(service, EngineStage::Decode) * static_cast<double>(std::max<std::size_t>(1, gatewayCount_));
+    }
 };
 
 } // namespace cowsliphead
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -13,8 +13,12 @@
 /// A byte between failure domains costs more than one inside; this much more load is borne to avoid it.
 constexpr double AwayFactor = 1.6;
 
-/// An engine that has this many tokens of this gateway's prompts to read gives way to the next in rank.
-constexpr std::uint64_t MostWaitingTokens = 9000;
+/// What an engine that lacks a prompt's shared parts loses by fetching them, in queue time: the transfer, twice as long between
+/// failure domains, and its price.
+constexpr std::chrono::milliseconds FetchPenalty{ 80 };
+
+/// A byte between failure domains costs more than one inside; this much more waiting is borne to avoid it.
+constexpr std::chrono::milliseconds AwayPenalty{ 10 };
 
 double loadOf(const EndpointState &state, const FailureDomain &home)
 {
@@ -46,19 +50,36 @@
     return best.empty() ? nullptr : best[random() % best.size()];
 }
 
-EndpointState *holderOf(const std::string &sharedParts, const Candidates &candidates)
+PrefillChoice prefillEngine(const std::string &sharedParts, const Candidates &candidates, MonotonicTime now)
 {
+    if (candidates.empty()) {
+        return {};
+    }
     Candidates ranked = candidates;
     std::sort(ranked.begin(), ranked.end(), [&sharedParts](const EndpointState *left, const EndpointState *right) {
         return rankOf(sharedParts, *left) > rankOf(sharedParts, *right);
     });
-    const auto hasRoom = std::find_if(ranked.begin(), ranked.end(), [](const EndpointState *state) { return state->promptTokens_ < MostWaitingTokens; });
-    if (hasRoom != ranked.end()) {
-        return *hasRoom;
+    EndpointState *home = ranked.front();
+    EndpointState *best = home;
+    auto bestWait = home->queue_.wait(now);
+    for (auto *candidate : ranked) {
+        const auto wait = candidate->queue_.wait(now) + FetchPenalty;
+        if (candidate != home && wait < bestWait) {
+            best = candidate;
+            bestWait = wait;
+        }
     }
-    const auto least =
-        std::min_element(ranked.begin(), ranked.end(), [](const EndpointState *left, const EndpointState *right) { return left->promptTokens_ < right->promptTokens_; });
-    return least == ranked.end() ? nullptr : *least;
+    return { best, best == home ? nullptr : home };
+}
+
+EndpointState *shortestQueue(const Candidates &candidates, const FailureDomain &home, MonotonicTime now)
+{
+    const auto waitOf = [&](const EndpointState *state) {
+        return state->queue_.wait(now) + (state->entry_.domain_ == home ? std::chrono::milliseconds(0) : AwayPenalty);
+    };
+    const auto shortest = std::min_element(
+        candidates.begin(), candidates.end(), [&](const EndpointState *left, const EndpointState *right) { return waitOf(left) < waitOf(right); });
+    return shortest == candidates.end() ? nullptr : *shortest;
 }
 
 } // namespace cowsliphead::placement
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -8,7 +8,9 @@
 
 #include "core/endpointid.h"
 #include "core/failuredomain.h"
+#include "core/time.h"
 #include "gateway/endpointstate.h"
+#include "gateway/prefillchoice.h"
 
 namespace cowsliphead::placement
 {
@@ -20,8 +22,13 @@
 /// Null without candidates. Thread safety: owner task only.
 EndpointState *leastLoaded(const Candidates &candidates, const FailureDomain &home, std::mt19937_64 &random);
 
-/// The engine that has the shared parts of a prompt in its cache: every gateway ranks the engines alike by the parts' name, and
-/// one that has more to read than its rank is worth gives way to the next. Null without candidates. Thread safety: owner task only.
-EndpointState *holderOf(const std::string &sharedParts, const Candidates &candidates);
+/// The engine that reads a prompt. Every gateway ranks the engines alike by the name of the prompt's shared parts, and the first in
+/// rank, their home, keeps them cached. Where it has much to read the next one takes the prompt and fetches the parts from the home.
+/// No engine without candidates. Thread safety: owner task only.
+PrefillChoice prefillEngine(const std::string &sharedParts, const Candidates &candidates, MonotonicTime now);
+
+/// The one with the shortest queue; one of the caller's failure domain is preferred. Null without candidates.
+/// Thread safety: owner task only.
+EndpointState *shortestQueue(const Candidates &candidates, const FailureDomain &home, MonotonicTime now);
 
 } // namespace cowsliphead::placement
