--- a/src/duty/dutykeeper.h
+++ b/src/duty/dutykeeper.h
@@ -8,6 +8,7 @@
 #include "core/clock.h"
 #include "duty/dutysettings.h"
 #include "duty/leaseholder.h"
+#include "duty/scaleplanner.h"
 #include "duty/windowreporter.h"
 #include "duty/windowwriter.h"
 #include "serve/drainrequest.h"
@@ -23,12 +24,13 @@
 class DutyKeeper
 {
 public:
-    using Message = std::variant<RequestBegun, DrainRequest>;
+    using Message = std::variant<RequestBegun, FleetSnapshot, DrainRequest>;
 
     /// incarnation names this process for good. Precondition: loop, store, platform and clock outlive the keeper.
     /// Thread safety: the loop's task only.
     DutyKeeper(EventLoop &loop, S &store, P &platform, const C &clock, DutySettings settings, const InstanceId &incarnation)
         : loop_(loop)
+        , platform_(platform)
         , clock_(clock)
         , settings_(std::move(settings))
         , startedAt_(clock.now())
@@ -65,6 +67,9 @@
     /// Between two tries to report.
     static constexpr std::chrono::milliseconds ReportInterval{ 500 };
 
+    /// Between two looks at the endpoints' number.
+    static constexpr std::chrono::milliseconds ScaleInterval{ 500 };
+
     /// Windows that a new holder looks back for.
     static constexpr UsageWindow WindowsBack = 2;
 
@@ -103,6 +108,11 @@
         writer_.count(begun.account_, windowAt(begun.at_));
     }
 
+    void take(const FleetSnapshot &fleet)
+    {
+        fleet_ = fleet;
+    }
+
     void take(const DrainRequest & /*request*/)
     {
         drainedAt_ = clock_.now();
@@ -123,6 +133,42 @@
         noteTenure();
         flush(now);
         report(now);
+        scale(now);
+    }
+
+    void scale(MonotonicTime now)
+    {
+        if (!lease_.mayAct() || now - scaledAt_ < ScaleInterval) {
+            return;
+        }
+        scaledAt_ = now;
+        for (const auto &order : planner_.plan(fleet_, now)) {
+            logEvent(LogEvent::ServersOrdered,
+                     { { "service", order.service_.value() },
+                       { "failureDomain", order.domain_.value() },
+                       { "reclaimable", order.isReclaimable_ ? "yes" : "no" },
+                       { "count", std::uint64_t(order.count_) },
+                       { "fence", lease_.fencingNumber() } });
+            platform_.orderServers(order, lease_.fencingNumber(), [this, order](const Result<void> &answer) { ordered(order, answer); });
+        }
+    }
+
+    void ordered(const ServerOrder &order, const Result<void> &answer)
+    {
+        if (answer) {
+            planner_.accepted(order, clock_.now());
+            return;
+        }
+        const bool isRefused = answer.error() == ErrorCode::PlatformRefused;
+        logEvent(isRefused ? LogEvent::DutyCallRefused : LogEvent::DutyCallUnanswered,
+                 { { "service", order.service_.value() }, { "failureDomain", order.domain_.value() }, { "fence", lease_.fencingNumber() } });
+        if (!isRefused) {
+            planner_.unanswered(order);
+        } else if (order.isReclaimable_) {
+            planner_.unavailable(order, clock_.now());
+        } else {
+            lease_.resign();
+        }
     }
 
     void noteTenure()
@@ -132,6 +178,7 @@
             return;
         }
         wasHolding_ = mayAct;
+        planner_.reset();
         logEvent(mayAct ? LogEvent::DutyTaken : LogEvent::DutyLeft, { { "fence", lease_.fencingNumber() } });
     }
 
@@ -160,6 +207,7 @@
     }
 
     EventLoop &loop_;
+    P &platform_;
     const C &clock_;
     DutySettings settings_;
     MonotonicTime startedAt_;
@@ -170,6 +218,9 @@
     Timer timer_;
     MonotonicTime flushedAt_;
     MonotonicTime reportedAt_;
+    MonotonicTime scaledAt_;
+    FleetSnapshot fleet_;
+    ScalePlanner planner_;
     UsageWindow flushedWindow_ = 0;
     std::optional<MonotonicTime> drainedAt_;
     bool wasHolding_ = false;
--- a/src/duty/dutyplatform.h
+++ b/src/duty/dutyplatform.h
@@ -5,6 +5,7 @@
 
 #include "core/result.h"
 #include "decide/fencingnumber.h"
+#include "duty/serverorder.h"
 #include "duty/windowcounts.h"
 
 namespace cowsliphead
@@ -13,9 +14,10 @@
 /// The platform's API as the holder of a duty calls it. Each call is answered once, in a later turn. Errors of a reply:
 /// PlatformUnavailable (it may have taken effect), PlatformRefused (another holder has a higher fencing number).
 template <typename T>
-concept DutyPlatform = requires(T &platform, const WindowCounts &counts, FencingNumber fence, std::function<void(Result<void>)> reply)
+concept DutyPlatform = requires(T &platform, const WindowCounts &counts, const ServerOrder &order, FencingNumber fence, std::function<void(Result<void>)> reply)
 {
     platform.reportUsage(counts, fence, reply);
+    platform.orderServers(order, fence, reply);
 };
 
 } // namespace cowsliphead
--- a/src/gateway/endpointbook.cpp
+++ b/src/gateway/endpointbook.cpp
@@ -121,6 +121,12 @@
     return health_;
 }
 
+std::uint64_t EndpointBook::countOf(EngineStage stage) const
+{
+    return static_cast<std::uint64_t>(
+        std::count_if(states_.begin(), states_.end(), [stage](const auto &item) { return item.second->entry_.stage_ == stage; }));
+}
+
 bool EndpointBook::isEmpty() const
 {
     return states_.empty();
--- a/src/gateway/endpointbook.h
+++ b/src/gateway/endpointbook.h
@@ -52,6 +52,9 @@
     /// Endpoints that failed lately. Thread safety: the loop's task only.
     EndpointHealth &health();
 
+    /// Engines of this stage, of all services. Thread safety: the loop's task only.
+    std::uint64_t countOf(EngineStage stage) const;
+
     /// Thread safety: the loop's task only.
     bool isEmpty() const;
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -212,6 +212,7 @@
             const auto now = context_.clock_.now();
             engine.queue_.read(dispatch_->plan().promptTokens_, now - dispatch_->writtenAt(), now);
             cache_ = CacheHandle{ engine.entry_.address_, *handle };
+            logPromptRead();
             context_.endpoints_.health().answered(engine.entry_.id_);
         } else {
             arrivals_ += dispatch_->isWritten() ? 1 : 0;
@@ -495,6 +496,19 @@
                    { "afterMs", elapsed() } });
     }
 
+    void logPromptRead() const
+    {
+        const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(context_.clock_.now() - dispatch_->writtenAt());
+        logEvent(LogEvent::PromptRead,
+                 { { "request", facts_.attemptId_ },
+                   { "endpoint", dispatch_->endpoint().entry_.id_.value() },
+                   { "parts", sharedPartsName() },
+                   { "fetchedFrom", dispatch_->plan().facts_.fetchSource_ },
+                   { "sharedTokens", facts_.sharedTokens() },
+                   { "ownTokens", dispatch_->plan().promptTokens_ },
+                   { "takenMs", std::uint64_t(taken.count()) } });
+    }
+
     std::uint64_t elapsed() const
     {
         return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(context_.clock_.now() - request_.arrivedAt_).count());
--- a/src/logs/logevent.h
+++ b/src/logs/logevent.h
@@ -21,6 +21,7 @@
     RequestEnded = 204,
     DispatchEnded = 205,
     RequestMalformed = 206,
+    PromptRead = 207,
 
     // 300 to 399: endpoints
     EndpointLost = 300,
@@ -50,6 +51,7 @@
     DutyLeft = 601,
     DutyCallRefused = 602,
     DutyCallUnanswered = 603,
+    ServersOrdered = 604,
 
     // 700 to 799: usage and reports
     UsageLeftBehind = 700,
