A prompt leaves its home only for a much shorter queue

Cause: under overload every prefill engine had a queue, prompts went to whichever was shortest and each engine came to need all shared parts, more than its cache.

--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -15,7 +15,7 @@
 
 /// What an engine that lacks a prompt's shared parts loses by fetching them, in queue time: the transfer, twice as long between
 /// failure domains, and its price.
-constexpr std::chrono::milliseconds FetchPenalty{ 80 };
+constexpr std::chrono::milliseconds FetchPenalty{ 400 };
 
 /// A byte between failure domains costs more than one inside; this much more waiting is borne to avoid it.
 constexpr std::chrono::milliseconds AwayPenalty{ 10 };
