--- /dev/null
+++ b/tests/duty/scaleplannertest.cpp
@@ -0,0 +1,100 @@
+#include <boost/test/unit_test.hpp>
+
+#include "duty/scaleplanner.h"
+
+using namespace cowsliphead;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr MonotonicTime Start(1h);
+
+/// A service in one failure domain, with so many endpoints of each sort.
+FleetSnapshot fleet(std::uint32_t base, std::uint32_t reclaimable, double spotPrice = 0.2)
+{
+    auto configuration = std::make_shared<Configuration>();
+    ServiceSpec service;
+    service.name_ = ServiceName("models");
+    service.scaling_ = ScalingSpec{ 1, 12, 4s, spotPrice, {} };
+    configuration->services_.emplace(service.name_, service);
+    auto endpoints = std::make_shared<std::vector<EndpointEntry>>();
+    for (std::uint32_t number = 0; number < base + reclaimable; ++number) {
+        EndpointEntry entry;
+        entry.id_ = EndpointId(std::to_string(number));
+        entry.service_ = service.name_;
+        entry.domain_ = FailureDomain("a");
+        entry.isReclaimable_ = number >= base;
+        endpoints->push_back(entry);
+    }
+    return { configuration, endpoints };
+}
+
+ServerOrder order(bool isReclaimable, std::uint32_t count)
+{
+    return { ServiceName("models"), FailureDomain("a"), isReclaimable, count };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_plan_of_endpoints)
+
+BOOST_AUTO_TEST_SUITE(at_the_start)
+
+BOOST_AUTO_TEST_CASE(orders_reclaimable_ones_and_keeps_the_base)
+{
+    ScalePlanner planner;
+    const auto orders = planner.plan(fleet(6, 0), Start);
+    BOOST_REQUIRE(orders.size() == 1U);
+    BOOST_TEST((orders.front() == order(true, 10)));
+}
+
+BOOST_AUTO_TEST_CASE(sends_no_order_again_while_it_is_carried_out)
+{
+    ScalePlanner planner;
+    planner.accepted(planner.plan(fleet(6, 0), Start).front(), Start);
+    BOOST_TEST(planner.plan(fleet(6, 0), Start + 5s).empty());
+    BOOST_TEST(planner.plan(fleet(6, 0), Start + 11s).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(orders_none_where_they_are_hardly_cheaper)
+{
+    ScalePlanner planner;
+    BOOST_TEST(planner.plan(fleet(6, 0, 0.9), Start).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(once_the_reclaimable_ones_are_there)
+
+BOOST_AUTO_TEST_CASE(the_base_shrinks_and_two_stay)
+{
+    ScalePlanner planner;
+    planner.plan(fleet(6, 0), Start);
+    const auto orders = planner.plan(fleet(6, 10), Start + 5s);
+    BOOST_REQUIRE(orders.size() == 1U);
+    BOOST_TEST((orders.front() == order(false, 2)));
+}
+
+BOOST_AUTO_TEST_CASE(and_are_reclaimed_the_base_grows_back)
+{
+    ScalePlanner planner;
+    planner.plan(fleet(6, 0), Start);
+    planner.unavailable(order(true, 10), Start);
+    const auto orders = planner.plan(fleet(2, 0), Start + 1s);
+    BOOST_REQUIRE(orders.size() == 1U);
+    BOOST_TEST((orders.front() == order(false, 6)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(an_order_without_an_answer_is_sent_again)
+{
+    ScalePlanner planner;
+    const auto first = planner.plan(fleet(6, 0), Start).front();
+    BOOST_TEST(planner.plan(fleet(6, 0), Start + 1s).empty());
+    planner.unanswered(first);
+    BOOST_TEST(planner.plan(fleet(6, 0), Start + 1s).size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/http1/parsertest.cpp
@@ -0,0 +1,153 @@
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <string>
+
+#include "http1/requestparser.h"
+#include "http1/responseparser.h"
+
+using namespace cowsliphead;
+
+namespace
+{
+
+/// Collects what a response parser finds.
+struct Response {
+    ResponseParser parser_{ {
+        .onHead_ =
+            [this](ResponseHead head) {
+                head_ = std::move(head);
+                return true;
+            },
+        .onBody_ =
+            [this](std::string_view data) {
+                body_.append(data);
+                return true;
+            },
+    } };
+    ResponseHead head_;
+    std::string body_;
+    std::size_t taken_ = 0;
+
+    ParseOutcome parse(std::string_view bytes)
+    {
+        return parser_.parse(bytes, taken_);
+    }
+};
+
+/// Collects what a request parser finds.
+struct Request {
+    RequestParser parser_{ {
+        .onHead_ =
+            [this](RequestHead head) {
+                head_ = std::move(head);
+                return true;
+            },
+        .onBody_ =
+            [this](std::string_view data) {
+                body_.append(data);
+                return true;
+            },
+        .onComplete_ = [] { return true; },
+    } };
+    RequestHead head_;
+    std::string body_;
+    std::size_t taken_ = 0;
+
+    ParseOutcome parse(std::string_view bytes)
+    {
+        return parser_.parse(bytes, taken_);
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_parsers_of_a_connection)
+
+BOOST_AUTO_TEST_SUITE(a_response)
+
+BOOST_AUTO_TEST_CASE(with_a_length_leaves_the_bytes_behind_it)
+{
+    Response response;
+    const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
+    BOOST_TEST((response.parse(first + "HTTP/1.1 500 E\r\n") == ParseOutcome::Complete));
+    BOOST_TEST(response.taken_ == first.size());
+    BOOST_TEST(response.body_ == "hi");
+    BOOST_TEST(response.parser_.keepsAlive());
+}
+
+BOOST_AUTO_TEST_CASE(in_chunks_is_complete_at_the_last_one_only)
+{
+    Response response;
+    BOOST_TEST((response.parse("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n") == ParseOutcome::NeedsMore));
+    BOOST_TEST((response.parser_.finish() == ParseOutcome::Malformed));
+    Response whole;
+    BOOST_TEST((whole.parse("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n") == ParseOutcome::Complete));
+    BOOST_TEST(!whole.head_.contentLength_.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(without_a_length_ends_with_the_connection)
+{
+    Response response;
+    BOOST_TEST((response.parse("HTTP/1.1 200 OK\r\n\r\nhel") == ParseOutcome::NeedsMore));
+    BOOST_TEST((response.parser_.finish() == ParseOutcome::Complete));
+    BOOST_TEST(response.body_ == "hel");
+}
+
+BOOST_AUTO_TEST_CASE(that_is_none_is_malformed)
+{
+    Response response;
+    BOOST_TEST((response.parse("\x01\x02rubbish") == ParseOutcome::Malformed));
+}
+
+RC_BOOST_PROP(reads_the_same_however_it_is_cut, (const std::vector<std::uint8_t> &cuts))
+{
+    const std::string bytes = "HTTP/1.1 200 OK\r\nX-A: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n1\r\n!\r\n0\r\n\r\n";
+    Response response;
+    std::size_t at = 0;
+    auto outcome = ParseOutcome::NeedsMore;
+    for (std::size_t index = 0; at < bytes.size(); ++index) {
+        const std::size_t size = index < cuts.size() ? cuts[index] % 7 + 1 : bytes.size();
+        const auto piece = std::string_view(bytes).substr(at, size);
+        outcome = response.parse(piece);
+        at += piece.size();
+    }
+    RC_ASSERT(outcome == ParseOutcome::Complete);
+    RC_ASSERT(response.body_ == "hello!");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_request)
+
+BOOST_AUTO_TEST_CASE(keeps_target_and_fields_as_sent)
+{
+    Request request;
+    const std::string bytes = "POST /a/b?x=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc";
+    BOOST_TEST((request.parse(bytes) == ParseOutcome::Complete));
+    BOOST_TEST(request.head_.method_ == "POST");
+    BOOST_TEST(request.head_.target_ == "/a/b?x=1");
+    BOOST_TEST(request.body_ == "abc");
+}
+
+BOOST_AUTO_TEST_CASE(with_two_framings_is_refused)
+{
+    Request request;
+    BOOST_TEST((request.parse("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n") == ParseOutcome::Malformed));
+}
+
+BOOST_AUTO_TEST_CASE(with_two_lengths_is_refused)
+{
+    Request request;
+    BOOST_TEST((request.parse("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n") == ParseOutcome::Malformed));
+}
+
+BOOST_AUTO_TEST_CASE(with_an_unknown_framing_is_refused)
+{
+    Request request;
+    BOOST_TEST((request.parse("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n") == ParseOutcome::Malformed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/platformdialecttest.cpp
@@ -0,0 +1,135 @@
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include "core/errorcode.h"
+#include "platform/base64.h"
+#include "platform/platformdialect.h"
+
+using namespace cowsliphead;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+RequestHead callerHead()
+{
+    return { "POST",
+             "/a/b",
+             { { "Host", "h" },
+               { "X-Attempt-Id", "id-1" },
+               { "X-Api-Key", "secret" },
+               { "X-Deadline-Ms", "1500" },
+               { "X-Token-Count", "1460,80" },
+               { "X-Prompt-Prefix", "aa:800,bb:410,cc:250" },
+               { "X-Tenant", "someone" },
+               { "X-Kv-Hold", "h1" },
+               { "x-kv-source", "10.0.0.1:1/x" },
+               { "Connection", "close, X-Hop" },
+               { "X-Hop", "1" },
+               { "X-Other", "kept" } } };
+}
+
+RequestHead forwarded()
+{
+    DispatchFacts facts;
+    facts.endpoint_ = EndpointId("i-1");
+    facts.account_ = AccountId("press");
+    facts.timeLeft_ = 900ms;
+    return PlatformDialect::endpointRequest(callerHead(), facts);
+}
+
+std::size_t countOf(const HttpHeaders &headers, const std::string &name)
+{
+    return static_cast<std::size_t>(std::count_if(headers.begin(), headers.end(), [&](const auto &field) { return isSameHeader(field.first, name); }));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_platforms_dialect)
+
+BOOST_AUTO_TEST_SUITE(of_a_callers_request)
+
+BOOST_AUTO_TEST_CASE(is_read_into_facts)
+{
+    const auto facts = PlatformDialect::readRequest(callerHead());
+    BOOST_REQUIRE(facts.has_value());
+    BOOST_TEST(facts->attemptId_ == "id-1");
+    BOOST_TEST(facts->key_ == "secret");
+    BOOST_TEST(facts->patience_->count() == 1500);
+    BOOST_TEST(facts->promptTokens_ == 1460U);
+    BOOST_TEST(facts->sharedTokens() == 1210U);
+}
+
+BOOST_AUTO_TEST_CASE(with_a_number_that_is_none_is_malformed)
+{
+    for (const auto &[name, value] : HttpHeaders{ { "X-Deadline-Ms", "soon" }, { "X-Token-Count", "1" }, { "X-Prompt-Prefix", "aa" }, { "X-Deadline-Ms", "-1" } }) {
+        BOOST_TEST(PlatformDialect::readRequest({ "GET", "/", { { name, value } } }).error() == ErrorCode::RequestMalformed);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(towards_an_endpoint)
+
+BOOST_AUTO_TEST_CASE(the_key_is_left_out_and_the_account_set)
+{
+    const auto head = forwarded();
+    BOOST_TEST(countOf(head.headers_, "X-Api-Key") == 0U);
+    BOOST_TEST(countOf(head.headers_, "X-Tenant") == 1U);
+    BOOST_TEST(headerValue(head.headers_, "X-Tenant") == "press");
+}
+
+BOOST_AUTO_TEST_CASE(what_only_the_gateway_sets_is_not_taken_from_the_caller)
+{
+    const auto head = forwarded();
+    BOOST_TEST(countOf(head.headers_, "X-Kv-Hold") == 0U);
+    BOOST_TEST(countOf(head.headers_, "X-Kv-Source") == 0U);
+    BOOST_TEST(headerValue(head.headers_, "X-Deadline-Ms") == "900");
+}
+
+BOOST_AUTO_TEST_CASE(fields_of_the_connection_are_left_out_and_others_kept)
+{
+    const auto head = forwarded();
+    BOOST_TEST(countOf(head.headers_, "Connection") == 0U);
+    BOOST_TEST(countOf(head.headers_, "X-Hop") == 0U);
+    BOOST_TEST(headerValue(head.headers_, "X-Other") == "kept");
+    BOOST_TEST(headerValue(head.headers_, "X-Attempt-Id") == "id-1");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(of_an_endpoints_answer)
+
+BOOST_AUTO_TEST_CASE(is_not_executed_if_it_says_so_or_another_endpoint_answered)
+{
+    BOOST_TEST(PlatformDialect::readAnswer({ 503, "", { { "X-Not-Executed", "1" } }, {} }).isNotExecuted_);
+    BOOST_TEST(PlatformDialect::readAnswer({ 421, "", {}, {} }).isNotExecuted_);
+    BOOST_TEST(!PlatformDialect::readAnswer({ 503, "", {}, {} }).isNotExecuted_);
+}
+
+BOOST_AUTO_TEST_CASE(is_genuine_only_with_signature_and_identifier_and_without_an_encoding)
+{
+    const HttpHeaders sound{ { "X-Attempt-Id", "a" }, { "X-Response-Stamp", "s" } };
+    BOOST_TEST(PlatformDialect::readAnswer({ 200, "", sound, {} }).isGenuine_);
+    auto encoded = sound;
+    encoded.emplace_back("Content-Encoding", "gzip");
+    BOOST_TEST(!PlatformDialect::readAnswer({ 200, "", encoded, {} }).isGenuine_);
+    BOOST_TEST(!PlatformDialect::readAnswer({ 200, "", { { "X-Attempt-Id", "a" } }, {} }).isGenuine_);
+}
+
+BOOST_AUTO_TEST_CASE(with_a_handle_gives_it)
+{
+    BOOST_TEST(*PlatformDialect::readHandle(R"({"handle":"3f","tokens":1,"version":1})") == "3f");
+    BOOST_TEST(!PlatformDialect::readHandle("{}").has_value());
+    BOOST_TEST(!PlatformDialect::readHandle("[").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+RC_BOOST_PROP(base64_gives_back_any_bytes, (const std::vector<std::uint8_t> &bytes))
+{
+    const std::string text(bytes.begin(), bytes.end());
+    RC_ASSERT(base64::decode(base64::encode(text)) == text);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/platformfleetcodectest.cpp
@@ -0,0 +1,97 @@
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include "core/errorcode.h"
+#include "platform/platformfleetcodec.h"
+
+using namespace cowsliphead;
+
+namespace
+{
+
+Result<EndpointEntry> decode(const std::string &value)
+{
+    return PlatformFleetCodec::decodeEndpoint({ "servers/i-1", value, 7, false });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_platforms_fleet)
+
+BOOST_AUTO_TEST_SUITE(an_endpoints_entry)
+
+BOOST_AUTO_TEST_CASE(of_an_engine_gives_its_address_stage_and_incarnation)
+{
+    const auto entry = decode(
+        R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":12,"state":"ready","stage":"prefill","born":99,"spot":true})");
+    BOOST_REQUIRE(entry.has_value());
+    BOOST_TEST(entry->id_.value() == "i-1");
+    BOOST_TEST(entry->incarnation_ == 99U);
+    BOOST_TEST((entry->stage_ == EngineStage::Prefill));
+    BOOST_TEST((entry->address_ == SocketAddress{ "10.0.0.1", 80 }));
+    BOOST_TEST(entry->isReclaimable_);
+}
+
+BOOST_AUTO_TEST_CASE(that_leaves_is_marked)
+{
+    BOOST_TEST(decode(R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":1,"state":"draining"})")->isLeaving_);
+}
+
+BOOST_AUTO_TEST_CASE(from_another_writer_names_no_endpoint)
+{
+    for (const auto *value : { "", "{}", "null", "[1]", "\xff\xfe", R"({"service":1,"address":"10.0.0.1:80","zone":"a","slots":1,"state":"ready"})",
+                               R"({"service":"s","address":"nowhere","zone":"a","slots":1,"state":"ready"})",
+                               R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":"many","state":"ready"})",
+                               R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":1,"state":"asleep"})" }) {
+        BOOST_TEST(decode(value).error() == ErrorCode::RecordMalformed);
+    }
+}
+
+RC_BOOST_PROP(of_any_bytes_does_no_harm, (const std::string &value))
+{
+    static_cast<void>(decode(value));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_configuration)
+
+BOOST_AUTO_TEST_CASE(gives_routes_services_accounts_and_limits)
+{
+    const auto configuration = PlatformFleetCodec::decodeConfiguration({ "op/config",
+                                                                         R"({"version":7,"routes":[
+        {"name":"r1","hostname":"h","prefix":"/a/","kind":"streaming","timeoutMs":5000,"targetLatencyMs":600,"priority":1,
+         "trafficSplit":[{"service":"s","weight":90},{"service":"t","weight":10}],"maxAttempts":2,"resumable":true,"gapAimMs":150},
+        {"name":"r2","hostname":"h","prefix":"/b/","kind":"idempotent","timeoutMs":1200,"service":"t"}],
+        "services":[{"name":"s","maxConnections":150,"engine":{"slots":12,"kvCapacityTokens":356225,"switchS":3.0},
+          "scaling":{"minReplicas":1,"maxReplicas":12,"bootS":4.0,"spotPrice":0.22,"zonePrices":{"a":0.85}}},{"name":"t"}],
+        "limits":{"maxHeaderBytes":1000,"maxBodyBytes":2000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+        "tenants":[{"name":"press","apiKeys":["k1","k2"],"priority":1}]})",
+                                                                         12,
+                                                                         false });
+    BOOST_REQUIRE(configuration.has_value());
+    BOOST_TEST(configuration->revision_ == 12U);
+    BOOST_TEST(configuration->routes_[0].mayRunAgain());
+    BOOST_TEST(configuration->routes_[0].shares_.size() == 2U);
+    BOOST_TEST((configuration->routes_[1].kind_ == RouteKind::Idempotent));
+    BOOST_TEST(configuration->services_.at(ServiceName("s")).engine_->slots_ == 12U);
+    BOOST_TEST(configuration->services_.at(ServiceName("s")).scaling_->maxReplicas_ == 12U);
+    BOOST_TEST(configuration->accounts_.at("k2").id_.value() == "press");
+    BOOST_TEST(configuration->limits_.maxBodyBytes_ == 2000U);
+}
+
+BOOST_AUTO_TEST_CASE(of_an_unknown_kind_of_route_is_taken_as_not_to_be_repeated)
+{
+    const auto configuration = PlatformFleetCodec::decodeConfiguration(
+        { "op/config", R"({"version":1,"routes":[{"hostname":"h","prefix":"/","kind":"new","timeoutMs":1,"service":"s"}],"services":[]})", 1, false });
+    BOOST_TEST(!configuration->routes_[0].mayRunAgain());
+}
+
+BOOST_AUTO_TEST_CASE(that_cannot_be_read_is_an_error)
+{
+    BOOST_TEST(PlatformFleetCodec::decodeConfiguration({ "op/config", "{", 1, false }).error() == ErrorCode::RecordMalformed);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
