A server that leaves just after the store's return is gone at once

Cause: each removal within three seconds of a failed look was taken for a lapse and its server used for two more seconds. Now a removal counts as a lapse only if it is read within 0.4 s of the return from an absence of a second or more, and its server is used until two seconds after that return.

--- a/src/fleet/endpointdirectory.cpp
+++ b/src/fleet/endpointdirectory.cpp
@@ -5,30 +5,45 @@
 namespace cowsliphead
 {
 
-EndpointDirectory::EndpointDirectory(std::chrono::milliseconds returnGrace)
-    : returnGrace_(returnGrace)
+bool EndpointDirectory::isOutdated(const EndpointEntry &entry) const
 {
+    const auto left = leaving_.find(entry.id_);
+    if (left != leaving_.end() && left->second == entry.incarnation_) {
+        return true;
+    }
+    const auto known = known_.find(entry.id_);
+    if (known == known_.end()) {
+        return false;
+    }
+    const auto &held = known->second.entry_;
+    return entry.incarnation_ < held.incarnation_ || (entry.incarnation_ == held.incarnation_ && entry.sequence_ < held.sequence_);
 }
 
-void EndpointDirectory::written(const EndpointEntry &entry)
+bool EndpointDirectory::written(const EndpointEntry &entry)
 {
+    if (entry.isLeaving_) {
+        leaving_[entry.id_] = entry.incarnation_;
+    } else if (isOutdated(entry)) {
+        return false;
+    }
     known_[entry.id_] = Known{ entry, std::nullopt };
+    return true;
 }
 
-void EndpointDirectory::removed(const EndpointId &id, bool hasStoreBeenAway, MonotonicTime now)
+void EndpointDirectory::removed(const EndpointId &id, std::optional<MonotonicTime> awaitedUntil)
 {
     const auto found = known_.find(id);
     if (found == known_.end()) {
         return;
     }
-    if (!hasStoreBeenAway || found->second.entry_.isLeaving_) {
+    if (!awaitedUntil || found->second.entry_.isLeaving_) {
         known_.erase(found);
     } else if (!found->second.awaitedUntil_) {
-        found->second.awaitedUntil_ = now + returnGrace_;
+        found->second.awaitedUntil_ = awaitedUntil;
     }
 }
 
-void EndpointDirectory::replaced(const std::vector<EndpointEntry> &entries, bool hasStoreBeenAway, MonotonicTime now)
+void EndpointDirectory::replaced(const std::vector<EndpointEntry> &entries, std::optional<MonotonicTime> awaitedUntil)
 {
     std::set<EndpointId> held;
     for (const auto &entry : entries) {
@@ -42,7 +57,7 @@
         }
     }
     for (const auto &id : missing) {
-        removed(id, hasStoreBeenAway, now);
+        removed(id, awaitedUntil);
     }
 }
 
--- a/src/fleet/endpointdirectory.h
+++ b/src/fleet/endpointdirectory.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <chrono>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -15,19 +15,17 @@
 class EndpointDirectory
 {
 public:
-    /// returnGrace: how long an entry that lapsed while the store was away is waited for after its return.
-    /// Thread safety: owner task only.
-    explicit EndpointDirectory(std::chrono::milliseconds returnGrace);
-
-    /// The entry was written. Thread safety: owner task only.
-    void written(const EndpointEntry &entry);
+    /// The entry was written. One that is older than what is known of its incarnation, or that calls an endpoint ready which has
+    /// said that it leaves, is ignored: a late write must not bring it back. Returns false if it is ignored. Thread safety: owner
+    /// task only.
+    bool written(const EndpointEntry &entry);
 
-    /// The entry was removed or can no longer be read. hasStoreBeenAway: it may have lapsed only because the store was not
-    /// reachable. Thread safety: owner task only.
-    void removed(const EndpointId &id, bool hasStoreBeenAway, MonotonicTime now);
+    /// The entry was removed or can no longer be read. awaitedUntil: it may have lapsed only because the store was away, and its
+    /// endpoint is used until then; without it the endpoint is gone at once. Thread safety: owner task only.
+    void removed(const EndpointId &id, std::optional<MonotonicTime> awaitedUntil);
 
-    /// All that the store holds, read anew. Thread safety: owner task only.
-    void replaced(const std::vector<EndpointEntry> &entries, bool hasStoreBeenAway, MonotonicTime now);
+    /// All that the store holds, read anew; awaitedUntil as for removed(). Thread safety: owner task only.
+    void replaced(const std::vector<EndpointEntry> &entries, std::optional<MonotonicTime> awaitedUntil);
 
     /// Drops what was waited for in vain. Returns true if that changed anything. Thread safety: owner task only.
     bool expire(MonotonicTime now);
@@ -41,8 +39,12 @@
         std::optional<MonotonicTime> awaitedUntil_;
     };
 
-    std::chrono::milliseconds returnGrace_;
+    bool isOutdated(const EndpointEntry &entry) const;
+
     std::map<EndpointId, Known> known_;
+
+    /// Incarnations that said they leave.
+    std::map<EndpointId, std::uint64_t> leaving_;
 };
 
 } // namespace cowsliphead
--- a/src/fleet/endpointentry.h
+++ b/src/fleet/endpointentry.h
@@ -19,6 +19,9 @@
 
     /// Milliseconds since the epoch at which it started; a restart under the same id is another incarnation.
     std::uint64_t incarnation_ = 0;
+
+    /// Grows with each of the incarnation's entries.
+    std::uint64_t sequence_ = 0;
     ServiceName service_;
     SocketAddress address_;
     FailureDomain domain_;
--- a/src/fleet/registry.h
+++ b/src/fleet/registry.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -30,7 +31,6 @@
         : store_(store)
         , clock_(clock)
         , links_(std::move(links))
-        , directory_(ReturnGrace)
         , census_(GatewayPresence)
         , next_(loop, [this] { proceed(); })
         , expiry_(loop, [this] { expire(); })
@@ -45,11 +45,14 @@
     }
 
 private:
-    /// Bound of the time that an entry which lapsed while the store was away takes to return.
+    /// Bound of the time, from the store's return, that an entry which lapsed while it was away takes to come back.
     static constexpr std::chrono::milliseconds ReturnGrace{ 2000 };
 
-    /// Removals this long after a failed look may be lapses of the time without the store.
-    static constexpr std::chrono::milliseconds AwayMemory{ 3000 };
+    /// No entry lapses in a shorter absence, as when one connection is lost.
+    static constexpr std::chrono::milliseconds ShortestLapse{ 1000 };
+
+    /// Removals that are read this long after the store's return lapsed while it was away; a later one is an endpoint that leaves.
+    static constexpr std::chrono::milliseconds LapseReading{ 400 };
 
     /// A watch waits so long, a fifth of the shortest bound on a withdrawn key's use.
     static constexpr std::chrono::milliseconds WatchWait{ 1000 };
@@ -130,7 +133,7 @@
                     entries.push_back(std::move(*entry));
                 }
             }
-            directory_.replaced(entries, hasStoreBeenAway(), clock_.now());
+            directory_.replaced(entries, awaitedUntil());
             stage_ = Stage::Watching;
             publish();
             links_.looks_.send(LookConfirmed{ askedAt_ });
@@ -174,17 +177,27 @@
             return false;
         }
         if (entry.isErased_) {
-            directory_.removed(Codec::endpointOf(entry.key_), hasStoreBeenAway(), clock_.now());
+            directory_.removed(Codec::endpointOf(entry.key_), awaitedUntil());
             return true;
         }
         if (const auto decoded = decodeEndpoint(entry)) {
-            directory_.written(*decoded);
+            takeEndpoint(*decoded, entry.revision_);
         } else {
-            directory_.removed(Codec::endpointOf(entry.key_), false, clock_.now());
+            directory_.removed(Codec::endpointOf(entry.key_), std::nullopt);
         }
         return true;
     }
 
+    void takeEndpoint(const EndpointEntry &endpoint, StoreRevision revision)
+    {
+        if (!directory_.written(endpoint)) {
+            logEvent(LogEvent::EndpointEntryOutdated,
+                     { { "endpoint", endpoint.id_.value() }, { "revision", revision }, { "sequence", endpoint.sequence_ } });
+        } else if (endpoint.isLeaving_) {
+            logEvent(LogEvent::EndpointLeaves, { { "endpoint", endpoint.id_.value() }, { "revision", revision } });
+        }
+    }
+
     bool takeConfiguration(const StoreEntry &entry)
     {
         if (entry.isErased_ || (configuration_ && entry.revision_ <= configuration_->revision_)) {
@@ -225,27 +238,37 @@
         links_.dutySnapshots_.send(snapshot);
     }
 
-    bool hasStoreBeenAway() const
+    /// Until when an entry that is missing now may come back; nothing if it did not lapse with the store.
+    std::optional<MonotonicTime> awaitedUntil() const
     {
-        return isAway_ || (hasFailed_ && clock_.now() - failedAt_ < AwayMemory);
+        if (regainedAt_ && clock_.now() - *regainedAt_ < LapseReading) {
+            return *regainedAt_ + ReturnGrace;
+        }
+        return std::nullopt;
     }
 
     void failed(std::error_code error)
     {
+        if (error == ErrorCode::StoreHistoryGone) {
+            // The store answers: what is missing afterwards has left.
+            next_.startOnce(RetryPause);
+            return;
+        }
         if (!std::exchange(isAway_, true)) {
+            awaySince_ = clock_.now();
             logEvent(LogEvent::StoreLost, { { "error", error.message() }, { "revision", cursor_ } });
         }
-        if (error != ErrorCode::StoreHistoryGone) {
-            hasFailed_ = true;
-            failedAt_ = clock_.now();
-        }
         next_.startOnce(RetryPause);
     }
 
     void answered()
     {
         if (std::exchange(isAway_, false)) {
-            logEvent(LogEvent::StoreRegained, { { "revision", cursor_ } });
+            const auto awayFor = std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now() - awaySince_);
+            if (awayFor >= ShortestLapse) {
+                regainedAt_ = clock_.now();
+            }
+            logEvent(LogEvent::StoreRegained, { { "revision", cursor_ }, { "awayMs", std::uint64_t(awayFor.count()) } });
         }
     }
 
@@ -261,8 +284,10 @@
     std::vector<StoreEntry> pages_;
     StoreRevision cursor_ = 0;
     MonotonicTime askedAt_;
-    MonotonicTime failedAt_;
-    bool hasFailed_ = false;
+    MonotonicTime awaySince_;
+
+    /// The end of the last absence that was long enough for entries to lapse.
+    std::optional<MonotonicTime> regainedAt_;
     bool isAway_ = false;
 };
 
--- a/src/logs/eventcatalogue.cpp
+++ b/src/logs/eventcatalogue.cpp
@@ -38,6 +38,8 @@
     { LogEvent::EndpointEntryMalformed, LogLevel::Warning, "endpoint_entry_malformed", "An entry names no endpoint to use." },
     { LogEvent::StoreLost, LogLevel::Warning, "store_lost", "The store does not answer; the last configuration and endpoints stay in use." },
     { LogEvent::StoreRegained, LogLevel::Info, "store_regained", "The store answers again." },
+    { LogEvent::EndpointEntryOutdated, LogLevel::Info, "endpoint_entry_outdated", "A late entry of an endpoint is ignored." },
+    { LogEvent::EndpointLeaves, LogLevel::Info, "endpoint_leaves", "An endpoint says that it leaves; it gets nothing new." },
     { LogEvent::ClaimStoreNotAnswering, LogLevel::Warning, "claim_store_not_answering", "The store did not answer a read of claims; the daemon tries again." },
     { LogEvent::ClaimsMalformed, LogLevel::Error, "claims_malformed", "A value of claims cannot be read; no claim of its shard is granted." },
     { LogEvent::ClaimWriteUnsettled, LogLevel::Warning, "claim_write_unsettled", "Nothing is known of a write of claims; the daemon reads it back." },
--- a/src/logs/logevent.h
+++ b/src/logs/logevent.h
@@ -40,6 +40,8 @@
     EndpointEntryMalformed = 406,
     StoreLost = 407,
     StoreRegained = 408,
+    EndpointEntryOutdated = 409,
+    EndpointLeaves = 410,
 
     // 500 to 599: claims
     ClaimStoreNotAnswering = 500,
