--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -156,8 +156,8 @@
         }
         const auto now = context_.clock_.now();
         const auto candidates = context_.endpoints_.candidates(service_, EngineStage::Prefill, triedPrefill_, now);
-        const auto *idle = placement::shortestQueue(candidates, context_.settings_.domain_, now);
-        return idle != nullptr && idle->queue_.wait(now) < IdleQueue;
+        const auto *idle = placement::shortestQueue(candidates, context_.settings_.domain_, context_.gatewayCount_, now);
+        return idle != nullptr && idle->queue_.wait(now, context_.gatewayCount_) < IdleQueue;
     }
 
     bool isLongPrompt() const
@@ -184,8 +184,8 @@
         ++prefills_;
         const auto now = context_.clock_.now();
         const auto candidates = context_.endpoints_.candidates(service_, EngineStage::Prefill, triedPrefill_, now);
-        const auto choice = isLongPrompt() ? placement::prefillEngine(sharedPartsName(), candidates, now)
-                                           : PrefillChoice{ placement::shortestQueue(candidates, context_.settings_.domain_, now), nullptr };
+        const auto choice = isLongPrompt() ? placement::prefillEngine(sharedPartsName(), candidates, context_.gatewayCount_, now)
+                                           : PrefillChoice{ placement::shortestQueue(candidates, context_.settings_.domain_, context_.gatewayCount_, now), nullptr };
         if (choice.engine_ == nullptr) {
             prefills_ = MostPrefills;
             run();
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -50,7 +50,7 @@
     return best.empty() ? nullptr : best[random() % best.size()];
 }
 
-PrefillChoice prefillEngine(const std::string &sharedParts, const Candidates &candidates, MonotonicTime now)
+PrefillChoice prefillEngine(const std::string &sharedParts, const Candidates &candidates, std::size_t gateways, MonotonicTime now)
 {
     if (candidates.empty()) {
         return {};
@@ -61,9 +61,9 @@
     });
     EndpointState *home = ranked.front();
     EndpointState *best = home;
-    auto bestWait = home->queue_.wait(now);
+    auto bestWait = home->queue_.wait(now, gateways);
     for (auto *candidate : ranked) {
-        const auto wait = candidate->queue_.wait(now) + FetchPenalty;
+        const auto wait = candidate->queue_.wait(now, gateways) + FetchPenalty;
         if (candidate != home && wait < bestWait) {
             best = candidate;
             bestWait = wait;
@@ -72,10 +72,10 @@
     return { best, best == home ? nullptr : home };
 }
 
-EndpointState *shortestQueue(const Candidates &candidates, const FailureDomain &home, MonotonicTime now)
+EndpointState *shortestQueue(const Candidates &candidates, const FailureDomain &home, std::size_t gateways, MonotonicTime now)
 {
     const auto waitOf = [&](const EndpointState *state) {
-        return state->queue_.wait(now) + (state->entry_.domain_ == home ? std::chrono::milliseconds(0) : AwayPenalty);
+        return state->queue_.wait(now, gateways) + (state->entry_.domain_ == home ? std::chrono::milliseconds(0) : AwayPenalty);
     };
     const auto shortest = std::min_element(
         candidates.begin(), candidates.end(), [&](const EndpointState *left, const EndpointState *right) { return waitOf(left) < waitOf(right); });
--- a/src/gateway/readqueue.cpp
+++ b/src/gateway/readqueue.cpp
@@ -33,9 +33,9 @@
     delayAt_ = now;
 }
 
-std::chrono::milliseconds ReadQueue::wait(MonotonicTime now) const
+std::chrono::milliseconds ReadQueue::wait(MonotonicTime now, std::size_t gateways) const
 {
-    const auto own = readingTime(tokens_);
+    const auto own = readingTime(tokens_ * std::max<std::size_t>(1, gateways));
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - delayAt_);
     if (age >= DelayMemory) {
         return own;
--- a/src/gateway/readqueue.h
+++ b/src/gateway/readqueue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 
 #include "core/time.h"
@@ -22,8 +23,9 @@
     /// A prompt was read in that time, from its sending. Thread safety: owner task only.
     void read(std::uint64_t tokens, std::chrono::nanoseconds taken, MonotonicTime now);
 
-    /// How long a prompt that is sent now waits before it is read. Thread safety: owner task only.
-    std::chrono::milliseconds wait(MonotonicTime now) const;
+    /// How long a prompt that is sent now waits before it is read, if each of so many gateways has sent as much as this one.
+    /// Thread safety: owner task only.
+    std::chrono::milliseconds wait(MonotonicTime now, std::size_t gateways) const;
 
     /// How long the reading of so many tokens takes. Thread safety: any thread.
     static std::chrono::milliseconds readingTime(std::uint64_t tokens);
--- a/tests/gateway/placementtest.cpp
+++ b/tests/gateway/placementtest.cpp
@@ -44,33 +44,33 @@
     Engines first(count);
     Engines second(count);
     std::reverse(second.candidates_.begin(), second.candidates_.end());
-    const auto *one = placement::prefillEngine(parts, first.candidates_, Now).engine_;
-    const auto *other = placement::prefillEngine(parts, second.candidates_, Now).engine_;
+    const auto *one = placement::prefillEngine(parts, first.candidates_, 1, Now).engine_;
+    const auto *other = placement::prefillEngine(parts, second.candidates_, 1, Now).engine_;
     RC_ASSERT(one->entry_.id_ == other->entry_.id_);
 }
 
 RC_BOOST_PROP(keeps_the_homes_of_the_engines_that_stay, (const std::string &parts))
 {
     Engines engines(6);
-    const auto *home = placement::prefillEngine(parts, engines.candidates_, Now).engine_;
+    const auto *home = placement::prefillEngine(parts, engines.candidates_, 1, Now).engine_;
     placement::Candidates fewer = engines.candidates_;
     std::erase_if(fewer, [home](const EndpointState *state) { return state != home && state->entry_.id_.value() < home->entry_.id_.value(); });
-    RC_ASSERT(placement::prefillEngine(parts, fewer, Now).engine_ == home);
+    RC_ASSERT(placement::prefillEngine(parts, fewer, 1, Now).engine_ == home);
 }
 
 BOOST_AUTO_TEST_CASE(leaves_a_busy_home_and_names_it_as_the_source)
 {
     Engines engines(4);
-    auto *home = placement::prefillEngine("parts", engines.candidates_, Now).engine_;
+    auto *home = placement::prefillEngine("parts", engines.candidates_, 1, Now).engine_;
     home->queue_.began(100000);
-    const auto choice = placement::prefillEngine("parts", engines.candidates_, Now);
+    const auto choice = placement::prefillEngine("parts", engines.candidates_, 1, Now);
     BOOST_TEST(choice.engine_ != home);
     BOOST_TEST(choice.home_ == home);
 }
 
 BOOST_AUTO_TEST_CASE(without_an_engine_is_none)
 {
-    BOOST_TEST(placement::prefillEngine("parts", {}, Now).engine_ == nullptr);
+    BOOST_TEST(placement::prefillEngine("parts", {}, 1, Now).engine_ == nullptr);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
