--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -17,6 +17,9 @@
 /// failure domains, and its price.
 constexpr std::chrono::milliseconds FetchPenalty{ 400 };
 
+/// Engines that may read a prompt. More would each come to need more shared parts than their caches hold.
+constexpr std::size_t MostHomes = 2;
+
 /// A byte between failure domains costs more than one inside; this much more waiting is borne to avoid it.
 constexpr std::chrono::milliseconds AwayPenalty{ 10 };
 
@@ -62,6 +65,7 @@
     EndpointState *home = ranked.front();
     EndpointState *best = home;
     auto bestWait = home->queue_.wait(now, gateways);
+    ranked.resize(std::min(ranked.size(), MostHomes));
     for (auto *candidate : ranked) {
         const auto wait = candidate->queue_.wait(now, gateways) + FetchPenalty;
         if (candidate != home && wait < bestWait) {
