--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -31,13 +31,14 @@
         , silence_(context.loop_, [this] { wentSilent(); })
     {
         ++endpoint_->running_;
-        endpoint_->queue_.began(plan_.promptTokens_);
+        unreadTokens_ = plan_.promptTokens_;
+        endpoint_->queue_.began(unreadTokens_);
     }
 
     ~Dispatch()
     {
         --endpoint_->running_;
-        endpoint_->queue_.ended(plan_.promptTokens_);
+        promptIsRead();
         if (connection_) {
             connection_->close();
         }
@@ -113,6 +114,11 @@
         }
     }
 
+    void promptIsRead()
+    {
+        endpoint_->queue_.ended(std::exchange(unreadTokens_, 0));
+    }
+
     AnswerUse takeHead(const ResponseHead &head)
     {
         const auto facts = D::readAnswer(head);
@@ -121,6 +127,7 @@
             return AnswerUse::Skip;
         }
         listen();
+        promptIsRead();
         answer_ = facts;
         head_ = head;
         isStreaming_ = plan_.isStream_ && head.status_ == httpstatus::Ok && facts.isGenuine_;
@@ -195,6 +202,7 @@
     Timer silence_;
     std::shared_ptr<ClientConnection> connection_;
     MonotonicTime writtenAt_;
+    std::uint64_t unreadTokens_ = 0;
     AnswerFacts answer_;
     ResponseHead head_;
     std::string body_;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -79,6 +79,12 @@
     /// Share of the decode engines' places above which other engines read short prompts too.
     static constexpr double BusyDecode = 0.4;
 
+    /// Share of the decode engines' places below which they can read long prompts beside their streams.
+    static constexpr double IdleDecode = 0.35;
+
+    /// A home whose queue takes longer than this has too much to read.
+    static constexpr std::chrono::milliseconds BusyPrefill{ 700 };
+
     /// An engine whose queue takes less than this has nothing to read.
     static constexpr std::chrono::milliseconds IdleQueue{ 10 };
 
@@ -145,7 +151,22 @@
     bool wantsPrefill() const
     {
         const bool isPossible = cache_ == std::nullopt && prefills_ < MostPrefills && facts_.promptTokens_ > 0;
-        return isPossible && (isLongPrompt() || mayRelieveDecode()) && context_.endpoints_.hasStage(service_, EngineStage::Prefill);
+        if (!isPossible || !context_.endpoints_.hasStage(service_, EngineStage::Prefill)) {
+            return false;
+        }
+        return isLongPrompt() ? !mayRelievePrefill() : mayRelieveDecode();
+    }
+
+    /// A long prompt is read where it is answered only if its homes have much to read and the decode engines little to do.
+    bool mayRelievePrefill() const
+    {
+        if (context_.decodeOccupancy(service_) > IdleDecode) {
+            return false;
+        }
+        const auto now = context_.clock_.now();
+        const auto candidates = context_.endpoints_.candidates(service_, EngineStage::Prefill, triedPrefill_, now);
+        const auto choice = placement::prefillEngine(sharedPartsName(), candidates, context_.gatewayCount_, now);
+        return choice.engine_ != nullptr && choice.engine_->queue_.wait(now, context_.gatewayCount_) > BusyPrefill;
     }
 
     /// A short prompt is best read where it is answered, unless the engines there are busy and one of the others has nothing to read.
@@ -245,7 +266,9 @@
     {
         const auto stage = isEngineService() ? EngineStage::Decode : EngineStage::None;
         const auto candidates = context_.endpoints_.candidates(service_, stage, tried_, context_.clock_.now());
-        auto *chosen = placement::leastLoaded(candidates, context_.settings_.domain_, context_.random_);
+        const bool readsPrompt = isLongPrompt() && !cache_ && stage == EngineStage::Decode;
+        auto *chosen = readsPrompt ? placement::prefillEngine(sharedPartsName(), candidates, context_.gatewayCount_, context_.clock_.now()).engine_
+                                   : placement::leastLoaded(candidates, context_.settings_.domain_, context_.random_);
         if (chosen == nullptr) {
             giveUp(ErrorCode::EndpointUnavailable);
             return;
@@ -257,6 +280,9 @@
         auto plan = planFor(*chosen);
         plan.isStream_ = route().kind_ == RouteKind::Streaming;
         plan.needsNewConnection_ = !route().mayRunAgain();
+        if (readsPrompt) {
+            planReading(plan);
+        }
         if (cache_) {
             plan.facts_.cacheSource_ = textOf(cache_->engine_) + "/" + cache_->id_;
         }
@@ -267,6 +293,18 @@
         send(*chosen, std::move(plan), [this](AttemptResult result) { runEnded(std::move(result)); });
     }
 
+    /// The engine that answers reads a long prompt too, and takes the shared parts from their home.
+    void planReading(DispatchPlan &plan)
+    {
+        const auto now = context_.clock_.now();
+        const auto homes = context_.endpoints_.candidates(service_, EngineStage::Prefill, {}, now);
+        const auto home = placement::prefillEngine(sharedPartsName(), homes, context_.gatewayCount_, now);
+        if (home.engine_ != nullptr) {
+            plan.facts_.fetchSource_ = textOf((home.home_ != nullptr ? *home.home_ : *home.engine_).entry_.address_);
+        }
+        plan.promptTokens_ = facts_.promptTokens_ - facts_.sharedTokens();
+    }
+
     std::chrono::milliseconds silenceLimit() const
     {
         return std::clamp(route().targetLatency_ * SilentTargets, ShortestSilence, LongestSilence);
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -13,6 +13,9 @@
 /// A byte between failure domains costs more than one inside; this much more load is borne to avoid it.
 constexpr double AwayFactor = 1.6;
 
+/// An engine that reads a long prompt holds up the streams beside it; this much more load elsewhere is borne to avoid that.
+constexpr double ReadingFactor = 3.0;
+
 /// What an engine that lacks a prompt's shared parts loses by fetching them, in queue time: the transfer, twice as long between
 /// failure domains, and its price.
 constexpr std::chrono::milliseconds FetchPenalty{ 400 };
@@ -27,7 +30,8 @@
 {
     const double places = std::max<std::uint32_t>(1, state.entry_.slots_);
     const double away = state.entry_.domain_ == home ? 1.0 : AwayFactor;
-    return (state.running_ + 1) / places * state.lateness_.level() * away;
+    const double reading = state.queue_.isEmpty() ? 1.0 : ReadingFactor;
+    return (state.running_ + 1) / places * state.lateness_.level() * away * reading;
 }
 
 std::uint64_t rankOf(const std::string &sharedParts, const EndpointState &state)
--- a/src/gateway/readqueue.h
+++ b/src/gateway/readqueue.h
@@ -27,6 +27,12 @@
     /// Thread safety: owner task only.
     std::chrono::milliseconds wait(MonotonicTime now, std::size_t gateways) const;
 
+    /// True if no prompt of this gateway waits. Thread safety: owner task only.
+    bool isEmpty() const
+    {
+        return tokens_ == 0;
+    }
+
     /// How long the reading of so many tokens takes. Thread safety: any thread.
     static std::chrono::milliseconds readingTime(std::uint64_t tokens);
 
