--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -83,7 +83,7 @@
     static constexpr double IdleDecode = 0.35;
 
     /// A home whose queue takes longer than this has too much to read.
-    static constexpr std::chrono::milliseconds BusyPrefill{ 700 };
+    static constexpr std::chrono::milliseconds BusyPrefill{ 200 };
 
     /// An engine whose queue takes less than this has nothing to read.
     static constexpr std::chrono::milliseconds IdleQueue{ 10 };
