Usage is sealed once every gateway's final counts lie in the store

Cause: a window was sealed 2.5 s after its end, while a gateway that could not reach the store still held its counts.

--- a/src/duty/dutykeeper.h
+++ b/src/duty/dutykeeper.h
@@ -7,6 +7,8 @@
 
 #include "core/clock.h"
 #include "duty/dutysettings.h"
+#include "fleet/fleetsnapshot.h"
+#include "fleet/gatewaycount.h"
 #include "duty/leaseholder.h"
 #include "duty/scaleplanner.h"
 #include "duty/windowreporter.h"
@@ -24,7 +26,7 @@
 class DutyKeeper
 {
 public:
-    using Message = std::variant<RequestBegun, FleetSnapshot, DrainRequest>;
+    using Message = std::variant<RequestBegun, FleetSnapshot, GatewayCount, DrainRequest>;
 
     /// incarnation names this process for good. Precondition: loop, store, platform and clock outlive the keeper.
     /// Thread safety: the loop's task only.
@@ -62,7 +64,10 @@
     static constexpr std::chrono::milliseconds FlushInterval{ 1500 };
 
     /// After a window's end: the last flush of each gateway and the store's answer.
-    static constexpr std::chrono::milliseconds ReportDelay{ 2500 };
+    static constexpr std::chrono::milliseconds ReportDelay{ 1000 };
+
+    /// What is left of a report's time when it no longer waits for gateways whose counts are missing: a second holder's takeover.
+    static constexpr std::chrono::milliseconds LateMargin{ 4000 };
 
     /// Between two tries to report.
     static constexpr std::chrono::milliseconds ReportInterval{ 500 };
@@ -113,6 +118,11 @@
         fleet_ = fleet;
     }
 
+    void take(const GatewayCount &count)
+    {
+        gatewayCount_ = count.count_;
+    }
+
     void take(const DrainRequest & /*request*/)
     {
         drainedAt_ = clock_.now();
@@ -202,7 +212,8 @@
         const auto newest = windowAt(now - ReportDelay) - 1;
         const auto oldest = std::max(newest - WindowsBack, windowAt(startedAt_));
         for (auto window = oldest; window <= newest; ++window) {
-            reporter_.report(window);
+            const bool isLate = window <= windowAt(now - (settings_.reportBound_ - LateMargin)) - 1;
+            reporter_.report(window, isLate ? 0 : gatewayCount_);
         }
     }
 
@@ -220,6 +231,7 @@
     MonotonicTime reportedAt_;
     MonotonicTime scaledAt_;
     FleetSnapshot fleet_;
+    std::size_t gatewayCount_ = 0;
     ScalePlanner planner_;
     UsageWindow flushedWindow_ = 0;
     std::optional<MonotonicTime> drainedAt_;
--- a/src/duty/windowcountscodec.cpp
+++ b/src/duty/windowcountscodec.cpp
@@ -9,9 +9,9 @@
 
 std::string toText(const WindowCounts &counts)
 {
-    auto document = nlohmann::json::object();
+    nlohmann::json document{ { "final", counts.isFinal_ }, { "requests", nlohmann::json::object() } };
     for (const auto &[account, requests] : counts.requests_) {
-        document[account.value()] = requests;
+        document["requests"][account.value()] = requests;
     }
     return document.dump();
 }
@@ -19,12 +19,13 @@
 Result<WindowCounts> fromText(UsageWindow window, const std::string &text)
 {
     const auto document = nlohmann::json::parse(text, nullptr, false);
-    if (!document.is_object()) {
+    if (!document.is_object() || !document.contains("requests") || !document["requests"].is_object()) {
         return failure(ErrorCode::CodecMalformed);
     }
     WindowCounts counts;
     counts.window_ = window;
-    for (const auto &[account, requests] : document.items()) {
+    counts.isFinal_ = document.contains("final") && document["final"] == true;
+    for (const auto &[account, requests] : document["requests"].items()) {
         if (!requests.is_number_unsigned()) {
             return failure(ErrorCode::CodecMalformed);
         }
--- a/src/duty/windowreporter.h
+++ b/src/duty/windowreporter.h
@@ -33,20 +33,20 @@
     {
     }
 
-    /// Reports the window unless that was done or is under way. Precondition: its counts can be expected to lie in the store.
+    /// Reports the window unless that was done or is under way, once the final counts of so many gateways lie in the store.
     /// Thread safety: the store's task only.
-    void report(UsageWindow window)
+    void report(UsageWindow window, std::size_t gateways)
     {
         if (reported_.contains(window) || !inHand_.insert(window).second) {
             return;
         }
-        store_.read(usagecountkeys::sealedCounts(window), [this, window](const Result<std::optional<StoreEntry>> &answer) {
+        store_.read(usagecountkeys::sealedCounts(window), [this, window, gateways](const Result<std::optional<StoreEntry>> &answer) {
             if (!answer || !authority_()) {
                 inHand_.erase(window);
             } else if (*answer) {
                 submit(window, (*answer)->value_);
             } else {
-                gather(window, {}, WindowCounts{ window, {} });
+                gather(window, {}, Gathered{ { window, {}, true }, gateways });
             }
         });
     }
@@ -55,33 +55,45 @@
     /// Windows that are remembered as reported.
     static constexpr std::size_t Remembered = 64;
 
-    void gather(UsageWindow window, const std::string &after, WindowCounts sums)
+    struct Gathered {
+        WindowCounts sums_;
+
+        /// Gateways whose final counts are missing.
+        std::size_t missing_ = 0;
+    };
+
+    void gather(UsageWindow window, const std::string &after, Gathered gathered)
     {
-        store_.range(usagecountkeys::countsOf(window), after, [this, window, sums = std::move(sums)](const Result<StoreRange> &page) mutable {
+        store_.range(usagecountkeys::countsOf(window), after, [this, window, gathered = std::move(gathered)](const Result<StoreRange> &page) mutable {
             if (!page || !authority_()) {
                 inHand_.erase(window);
                 return;
             }
             for (const auto &entry : page->entries_) {
-                add(entry, sums);
+                add(entry, gathered);
             }
             if (page->hasMore_ && !page->entries_.empty()) {
-                gather(window, page->entries_.back().key_, std::move(sums));
+                gather(window, page->entries_.back().key_, std::move(gathered));
+            } else if (gathered.missing_ > 0) {
+                inHand_.erase(window);
             } else {
-                seal(window, windowcountscodec::toText(sums));
+                seal(window, windowcountscodec::toText(gathered.sums_));
             }
         });
     }
 
-    static void add(const StoreEntry &entry, WindowCounts &sums)
+    static void add(const StoreEntry &entry, Gathered &gathered)
     {
-        const auto counts = windowcountscodec::fromText(sums.window_, entry.value_);
+        const auto counts = windowcountscodec::fromText(gathered.sums_.window_, entry.value_);
         if (!counts) {
-            logEvent(LogEvent::UsageCountsLost, { { "window", std::uint64_t(sums.window_) }, { "key", entry.key_ } });
+            logEvent(LogEvent::UsageCountsLost, { { "window", std::uint64_t(gathered.sums_.window_) }, { "key", entry.key_ } });
             return;
         }
+        if (counts->isFinal_ && gathered.missing_ > 0) {
+            --gathered.missing_;
+        }
         for (const auto &[account, requests] : counts->requests_) {
-            sums.requests_[account] += requests;
+            gathered.sums_.requests_[account] += requests;
         }
     }
 
--- a/src/duty/windowwriter.h
+++ b/src/duty/windowwriter.h
@@ -42,6 +42,10 @@
         pending_.try_emplace(current);
         std::erase_if(pending_, [current](const auto &item) { return item.first + KeptWindows < current && reportDropped(item.first, item.second); });
         for (auto &[window, pending] : pending_) {
+            if (window < current && !pending.counts_.isFinal_) {
+                pending.counts_.isFinal_ = true;
+                pending.isDirty_ = true;
+            }
             if (!pending.isWriting_ && (pending.isDirty_ || pending.revision_ == 0)) {
                 write(window, pending);
             }
--- a/src/fleet/registry.h
+++ b/src/fleet/registry.h
@@ -228,7 +228,9 @@
         if (directory_.expire(clock_.now())) {
             publish();
         }
-        links_.counts_.send(GatewayCount{ census_.count(clock_.now()) });
+        const GatewayCount count{ census_.count(clock_.now()) };
+        links_.counts_.send(count);
+        links_.dutyCounts_.send(count);
     }
 
     void publish()
--- a/src/fleet/registrylinks.h
+++ b/src/fleet/registrylinks.h
@@ -14,6 +14,7 @@
     Address<FleetSnapshot> dutySnapshots_;
     Address<LookConfirmed> looks_;
     Address<GatewayCount> counts_;
+    Address<GatewayCount> dutyCounts_;
 };
 
 } // namespace cowsliphead
--- a/tests/fleet/registrytest.cpp
+++ b/tests/fleet/registrytest.cpp
@@ -65,6 +65,7 @@
                                                                     { Address<FleetSnapshot>([this](FleetSnapshot snapshot) { snapshot_ = std::move(snapshot); }),
                                                                       {},
                                                                       Address<LookConfirmed>([this](LookConfirmed /*look*/) { ++looks_; }),
+                                                                      {},
                                                                       {} } };
 };
 
