--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -537,7 +537,7 @@
     void logPromptRead() const
     {
         const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(context_.clock_.now() - dispatch_->writtenAt());
-        logEvent(LogEvent::PromptRead,
+        logRoutine(LogEvent::PromptRead,
                  { { "request", facts_.attemptId_ },
                    { "endpoint", dispatch_->endpoint().entry_.id_.value() },
                    { "parts", sharedPartsName() },
@@ -567,17 +567,7 @@
         }
         dispatch_.reset();
         context_.metrics_.requests_.increment({ { "status", std::to_string(status) } });
-        logEvent(LogEvent::RequestEnded,
-                 { { "request", facts_.attemptId_ },
-                   { "route", admitted_.route_ == nullptr ? std::string() : route().name_ },
-                   { "account", admitted_.account_ == nullptr ? std::string() : admitted_.account_->id_.value() },
-                   { "status", std::uint64_t(status) },
-                   { "reason", reason },
-                   { "endpoint", lastEndpoint_ },
-                   { "dispatches", std::uint64_t(dispatches_) },
-                   { "afterMs", elapsed() },
-                   { "configuration", configuration_ ? configuration_->version_ : 0 },
-                   { "configurationAgeMs", std::uint64_t(context_.age_.age(context_.clock_.now()).count()) } });
+        logEnd(status, reason);
         context_.loop_.defer([onDone = std::exchange(onDone_, nullptr)] {
             if (onDone) {
                 onDone();
@@ -585,6 +575,27 @@
         });
     }
 
+    void logEnd(int status, const char *reason) const
+    {
+        const bool isRoutine = status == httpstatus::Ok;
+        const auto write = isRoutine ? logRoutine : logEvent;
+        write(LogEvent::RequestEnded,
+              { { "request", facts_.attemptId_ },
+                { "route", admitted_.route_ == nullptr ? std::string() : route().name_ },
+                { "account", admitted_.account_ == nullptr ? std::string() : admitted_.account_->id_.value() },
+                { "service", service_.value() },
+                { "status", std::uint64_t(status) },
+                { "reason", reason },
+                { "endpoint", lastEndpoint_ },
+                { "dispatches", std::uint64_t(dispatches_) },
+                { "arrivals", std::uint64_t(arrivals_) },
+                { "mayHaveRun", mayHaveRun_ ? "yes" : "no" },
+                { "timeLeftMs", std::uint64_t(std::max<std::int64_t>(0, timeLeft().count())) },
+                { "afterMs", elapsed() },
+                { "configuration", configuration_ ? configuration_->version_ : 0 },
+                { "configurationAgeMs", std::uint64_t(context_.age_.age(context_.clock_.now()).count()) } });
+    }
+
     GatewayContext &context_;
     CallerConnection &connection_;
     CallerRequest request_;
--- a/src/logs/eventcatalogue.cpp
+++ b/src/logs/eventcatalogue.cpp
@@ -17,6 +17,7 @@
     { LogEvent::DaemonStopped, LogLevel::Info, "daemon_stopped", "All answers are written out, and the daemon ends." },
     { LogEvent::TlsReloaded, LogLevel::Info, "tls_reloaded", "New connections get the certificate that the files hold now." },
     { LogEvent::TlsReloadFailed, LogLevel::Error, "tls_reload_failed", "The certificate files are unusable; new connections get the certificate from before." },
+    { LogEvent::LinesOmitted, LogLevel::Info, "lines_omitted", "So many lines about what went well were left out since the last one." },
     { LogEvent::AnswerResumed, LogLevel::Info, "answer_resumed", "Another endpoint goes on with a streamed answer whose endpoint failed." },
     { LogEvent::AnswerAborted, LogLevel::Warning, "answer_aborted", "A started answer cannot be made whole; the caller's connection is closed." },
     { LogEvent::RequestTriedAlone, LogLevel::Warning, "request_tried_alone", "A request that was in flight on several crashed endpoints is tried alone." },
--- a/src/logs/log.cpp
+++ b/src/logs/log.cpp
@@ -2,17 +2,26 @@
 
 #include <chrono>
 
+#include <iostream>
+
+#include <boost/core/null_deleter.hpp>
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/utility/setup/console.hpp>
 #include <nlohmann/json.hpp>
 
+#include "core/systemclock.h"
 #include "logs/eventcatalogue.h"
 #include "logs/eventdescription.h"
 #include "logs/logsetup.h"
+#include "logs/routinelimit.h"
 
 namespace cowsliphead
 {
@@ -20,6 +29,11 @@
 namespace
 {
 
+/// Lines that wait for the reader of standard output; at the usual length some hundred kilobytes.
+constexpr std::size_t LongestQueue = 2048;
+
+using QueuedSink = boost::log::sinks::asynchronous_sink<boost::log::sinks::text_ostream_backend,
+                                                        boost::log::sinks::bounded_fifo_queue<LongestQueue, boost::log::sinks::drop_on_overflow>>;
 using Logger = boost::log::sources::severity_logger<LogLevel>;
 
 const char *levelName(LogLevel level)
@@ -88,11 +102,37 @@
     BOOST_LOG_SEV(logger, description.level_) << (chosenFormat() == LogFormat::Json ? jsonLine(description, fields) : textLine(description, fields));
 }
 
-void setUpLogging(LogFormat format, LogLevel lowest)
+void logRoutine(LogEvent event, std::initializer_list<LogField> fields)
+{
+    thread_local RoutineLimit limit;
+    if (!limit.admits(SystemClock().now())) {
+        return;
+    }
+    if (const auto omitted = limit.takeOmitted(); omitted > 0) {
+        logEvent(LogEvent::LinesOmitted, { { "lines", omitted } });
+    }
+    logEvent(event, fields);
+}
+
+void setUpLogging(LogFormat format, LogLevel lowest, LogTarget target)
 {
     chosenFormat() = format;
-    boost::log::add_console_log(std::cerr, boost::log::keywords::auto_flush = true);
-    boost::log::core::get()->set_filter(boost::log::expressions::attr<LogLevel>("Severity") >= lowest);
+    const auto core = boost::log::core::get();
+    if (target == LogTarget::StandardError) {
+        boost::log::add_console_log(std::cerr, boost::log::keywords::auto_flush = true);
+    } else {
+        const auto backend = boost::make_shared<boost::log::sinks::text_ostream_backend>();
+        backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
+        backend->auto_flush(true);
+        core->add_sink(boost::make_shared<QueuedSink>(backend));
+    }
+    core->set_filter(boost::log::expressions::attr<LogLevel>("Severity") >= lowest);
+}
+
+void flushLog()
+{
+    boost::log::core::get()->flush();
+    boost::log::core::get()->remove_all_sinks();
 }
 
 } // namespace cowsliphead
--- a/src/logs/logevent.h
+++ b/src/logs/logevent.h
@@ -11,6 +11,7 @@
     DaemonStopped = 102,
     TlsReloaded = 103,
     TlsReloadFailed = 104,
+    LinesOmitted = 105,
 
     // 200 to 299: callers and requests
     AnswerResumed = 200,
