--- /dev/null
+++ b/tests/gateway/gatewayworld.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gateway/gateway.h"
+#include "platform/platformdialect.h"
+#include "rawendpoint.h"
+#include "task/timer.h"
+
+/// A gateway with endpoints on the loopback address, in one loop.
+class GatewayWorld
+{
+public:
+    /// What a caller saw.
+    struct Answer {
+        int status_ = 0;
+        std::string body_;
+        cowsliphead::HttpHeaders headers_;
+        bool isWhole_ = false;
+    };
+
+    /// The gateway has confirmed its configuration that long ago.
+    explicit GatewayWorld(std::chrono::milliseconds lookAge = std::chrono::milliseconds(0));
+
+    /// An endpoint of the plain service, which answers by the scripts in turn, the last one again and again.
+    RawEndpoint &addEndpoint(std::vector<RawEndpoint::Script> scripts);
+
+    /// Sends a request and waits for the end of its answer.
+    Answer ask(const std::string &path, cowsliphead::HttpHeaders headers = { { "X-Api-Key", "key-1" } }, const std::string &method = "GET");
+
+    /// Sends a request, closes the connection once an endpoint has it, and runs on for a short time.
+    void askAndLeave(const std::string &path);
+
+    int begun_ = 0;
+
+private:
+    using Gateway = cowsliphead::Gateway<cowsliphead::PlatformDialect>;
+
+    static cowsliphead::GatewaySettings settings();
+    static std::shared_ptr<cowsliphead::Configuration> configuration();
+    void publish();
+    void runFor(std::chrono::milliseconds time);
+
+    cowsliphead::EventLoop loop_;
+    std::shared_ptr<cowsliphead::Configuration> configuration_;
+    std::vector<std::unique_ptr<RawEndpoint>> endpoints_;
+    Gateway gateway_;
+    std::uint16_t port_ = 0;
+    int asked_ = 0;
+};
--- /dev/null
+++ b/tests/gateway/rawendpoint.cpp
@@ -0,0 +1,70 @@
+#include "rawendpoint.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include "http1/socketaddress.h"
+
+using namespace cowsliphead;
+
+RawEndpoint::RawEndpoint(EventLoop &loop, std::vector<Script> scripts)
+    : loop_(loop)
+    , scripts_(std::move(scripts))
+    , listener_(loop, [this](int socket) { accept(socket); })
+{
+    port_ = *listener_.listen(SocketAddress{ "127.0.0.1", 0 });
+}
+
+RawEndpoint::~RawEndpoint() = default;
+
+void RawEndpoint::accept(int socket)
+{
+    bufferevent *events = bufferevent_socket_new(loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE);
+    connections_[events].reset(events);
+    bufferevent_setcb(events, &RawEndpoint::onReadable, nullptr, &RawEndpoint::onEvent, this);
+    bufferevent_enable(events, EV_READ | EV_WRITE);
+}
+
+void RawEndpoint::onReadable(bufferevent *events, void *self)
+{
+    evbuffer *input = bufferevent_get_input(events);
+    std::string bytes(evbuffer_get_length(input), '\0');
+    evbuffer_remove(input, bytes.data(), bytes.size());
+    static_cast<RawEndpoint *>(self)->answer(events, bytes);
+}
+
+void RawEndpoint::onWritten(bufferevent *events, void *self)
+{
+    auto &endpoint = *static_cast<RawEndpoint *>(self);
+    endpoint.loop_.defer([&endpoint, events] { endpoint.connections_.erase(events); });
+}
+
+void RawEndpoint::onEvent(bufferevent *events, short /*what*/, void *self)
+{
+    auto &endpoint = *static_cast<RawEndpoint *>(self);
+    ++endpoint.closed_;
+    endpoint.connections_.erase(events);
+}
+
+void RawEndpoint::answer(bufferevent *events, const std::string &request)
+{
+    requests_.push_back(request);
+    if (scripts_.empty()) {
+        return;
+    }
+    auto script = scripts_.front();
+    if (scripts_.size() > 1) {
+        scripts_.erase(scripts_.begin());
+    }
+    const std::string field = "X-Attempt-Id: ";
+    const auto at = request.find(field);
+    const auto id = at == std::string::npos ? std::string() : request.substr(at + field.size(), request.find('\r', at) - at - field.size());
+    for (auto place = script.bytes_.find("ID"); place != std::string::npos; place = script.bytes_.find("ID")) {
+        script.bytes_.replace(place, 2, id);
+    }
+    bufferevent_write(events, script.bytes_.data(), script.bytes_.size());
+    if (script.closes_) {
+        bufferevent_setcb(events, nullptr, &RawEndpoint::onWritten, &RawEndpoint::onEvent, this);
+    }
+}
--- /dev/null
+++ b/tests/gateway/rawendpoint.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "http1/freebufferevent.h"
+#include "http1/listener.h"
+#include "task/eventloop.h"
+
+/// An endpoint that answers each request with given bytes, sound or not.
+class RawEndpoint
+{
+public:
+    /// What follows a request.
+    struct Script {
+        /// ID stands for the request's identifier.
+        std::string bytes_;
+        bool closes_ = false;
+    };
+
+    RawEndpoint(cowsliphead::EventLoop &loop, std::vector<Script> scripts);
+    ~RawEndpoint();
+    RawEndpoint(const RawEndpoint &) = delete;
+    RawEndpoint &operator=(const RawEndpoint &) = delete;
+
+    std::uint16_t port() const
+    {
+        return port_;
+    }
+
+    /// The heads and bodies received, a request each.
+    const std::vector<std::string> &requests() const
+    {
+        return requests_;
+    }
+
+    /// Connections that the gateway has closed.
+    int closedConnections() const
+    {
+        return closed_;
+    }
+
+private:
+    static void onReadable(bufferevent *events, void *self);
+    static void onWritten(bufferevent *events, void *self);
+    static void onEvent(bufferevent *events, short what, void *self);
+
+    void accept(int socket);
+    void answer(bufferevent *events, const std::string &request);
+
+    cowsliphead::EventLoop &loop_;
+    std::vector<Script> scripts_;
+    std::vector<std::string> requests_;
+    std::map<bufferevent *, std::unique_ptr<bufferevent, cowsliphead::FreeBufferEvent>> connections_;
+    cowsliphead::Listener listener_;
+    std::uint16_t port_ = 0;
+    int closed_ = 0;
+};
