--- a/src/duty/scaleplanner.cpp
+++ b/src/duty/scaleplanner.cpp
@@ -50,10 +50,7 @@
     return orders;
 }
 
-void ScalePlanner::planService(const ServiceSpec &service,
-                               const std::map<FailureDomain, Present> &present,
-                               MonotonicTime now,
-                               std::vector<ServerOrder> &orders)
+void ScalePlanner::planService(const ServiceSpec &service, const std::map<FailureDomain, Present> &present, MonotonicTime now, std::vector<ServerOrder> &orders)
 {
     const auto &scaling = *service.scaling_;
     if (scaling.spotPrice_ > WorthwhilePrice) {
--- a/src/fleet/registry.h
+++ b/src/fleet/registry.h
@@ -191,8 +191,7 @@
     void takeEndpoint(const EndpointEntry &endpoint, StoreRevision revision)
     {
         if (!directory_.written(endpoint)) {
-            logEvent(LogEvent::EndpointEntryOutdated,
-                     { { "endpoint", endpoint.id_.value() }, { "revision", revision }, { "sequence", endpoint.sequence_ } });
+            logEvent(LogEvent::EndpointEntryOutdated, { { "endpoint", endpoint.id_.value() }, { "revision", revision }, { "sequence", endpoint.sequence_ } });
         } else if (endpoint.isLeaving_) {
             logEvent(LogEvent::EndpointLeaves, { { "endpoint", endpoint.id_.value() }, { "revision", revision } });
         }
@@ -217,8 +216,7 @@
     {
         auto decoded = Codec::decodeEndpoint(entry);
         if (!decoded) {
-            logEvent(LogEvent::EndpointEntryMalformed,
-                     { { "key", entry.key_ }, { "revision", entry.revision_ }, { "error", decoded.error().message() } });
+            logEvent(LogEvent::EndpointEntryMalformed, { { "key", entry.key_ }, { "revision", entry.revision_ }, { "error", decoded.error().message() } });
         }
         return decoded;
     }
--- a/src/gateway/callersession.h
+++ b/src/gateway/callersession.h
@@ -25,7 +25,9 @@
                           .onRequest_ = [this](CallerRequest request) { begin(std::move(request)); },
                           .onLeft_ = [this] { left(); },
                           .onRefused_ =
-                              [](int status) { logEvent(LogEvent::RequestMalformed, { { "status", std::uint64_t(status) } }); },
+                              [](int status) {
+                                  logEvent(LogEvent::RequestMalformed, { { "status", std::uint64_t(status) } });
+                              },
                           .onClosed_ = std::move(onClosed),
                       })
     {
--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -52,15 +52,14 @@
     {
         const auto now = context_.clock_.now();
         connection_ = context_.endpoints_.connect(*endpoint_, plan_.needsNewConnection_, now);
-        connection_->begin(
-            {
-                .onOpen_ = [this] { write(); },
-                .onHead_ = [this](const ResponseHead &head) { return takeHead(head); },
-                .onData_ = [this](std::string_view data) { takeData(data); },
-                .onComplete_ = [this] { complete(); },
-                .onFailed_ = [this](ConnectionFailure failure) { fail(failureName(failure)); },
-            },
-            ConnectTimeout);
+        connection_->begin({
+                               .onOpen_ = [this] { write(); },
+                               .onHead_ = [this](const ResponseHead &head) { return takeHead(head); },
+                               .onData_ = [this](std::string_view data) { takeData(data); },
+                               .onComplete_ = [this] { complete(); },
+                               .onFailed_ = [this](ConnectionFailure failure) { fail(failureName(failure)); },
+                           },
+                           ConnectTimeout);
     }
 
     /// True once the request was written. Thread safety: the loop's task only.
@@ -123,7 +122,8 @@
     {
         const auto facts = D::readAnswer(head);
         if (!facts.attemptId_.empty() && facts.attemptId_ != plan_.attemptId_) {
-            logEvent(LogEvent::AnswerCrossed, { { "request", plan_.attemptId_ }, { "endpoint", endpoint_->entry_.id_.value() }, { "answerTo", facts.attemptId_ } });
+            logEvent(LogEvent::AnswerCrossed,
+                     { { "request", plan_.attemptId_ }, { "endpoint", endpoint_->entry_.id_.value() }, { "answerTo", facts.attemptId_ } });
             return AnswerUse::Skip;
         }
         listen();
--- a/src/gateway/endpointbook.cpp
+++ b/src/gateway/endpointbook.cpp
@@ -36,7 +36,8 @@
             continue;
         }
         const auto known = states_.find(entry.id_);
-        const bool isSame = known != states_.end() && known->second->entry_.incarnation_ == entry.incarnation_ && known->second->entry_.address_ == entry.address_;
+        const bool isSame =
+            known != states_.end() && known->second->entry_.incarnation_ == entry.incarnation_ && known->second->entry_.address_ == entry.address_;
         auto state = isSame ? known->second : std::make_shared<EndpointState>();
         state->entry_ = entry;
         states.emplace(entry.id_, std::move(state));
@@ -71,9 +72,8 @@
 
 bool EndpointBook::hasStage(const ServiceName &service, EngineStage stage) const
 {
-    return std::any_of(states_.begin(), states_.end(), [&](const auto &item) {
-        return item.second->entry_.service_ == service && item.second->entry_.stage_ == stage;
-    });
+    return std::any_of(
+        states_.begin(), states_.end(), [&](const auto &item) { return item.second->entry_.service_ == service && item.second->entry_.stage_ == stage; });
 }
 
 double EndpointBook::occupancy(const ServiceName &service, EngineStage stage) const
@@ -123,8 +123,7 @@
 
 std::uint64_t EndpointBook::countOf(EngineStage stage) const
 {
-    return static_cast<std::uint64_t>(
-        std::count_if(states_.begin(), states_.end(), [stage](const auto &item) { return item.second->entry_.stage_ == stage; }));
+    return static_cast<std::uint64_t>(std::count_if(states_.begin(), states_.end(), [stage](const auto &item) { return item.second->entry_.stage_ == stage; }));
 }
 
 bool EndpointBook::isEmpty() const
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -205,8 +205,9 @@
         ++prefills_;
         const auto now = context_.clock_.now();
         const auto candidates = context_.endpoints_.candidates(service_, EngineStage::Prefill, triedPrefill_, now);
-        const auto choice = isLongPrompt() ? placement::prefillEngine(sharedPartsName(), candidates, context_.gatewayCount_, now)
-                                           : PrefillChoice{ placement::shortestQueue(candidates, context_.settings_.domain_, context_.gatewayCount_, now), nullptr };
+        const auto choice = isLongPrompt()
+            ? placement::prefillEngine(sharedPartsName(), candidates, context_.gatewayCount_, now)
+            : PrefillChoice{ placement::shortestQueue(candidates, context_.settings_.domain_, context_.gatewayCount_, now), nullptr };
         if (choice.engine_ == nullptr) {
             prefills_ = MostPrefills;
             run();
@@ -538,13 +539,13 @@
     {
         const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(context_.clock_.now() - dispatch_->writtenAt());
         logRoutine(LogEvent::PromptRead,
-                 { { "request", facts_.attemptId_ },
-                   { "endpoint", dispatch_->endpoint().entry_.id_.value() },
-                   { "parts", sharedPartsName() },
-                   { "fetchedFrom", dispatch_->plan().facts_.fetchSource_ },
-                   { "sharedTokens", facts_.sharedTokens() },
-                   { "ownTokens", dispatch_->plan().promptTokens_ },
-                   { "takenMs", std::uint64_t(taken.count()) } });
+                   { { "request", facts_.attemptId_ },
+                     { "endpoint", dispatch_->endpoint().entry_.id_.value() },
+                     { "parts", sharedPartsName() },
+                     { "fetchedFrom", dispatch_->plan().facts_.fetchSource_ },
+                     { "sharedTokens", facts_.sharedTokens() },
+                     { "ownTokens", dispatch_->plan().promptTokens_ },
+                     { "takenMs", std::uint64_t(taken.count()) } });
     }
 
     std::uint64_t elapsed() const
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -64,7 +64,10 @@
             context_.configuration_ = std::move(snapshot.configuration_);
         }
         context_.endpoints_.update(*snapshot.endpoints_);
-        logEvent(LogEvent::EndpointsUpdated, { { "listed", std::uint64_t(snapshot.endpoints_->size()) }, { "prefill", context_.endpoints_.countOf(EngineStage::Prefill) }, { "decode", context_.endpoints_.countOf(EngineStage::Decode) } });
+        logEvent(LogEvent::EndpointsUpdated,
+                 { { "listed", std::uint64_t(snapshot.endpoints_->size()) },
+                   { "prefill", context_.endpoints_.countOf(EngineStage::Prefill) },
+                   { "decode", context_.endpoints_.countOf(EngineStage::Decode) } });
     }
 
     void take(const LookConfirmed &look)
--- a/src/gateway/releasecache.h
+++ b/src/gateway/releasecache.h
@@ -18,15 +18,14 @@
 {
     constexpr std::chrono::milliseconds connectTimeout{ 300 };
     const auto connection = std::make_shared<ClientConnection>(context.loop_, handle.engine_);
-    connection->begin(
-        {
-            .onOpen_ = [connection, head = D::releaseRequest(handle)] { connection->write(requestBytes(head)); },
-            .onHead_ = [](const ResponseHead & /*head*/) { return AnswerUse::Take; },
-            .onData_ = [](std::string_view /*data*/) {},
-            .onComplete_ = [connection] { connection->close(); },
-            .onFailed_ = [](ConnectionFailure /*failure*/) {},
-        },
-        connectTimeout);
+    connection->begin({
+                          .onOpen_ = [connection, head = D::releaseRequest(handle)] { connection->write(requestBytes(head)); },
+                          .onHead_ = [](const ResponseHead & /*head*/) { return AnswerUse::Take; },
+                          .onData_ = [](std::string_view /*data*/) {},
+                          .onComplete_ = [connection] { connection->close(); },
+                          .onFailed_ = [](ConnectionFailure /*failure*/) {},
+                      },
+                      connectTimeout);
 }
 
 } // namespace cowsliphead
--- a/src/http1/callclient.cpp
+++ b/src/http1/callclient.cpp
@@ -70,19 +70,18 @@
     };
     call->timeout_ = std::make_unique<Timer>(loop_, [end] { end(tl::make_unexpected(ConnectionFailure::TimedOut)); });
     call->timeout_->startOnce(timeout);
-    call->connection_->begin(
-        {
-            .onOpen_ = [call] { call->connection_->write(call->bytes_); },
-            .onHead_ =
-                [call](const ResponseHead &answer) {
-                    call->answer_.status_ = answer.status_;
-                    return AnswerUse::Take;
-                },
-            .onData_ = [call](std::string_view data) { call->answer_.body_.append(data); },
-            .onComplete_ = [call, end] { end(call->answer_); },
-            .onFailed_ = [end](ConnectionFailure failure) { end(tl::make_unexpected(failure)); },
-        },
-        ConnectTimeout);
+    call->connection_->begin({
+                                 .onOpen_ = [call] { call->connection_->write(call->bytes_); },
+                                 .onHead_ =
+                                     [call](const ResponseHead &answer) {
+                                         call->answer_.status_ = answer.status_;
+                                         return AnswerUse::Take;
+                                     },
+                                 .onData_ = [call](std::string_view data) { call->answer_.body_.append(data); },
+                                 .onComplete_ = [call, end] { end(call->answer_); },
+                                 .onFailed_ = [end](ConnectionFailure failure) { end(tl::make_unexpected(failure)); },
+                             },
+                             ConnectTimeout);
 }
 
 void CallClient::finish(const std::shared_ptr<Call> &call, const tl::expected<CallAnswer, ConnectionFailure> &answer)
--- a/src/http1/connectionheaders.cpp
+++ b/src/http1/connectionheaders.cpp
@@ -15,8 +15,8 @@
 {
 
 constexpr std::array<const char *, 11> ConnectionFields{
-    "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE",
-    "Trailer",    "Upgrade",    "Transfer-Encoding", "Content-Length",    "Expect",
+    "Connection",        "Keep-Alive",     "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer", "Upgrade",
+    "Transfer-Encoding", "Content-Length", "Expect",
 };
 
 std::vector<std::string> connectionTokens(const HttpHeaders &headers)
--- a/src/logs/log.cpp
+++ b/src/logs/log.cpp
@@ -8,11 +8,11 @@
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
 #include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sinks/drop_on_overflow.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/utility/setup/console.hpp>
 #include <nlohmann/json.hpp>
--- /dev/null
+++ b/tests/duty/windowreportertest.cpp
@@ -0,0 +1,185 @@
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "core/errorcode.h"
+#include "duty/windowreporter.h"
+#include "duty/windowwriter.h"
+
+using namespace cowsliphead;
+
+namespace
+{
+
+/// A store that answers at once. Models RangedStore.
+class MapStore
+{
+public:
+    void compareAndSwap(const StoreWrite &write, const StoreReply<StoreRevision> &reply)
+    {
+        if (!isReachable_) {
+            reply(failure(ErrorCode::StoreUnavailable));
+            return;
+        }
+        auto &entry = entries_[write.key_];
+        if (entry.revision_ != write.expectedRevision_) {
+            reply(failure(ErrorCode::StoreConflict));
+            return;
+        }
+        entry = StoreEntry{ write.key_, write.value_, ++revision_, false };
+        reply(revision_);
+    }
+
+    void read(const std::string &key, const StoreReply<std::optional<StoreEntry>> &reply)
+    {
+        const auto found = entries_.find(key);
+        reply(found == entries_.end() ? std::nullopt : std::optional<StoreEntry>(found->second));
+    }
+
+    void range(const std::string &prefix, const std::string & /*after*/, const StoreReply<StoreRange> &reply)
+    {
+        StoreRange range;
+        for (const auto &[key, entry] : entries_) {
+            if (key.starts_with(prefix)) {
+                range.entries_.push_back(entry);
+            }
+        }
+        reply(range);
+    }
+
+    void list(const std::string & /*prefix*/, const std::string & /*after*/, std::size_t /*limit*/, const StoreReply<std::vector<StoreEntry>> & /*reply*/)
+    {
+    }
+
+    void watch(const std::string & /*prefix*/, StoreRevision /*after*/, std::chrono::milliseconds /*wait*/, const StoreReply<WatchAnswer> & /*reply*/)
+    {
+    }
+
+    void grantLease(std::chrono::milliseconds /*duration*/, const StoreReply<LeaseId> & /*reply*/)
+    {
+    }
+
+    void renewLease(const LeaseId & /*lease*/, const StoreReply<LeaseId> & /*reply*/)
+    {
+    }
+
+    void revokeLease(const LeaseId & /*lease*/, const StoreReply<LeaseId> & /*reply*/)
+    {
+    }
+
+    bool isReachable_ = true;
+
+private:
+    std::map<std::string, StoreEntry> entries_;
+    StoreRevision revision_ = 0;
+};
+
+/// Keeps what is reported to it. Models DutyPlatform.
+struct Platform {
+    void reportUsage(const WindowCounts &counts, FencingNumber /*fence*/, const std::function<void(Result<void>)> &reply)
+    {
+        reported_.push_back(counts);
+        reply(answer_);
+    }
+
+    void orderServers(const ServerOrder & /*order*/, FencingNumber /*fence*/, const std::function<void(Result<void>)> & /*reply*/)
+    {
+    }
+
+    std::vector<WindowCounts> reported_;
+    Result<void> answer_;
+};
+
+struct World {
+    MapStore store_;
+    Platform platform_;
+    bool isRefused_ = false;
+    std::optional<FencingNumber> fence_ = 3;
+    WindowWriter<MapStore> first_{ store_, InstanceId("first") };
+    WindowWriter<MapStore> second_{ store_, InstanceId("second") };
+    WindowReporter<MapStore, Platform> reporter_{ store_, platform_, [this] { return fence_; }, [this] { isRefused_ = true; } };
+
+    void count(WindowWriter<MapStore> &writer, int requests)
+    {
+        for (int request = 0; request < requests; ++request) {
+            writer.count(AccountId("press"), 7);
+        }
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_report_of_a_window)
+
+BOOST_AUTO_TEST_CASE(sums_what_all_gateways_counted)
+{
+    World world;
+    world.count(world.first_, 2);
+    world.count(world.second_, 3);
+    world.first_.flush(8);
+    world.second_.flush(8);
+    world.reporter_.report(7, 2);
+    BOOST_REQUIRE(world.platform_.reported_.size() == 1U);
+    BOOST_TEST(world.platform_.reported_[0].requests_.at(AccountId("press")) == 5U);
+}
+
+BOOST_AUTO_TEST_SUITE(while_a_gateways_final_counts_are_missing)
+
+BOOST_AUTO_TEST_CASE(waits_and_then_reports_what_there_is)
+{
+    World world;
+    world.count(world.first_, 2);
+    world.count(world.second_, 3);
+    world.first_.flush(8);
+    world.second_.flush(7);
+    world.reporter_.report(7, 2);
+    BOOST_TEST(world.platform_.reported_.empty());
+    world.reporter_.report(7, 0);
+    BOOST_TEST(world.platform_.reported_[0].requests_.at(AccountId("press")) == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(counts_that_the_store_did_not_take_are_written_later)
+{
+    World world;
+    world.store_.isReachable_ = false;
+    world.count(world.first_, 2);
+    world.first_.flush(8);
+    world.store_.isReachable_ = true;
+    world.first_.flush(8);
+    world.reporter_.report(7, 1);
+    BOOST_TEST(world.platform_.reported_[0].requests_.at(AccountId("press")) == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(bears_the_same_figures_whoever_sends_it_again)
+{
+    World world;
+    world.count(world.first_, 2);
+    world.first_.flush(8);
+    world.platform_.answer_ = failure(ErrorCode::PlatformUnavailable);
+    world.reporter_.report(7, 0);
+    world.count(world.second_, 9);
+    world.second_.flush(8);
+    WindowReporter<MapStore, Platform> successor(
+        world.store_, world.platform_, [] { return std::optional<FencingNumber>(4); }, [] {});
+    successor.report(7, 0);
+    BOOST_REQUIRE(world.platform_.reported_.size() == 2U);
+    BOOST_TEST((world.platform_.reported_[0].requests_ == world.platform_.reported_[1].requests_));
+}
+
+BOOST_AUTO_TEST_CASE(is_not_sent_without_authority_and_a_refusal_ends_it)
+{
+    World world;
+    world.fence_.reset();
+    world.reporter_.report(7, 0);
+    BOOST_TEST(world.platform_.reported_.empty());
+    world.fence_ = 3;
+    world.platform_.answer_ = failure(ErrorCode::PlatformRefused);
+    world.reporter_.report(7, 0);
+    BOOST_TEST(world.isRefused_);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fleet/registrytest.cpp
+++ b/tests/fleet/registrytest.cpp
@@ -60,13 +60,14 @@
     FleetSnapshot snapshot_;
     int looks_ = 0;
     Registry<FakeStore, PlatformFleetCodec, VirtualClock> registry_{ loop_,
-                                                                    store_,
-                                                                    clock_,
-                                                                    { Address<FleetSnapshot>([this](FleetSnapshot snapshot) { snapshot_ = std::move(snapshot); }),
-                                                                      {},
-                                                                      Address<LookConfirmed>([this](LookConfirmed /*look*/) { ++looks_; }),
-                                                                      {},
-                                                                      {} } };
+                                                                     store_,
+                                                                     clock_,
+                                                                     { Address<FleetSnapshot>(
+                                                                           [this](FleetSnapshot snapshot) { snapshot_ = std::move(snapshot); }),
+                                                                       {},
+                                                                       Address<LookConfirmed>([this](LookConfirmed /*look*/) { ++looks_; }),
+                                                                       {},
+                                                                       {} } };
 };
 
 } // namespace
--- a/tests/gateway/gatewaytest.cpp
+++ b/tests/gateway/gatewaytest.cpp
@@ -14,7 +14,8 @@
 const std::string NotExecuted = "HTTP/1.1 503 Busy\r\nX-Attempt-Id: ID\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 const std::string CutShort = "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Response-Stamp: s\r\nContent-Length: 9\r\n\r\nbody";
 const std::string OfAnother = "HTTP/1.1 200 OK\r\nX-Attempt-Id: someone\r\nX-Response-Stamp: s\r\nContent-Length: 5\r\n\r\nwrong";
-const std::string StreamHead = "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Response-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string StreamHead =
+    "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Response-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 std::string chunk(const std::string &data)
 {
--- a/tests/gateway/gatewayworld.cpp
+++ b/tests/gateway/gatewayworld.cpp
@@ -93,24 +93,26 @@
     headers.emplace_back("X-Attempt-Id", "attempt-" + std::to_string(++asked_));
     Answer answer;
     const auto connection = std::make_shared<ClientConnection>(loop_, SocketAddress{ "127.0.0.1", port_ });
-    connection->begin(
-        {
-            .onOpen_ = [&] { connection->write(requestBytes({ method, path, headers })); },
-            .onHead_ =
-                [&](const ResponseHead &head) {
-                    answer.status_ = head.status_;
-                    answer.headers_ = head.headers_;
-                    return AnswerUse::Take;
-                },
-            .onData_ = [&](std::string_view data) { answer.body_.append(data); },
-            .onComplete_ =
-                [&] {
-                    answer.isWhole_ = true;
-                    loop_.stop();
-                },
-            .onFailed_ = [&](ConnectionFailure /*failure*/) { loop_.stop(); },
-        },
-        1000ms);
+    connection->begin({
+                          .onOpen_ =
+                              [&] {
+                                  connection->write(requestBytes({ method, path, headers }));
+                              },
+                          .onHead_ =
+                              [&](const ResponseHead &head) {
+                                  answer.status_ = head.status_;
+                                  answer.headers_ = head.headers_;
+                                  return AnswerUse::Take;
+                              },
+                          .onData_ = [&](std::string_view data) { answer.body_.append(data); },
+                          .onComplete_ =
+                              [&] {
+                                  answer.isWhole_ = true;
+                                  loop_.stop();
+                              },
+                          .onFailed_ = [&](ConnectionFailure /*failure*/) { loop_.stop(); },
+                      },
+                      1000ms);
     runFor(LongestAnswer);
     connection->close();
     return answer;
@@ -120,15 +122,17 @@
 {
     const auto connection = std::make_shared<ClientConnection>(loop_, SocketAddress{ "127.0.0.1", port_ });
     const HttpHeaders headers{ { "Host", "host" }, { "X-Attempt-Id", "leaver" }, { "X-Api-Key", "key-1" } };
-    connection->begin(
-        {
-            .onOpen_ = [&] { connection->write(requestBytes({ "GET", path, headers })); },
-            .onHead_ = [](const ResponseHead & /*head*/) { return AnswerUse::Take; },
-            .onData_ = [](std::string_view /*data*/) {},
-            .onComplete_ = [] {},
-            .onFailed_ = [](ConnectionFailure /*failure*/) {},
-        },
-        1000ms);
+    connection->begin({
+                          .onOpen_ =
+                              [&] {
+                                  connection->write(requestBytes({ "GET", path, headers }));
+                              },
+                          .onHead_ = [](const ResponseHead & /*head*/) { return AnswerUse::Take; },
+                          .onData_ = [](std::string_view /*data*/) {},
+                          .onComplete_ = [] {},
+                          .onFailed_ = [](ConnectionFailure /*failure*/) {},
+                      },
+                      1000ms);
     runFor(100ms);
     connection->close();
     runFor(100ms);
--- a/tests/logs/routinelimittest.cpp
+++ b/tests/logs/routinelimittest.cpp
@@ -24,8 +24,7 @@
 {
     RoutineLimit limit;
     const MonotonicTime now(1h);
-    while (limit.admits(now)) {
-    }
+    while (limit.admits(now)) { }
     BOOST_TEST(limit.admits(now + 1s));
 }
 
--- a/tests/platform/platformdialecttest.cpp
+++ b/tests/platform/platformdialecttest.cpp
@@ -62,7 +62,8 @@
 
 BOOST_AUTO_TEST_CASE(with_a_number_that_is_none_is_malformed)
 {
-    for (const auto &[name, value] : HttpHeaders{ { "X-Deadline-Ms", "soon" }, { "X-Token-Count", "1" }, { "X-Prompt-Prefix", "aa" }, { "X-Deadline-Ms", "-1" } }) {
+    for (const auto &[name, value] :
+         HttpHeaders{ { "X-Deadline-Ms", "soon" }, { "X-Token-Count", "1" }, { "X-Prompt-Prefix", "aa" }, { "X-Deadline-Ms", "-1" } }) {
         BOOST_TEST(PlatformDialect::readRequest({ "GET", "/", { { name, value } } }).error() == ErrorCode::RequestMalformed);
     }
 }
--- a/tests/platform/platformfleetcodectest.cpp
+++ b/tests/platform/platformfleetcodectest.cpp
@@ -22,8 +22,8 @@
 
 BOOST_AUTO_TEST_CASE(of_an_engine_gives_its_address_stage_and_incarnation)
 {
-    const auto entry = decode(
-        R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":12,"state":"ready","stage":"prefill","born":99,"spot":true})");
+    const auto entry =
+        decode(R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":12,"state":"ready","stage":"prefill","born":99,"spot":true})");
     BOOST_REQUIRE(entry.has_value());
     BOOST_TEST(entry->id_.value() == "i-1");
     BOOST_TEST(entry->incarnation_ == 99U);
@@ -39,7 +39,12 @@
 
 BOOST_AUTO_TEST_CASE(from_another_writer_names_no_endpoint)
 {
-    for (const auto *value : { "", "{}", "null", "[1]", "\xff\xfe", R"({"service":1,"address":"10.0.0.1:80","zone":"a","slots":1,"state":"ready"})",
+    for (const auto *value : { "",
+                               "{}",
+                               "null",
+                               "[1]",
+                               "\xff\xfe",
+                               R"({"service":1,"address":"10.0.0.1:80","zone":"a","slots":1,"state":"ready"})",
                                R"({"service":"s","address":"nowhere","zone":"a","slots":1,"state":"ready"})",
                                R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":"many","state":"ready"})",
                                R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":1,"state":"asleep"})" }) {
