--- a/src/duty/dutykeeper.h
+++ b/src/duty/dutykeeper.h
@@ -54,7 +54,7 @@
     /// Thread safety: the loop's task only.
     void receive(Message message)
     {
-        std::visit([this](const auto &part) { take(part); }, std::move(message));
+        std::visit([this](const auto &part) { this->take(part); }, std::move(message));
     }
 
 private:
--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -90,6 +90,9 @@
     /// Ten times the longest round trip between failure domains, with room for one lost packet's repetition.
     static constexpr std::chrono::milliseconds ConnectTimeout{ 300 };
 
+    static constexpr int FirstRedirection = 300;
+    static constexpr int FirstServerError = 500;
+
     void write()
     {
         if (!endpoint_->isListed_ || !events_.mayWrite_()) {
@@ -161,15 +164,13 @@
 
     AttemptEnd endOfAnswer() const
     {
-        constexpr int firstRedirection = 300;
-        constexpr int firstServerError = 500;
         if (answer_.isNotExecuted_) {
             return AttemptEnd::NotExecuted;
         }
-        if (head_.status_ >= firstServerError) {
+        if (head_.status_ >= FirstServerError) {
             return AttemptEnd::Failed;
         }
-        if (head_.status_ < firstRedirection && !answer_.isGenuine_) {
+        if (head_.status_ < FirstRedirection && !answer_.isGenuine_) {
             return AttemptEnd::Lost;
         }
         return AttemptEnd::Answered;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -3,22 +3,19 @@
 #include <algorithm>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 
-#include <xxhash.h>
-
 #include "gateway/admitrequest.h"
 #include "gateway/dispatch.h"
-#include "gateway/eventposition.h"
 #include "gateway/nextstep.h"
 #include "gateway/refusalof.h"
 #include "gateway/releasecache.h"
+#include "gateway/requestlog.h"
+#include "gateway/requestrouter.h"
+#include "gateway/streamrelay.h"
 #include "http1/callerconnection.h"
 #include "http1/connectionheaders.h"
-#include "http1/parsesocketaddress.h"
-#include "serve/eventframer.h"
 
 namespace cowsliphead
 {
@@ -37,6 +34,7 @@
         , onDone_(std::move(onDone))
         , configuration_(context.configuration_)
         , deadline_(context.loop_, [this] { deadlineReached(); })
+        , relay_(connection)
     {
     }
 
@@ -60,7 +58,9 @@
             return;
         }
         admitted_ = *admitted;
-        service_ = chooseService();
+        service_ = RequestRouter::chooseService(route(), facts_.attemptId_);
+        router_.emplace(context_, facts_);
+        router_->useService(service_, isEngineService());
         context_.allowanceOf(service_).requestArrived();
         startDeadline();
         advance();
@@ -73,24 +73,6 @@
     }
 
 private:
-    /// A longer prompt is read by a prefill engine, since it would hold up the streams of the engine that generates.
-    static constexpr std::uint64_t LongPrompt = 2000;
-
-    /// Share of the decode engines' places above which other engines read short prompts too.
-    static constexpr double BusyDecode = 0.4;
-
-    /// Share of the decode engines' places below which they can read long prompts beside their streams.
-    static constexpr double IdleDecode = 0.35;
-
-    /// A home whose queue takes longer than this has too much to read.
-    static constexpr std::chrono::milliseconds BusyPrefill{ 200 };
-
-    /// An engine whose queue takes less than this has nothing to read.
-    static constexpr std::chrono::milliseconds IdleQueue{ 10 };
-
-    /// Prefill engines that are tried before the engine that generates reads the prompt itself.
-    static constexpr int MostPrefills = 2;
-
     /// Connections that may fail to open before the request is given up.
     static constexpr int MostUnopened = 4;
 
@@ -106,22 +88,6 @@
         return *admitted_.route_;
     }
 
-    ServiceName chooseService() const
-    {
-        std::uint64_t total = 0;
-        for (const auto &share : route().shares_) {
-            total += share.weight_;
-        }
-        auto point = total == 0 ? 0 : XXH3_64bits(facts_.attemptId_.data(), facts_.attemptId_.size()) % total;
-        for (const auto &share : route().shares_) {
-            if (point < share.weight_) {
-                return share.service_;
-            }
-            point -= share.weight_;
-        }
-        return route().shares_.front().service_;
-    }
-
     void startDeadline()
     {
         timeLimit_ = std::min(route().timeout_, facts_.patience_.value_or(route().timeout_));
@@ -141,100 +107,46 @@
 
     void advance()
     {
-        if (wantsPrefill()) {
+        if (!cache_ && router_->wantsPrefill()) {
             prefill();
         } else {
             run();
         }
     }
 
-    bool wantsPrefill() const
-    {
-        const bool isPossible = cache_ == std::nullopt && prefills_ < MostPrefills && facts_.promptTokens_ > 0;
-        if (!isPossible || !context_.endpoints_.hasStage(service_, EngineStage::Prefill)) {
-            return false;
-        }
-        return isLongPrompt() ? !mayRelievePrefill() : mayRelieveDecode();
-    }
-
-    /// A long prompt is read where it is answered only if its homes have much to read and the decode engines little to do.
-    bool mayRelievePrefill() const
-    {
-        if (context_.decodeOccupancy(service_) > IdleDecode) {
-            return false;
-        }
-        const auto now = context_.clock_.now();
-        const auto candidates = context_.endpoints_.candidates(service_, EngineStage::Prefill, triedPrefill_, now);
-        const auto choice = placement::prefillEngine(sharedPartsName(), candidates, context_.gatewayCount_, now);
-        return choice.engine_ != nullptr && choice.engine_->queue_.wait(now, context_.gatewayCount_) > BusyPrefill;
-    }
-
-    /// A short prompt is best read where it is answered, unless the engines there are busy and one of the others has nothing to read.
-    bool mayRelieveDecode() const
-    {
-        if (prefills_ > 0 || context_.decodeOccupancy(service_) < BusyDecode) {
-            return false;
-        }
-        const auto now = context_.clock_.now();
-        const auto candidates = context_.endpoints_.candidates(service_, EngineStage::Prefill, triedPrefill_, now);
-        const auto *idle = placement::shortestQueue(candidates, context_.settings_.domain_, context_.gatewayCount_, now);
-        return idle != nullptr && idle->queue_.wait(now, context_.gatewayCount_) < IdleQueue;
-    }
-
-    bool isLongPrompt() const
-    {
-        return facts_.promptTokens_ >= LongPrompt;
-    }
-
-    std::string sharedPartsName() const
-    {
-        std::string name;
-        for (std::size_t index = 0; index + 1 < facts_.promptParts_.size(); ++index) {
-            name += facts_.promptParts_[index].id_;
-        }
-        return name;
-    }
-
     void prefill()
     {
         if (!payForRepeat()) {
-            prefills_ = MostPrefills;
             giveUp(ErrorCode::RetryBudgetSpent);
             return;
         }
-        ++prefills_;
-        const auto now = context_.clock_.now();
-        const auto candidates = context_.endpoints_.candidates(service_, EngineStage::Prefill, triedPrefill_, now);
-        const auto choice = isLongPrompt()
-            ? placement::prefillEngine(sharedPartsName(), candidates, context_.gatewayCount_, now)
-            : PrefillChoice{ placement::shortestQueue(candidates, context_.settings_.domain_, context_.gatewayCount_, now), nullptr };
+        const auto choice = router_->choosePrefill();
         if (choice.engine_ == nullptr) {
-            prefills_ = MostPrefills;
             run();
             return;
         }
-        triedPrefill_.insert(choice.engine_->entry_.id_);
         auto plan = planFor(*choice.engine_);
         plan.facts_.isPrefill_ = true;
-        plan.promptTokens_ = facts_.promptTokens_ - facts_.sharedTokens();
+        plan.promptTokens_ = router_->ownTokens();
         if (choice.home_ != nullptr) {
             plan.facts_.fetchSource_ = textOf(choice.home_->entry_.address_);
         }
-        if (prefills_ < MostPrefills) {
+        if (!router_->isLastPrefill()) {
             plan.silenceLimit_ = std::max(ShortestSilence, timeLeft() / 2);
         }
-        send(*choice.engine_, std::move(plan), [this](AttemptResult result) { prefillEnded(std::move(result)); });
+        send(*choice.engine_, std::move(plan), [this](const AttemptResult &result) { prefillEnded(result); });
     }
 
-    void prefillEnded(AttemptResult result)
+    void prefillEnded(const AttemptResult &result)
     {
         auto &engine = dispatch_->endpoint();
         const auto handle = result.head_.status_ == httpstatus::Ok ? D::readHandle(result.body_) : failure(ErrorCode::EndpointRefused);
         if (handle) {
             const auto now = context_.clock_.now();
-            engine.queue_.read(dispatch_->plan().promptTokens_, now - dispatch_->writtenAt(), now);
+            const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(now - dispatch_->writtenAt());
+            engine.queue_.read(dispatch_->plan().promptTokens_, taken, now);
             cache_ = CacheHandle{ engine.entry_.address_, *handle };
-            logPromptRead();
+            requestlog::promptRead(dispatch_->plan(), router_->sharedParts(), facts_.sharedTokens(), taken);
             context_.endpoints_.health().answered(engine.entry_.id_);
         } else {
             arrivals_ += dispatch_->isWritten() ? 1 : 0;
@@ -265,11 +177,7 @@
 
     void run()
     {
-        const auto stage = isEngineService() ? EngineStage::Decode : EngineStage::None;
-        const auto candidates = context_.endpoints_.candidates(service_, stage, tried_, context_.clock_.now());
-        const bool readsPrompt = isLongPrompt() && !cache_ && stage == EngineStage::Decode;
-        auto *chosen = readsPrompt ? placement::prefillEngine(sharedPartsName(), candidates, context_.gatewayCount_, context_.clock_.now()).engine_
-                                   : placement::leastLoaded(candidates, context_.settings_.domain_, context_.random_);
+        auto *chosen = router_->chooseRunner(cache_.has_value());
         if (chosen == nullptr) {
             giveUp(ErrorCode::EndpointUnavailable);
             return;
@@ -281,7 +189,7 @@
         auto plan = planFor(*chosen);
         plan.isStream_ = route().kind_ == RouteKind::Streaming;
         plan.needsNewConnection_ = !route().mayRunAgain();
-        if (readsPrompt) {
+        if (router_->readsPromptItself(cache_.has_value())) {
             planReading(plan);
         }
         if (cache_) {
@@ -295,15 +203,12 @@
     }
 
     /// The engine that answers reads a long prompt too, and takes the shared parts from their home.
-    void planReading(DispatchPlan &plan)
+    void planReading(DispatchPlan &plan) const
     {
-        const auto now = context_.clock_.now();
-        const auto homes = context_.endpoints_.candidates(service_, EngineStage::Prefill, {}, now);
-        const auto home = placement::prefillEngine(sharedPartsName(), homes, context_.gatewayCount_, now);
-        if (home.engine_ != nullptr) {
-            plan.facts_.fetchSource_ = textOf((home.home_ != nullptr ? *home.home_ : *home.engine_).entry_.address_);
+        if (const auto *home = router_->home()) {
+            plan.facts_.fetchSource_ = textOf(home->entry_.address_);
         }
-        plan.promptTokens_ = facts_.promptTokens_ - facts_.sharedTokens();
+        plan.promptTokens_ = router_->ownTokens();
     }
 
     std::chrono::milliseconds silenceLimit() const
@@ -320,20 +225,20 @@
         }
         plan.facts_.priority_ = admitted_.account_ != nullptr ? admitted_.account_->priority_.value_or(route().priority_) : route().priority_;
         plan.facts_.timeLeft_ = timeLeft();
-        plan.facts_.lastEventId_ = position_.lastId().empty() ? facts_.lastEventId_ : position_.lastId();
+        plan.facts_.lastEventId_ = relay_.lastEventId().empty() ? facts_.lastEventId_ : relay_.lastEventId();
         return plan;
     }
 
     void send(EndpointState &endpoint, DispatchPlan plan, std::function<void(AttemptResult)> onEnd)
     {
-        framer_.dropPartial();
+        relay_.dropPartial();
         dispatch_ = std::make_unique<Dispatch<D>>(context_,
                                                   context_.endpoints_.find(endpoint.entry_.id_),
                                                   std::move(plan),
                                                   DispatchEvents{
                                                       .mayWrite_ = [this] { return mayWrite(); },
                                                       .onStream_ = [this](const ResponseHead &head) { streamBegan(head); },
-                                                      .onData_ = [this](std::string_view data) { streamData(data); },
+                                                      .onData_ = [this](std::string_view data) { relay_.pass(data); },
                                                       .onEnd_ = std::move(onEnd),
                                                   });
         dispatch_->start();
@@ -347,8 +252,12 @@
             return true;
         }
         const auto bound = context_.settings_.keyWithdrawalBound_ - KeyMargin;
-        isKeyStale_ = !context_.age_.isWithin(bound, context_.clock_.now()) || !context_.configuration_->accounts_.contains(facts_.key_);
-        return !isKeyStale_;
+        if (!context_.age_.isWithin(bound, context_.clock_.now())) {
+            withheldFor_ = ErrorCode::RecordsTooOld;
+        } else if (!context_.configuration_->accounts_.contains(facts_.key_)) {
+            withheldFor_ = ErrorCode::KeyUnknown;
+        }
+        return !withheldFor_;
     }
 
     /// Covers the difference in clock rate between this machine and the store.
@@ -358,26 +267,17 @@
     {
         countBegun(context_.clock_.now());
         noteAnswer();
-        if (!isAnswerBegun_) {
-            isAnswerBegun_ = true;
+        if (!relay_.hasBegun()) {
             context_.metrics_.firstByte_.record(context_.clock_.now() - request_.arrivedAt_);
-            connection_.beginAnswer(head.status_, head.reason_, endToEndHeaders(head.headers_));
         }
-    }
-
-    void streamData(std::string_view data)
-    {
-        const auto events = framer_.add(data);
-        position_.passed(events);
-        connection_.sendPiece(events);
-        heldBytes_ = heldBytes_ + data.size() - events.size();
+        relay_.begin(head);
     }
 
     void runEnded(AttemptResult result)
     {
         const auto &endpoint = dispatch_->endpoint();
         const bool isWritten = dispatch_->isWritten();
-        if (isAnswerBegun_ && result.end_ == AttemptEnd::Answered && heldBytes_ > 0) {
+        if (relay_.hasPartial() && result.end_ == AttemptEnd::Answered) {
             // The stream ended in the middle of an event.
             result.end_ = AttemptEnd::Lost;
             result.reason_ = "partial_event";
@@ -393,14 +293,12 @@
         }
         noteTried(endpoint, result.end_);
         dispatch_.reset();
-        heldBytes_ = 0;
         follow(std::move(result));
     }
 
     void noteTried(const EndpointState &endpoint, AttemptEnd end)
     {
         arrivals_ += end == AttemptEnd::NotOffered ? 0 : 1;
-        tried_.insert(endpoint.entry_.id_);
         lastEndpoint_ = endpoint.entry_.id_.value();
         if (end == AttemptEnd::Lost || end == AttemptEnd::Failed) {
             mayHaveRun_ = true;
@@ -416,8 +314,8 @@
 
     void follow(AttemptResult result)
     {
-        if (isKeyStale_) {
-            giveUp(ErrorCode::RecordsTooOld);
+        if (withheldFor_) {
+            giveUp(*withheldFor_);
             return;
         }
         auto &allowance = context_.allowanceOf(service_);
@@ -428,7 +326,7 @@
             .canAffordRetry_ = (arrivals_ == 0 && unopened_ < MostUnopened) || allowance.hasRoom(),
         };
         auto step = nextStep(result.end_, progress);
-        if (step == NextStep::PassOn && isAnswerBegun_ && result.end_ == AttemptEnd::Failed) {
+        if (step == NextStep::PassOn && relay_.hasBegun() && result.end_ == AttemptEnd::Failed) {
             step = NextStep::Fail;
         }
         switch (step) {
@@ -458,7 +356,7 @@
 
     void passOn(const AttemptResult &result)
     {
-        if (isAnswerBegun_) {
+        if (relay_.hasBegun()) {
             connection_.endAnswer();
             ended(result.head_.status_, "");
             return;
@@ -470,7 +368,7 @@
 
     void giveUp(ErrorCode code)
     {
-        if (isAnswerBegun_) {
+        if (relay_.hasBegun()) {
             connection_.abortAnswer();
             ended(0, errorName(code));
             return;
@@ -510,7 +408,7 @@
     void noteAnswer()
     {
         const auto state = context_.endpoints_.find(dispatch_->endpoint().entry_.id_);
-        if (state && !isAnswerBegun_ && route().targetLatency_.count() > 0) {
+        if (state && !relay_.hasBegun() && route().targetLatency_.count() > 0) {
             state->lateness_.answered(context_.clock_.now() - dispatch_->writtenAt(), route().targetLatency_);
         }
         context_.endpoints_.health().answered(dispatch_->endpoint().entry_.id_);
@@ -518,7 +416,7 @@
 
     void noteFailure(const EndpointState &endpoint, AttemptEnd end)
     {
-        if (end == AttemptEnd::Lost || (end == AttemptEnd::NotOffered && !isKeyStale_)) {
+        if (end == AttemptEnd::Lost || (end == AttemptEnd::NotOffered && !withheldFor_)) {
             context_.endpoints_.health().crashed(endpoint.entry_.id_, context_.clock_.now());
         }
     }
@@ -526,31 +424,12 @@
     void logDispatch(const AttemptResult &result)
     {
         context_.metrics_.attempts_.increment({ { "end", attemptEndName(result.end_) } });
-        logEvent(LogEvent::DispatchEnded,
-                 { { "request", facts_.attemptId_ },
-                   { "endpoint", dispatch_->endpoint().entry_.id_.value() },
-                   { "end", attemptEndName(result.end_) },
-                   { "reason", result.reason_ },
-                   { "status", std::uint64_t(result.head_.status_) },
-                   { "afterMs", elapsed() } });
+        requestlog::dispatchEnded(dispatch_->plan(), result, elapsed());
     }
 
-    void logPromptRead() const
+    std::chrono::milliseconds elapsed() const
     {
-        const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(context_.clock_.now() - dispatch_->writtenAt());
-        logRoutine(LogEvent::PromptRead,
-                   { { "request", facts_.attemptId_ },
-                     { "endpoint", dispatch_->endpoint().entry_.id_.value() },
-                     { "parts", sharedPartsName() },
-                     { "fetchedFrom", dispatch_->plan().facts_.fetchSource_ },
-                     { "sharedTokens", facts_.sharedTokens() },
-                     { "ownTokens", dispatch_->plan().promptTokens_ },
-                     { "takenMs", std::uint64_t(taken.count()) } });
-    }
-
-    std::uint64_t elapsed() const
-    {
-        return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(context_.clock_.now() - request_.arrivedAt_).count());
+        return std::chrono::duration_cast<std::chrono::milliseconds>(context_.clock_.now() - request_.arrivedAt_);
     }
 
     void forgetCache()
@@ -562,7 +441,7 @@
     void ended(int status, const char *reason)
     {
         deadline_.cancel();
-        const bool isCacheUnused = cache_ && !isAnswerBegun_ && !mayHaveRun_ && status != httpstatus::Ok;
+        const bool isCacheUnused = cache_ && !relay_.hasBegun() && !mayHaveRun_ && status != httpstatus::Ok;
         if (isCacheUnused) {
             forgetCache();
         }
@@ -578,23 +457,23 @@
 
     void logEnd(int status, const char *reason) const
     {
-        const bool isRoutine = status == httpstatus::Ok;
-        const auto write = isRoutine ? logRoutine : logEvent;
-        write(LogEvent::RequestEnded,
-              { { "request", facts_.attemptId_ },
-                { "route", admitted_.route_ == nullptr ? std::string() : route().name_ },
-                { "account", admitted_.account_ == nullptr ? std::string() : admitted_.account_->id_.value() },
-                { "service", service_.value() },
-                { "status", std::uint64_t(status) },
-                { "reason", reason },
-                { "endpoint", lastEndpoint_ },
-                { "dispatches", std::uint64_t(dispatches_) },
-                { "arrivals", std::uint64_t(arrivals_) },
-                { "mayHaveRun", mayHaveRun_ ? "yes" : "no" },
-                { "timeLeftMs", std::uint64_t(std::max<std::int64_t>(0, timeLeft().count())) },
-                { "afterMs", elapsed() },
-                { "configuration", configuration_ ? configuration_->version_ : 0 },
-                { "configurationAgeMs", std::uint64_t(context_.age_.age(context_.clock_.now()).count()) } });
+        requestlog::Summary summary{ .request_ = facts_.attemptId_, .service_ = service_.value(), .endpoint_ = lastEndpoint_ };
+        if (admitted_.route_ != nullptr) {
+            summary.route_ = route().name_;
+        }
+        if (admitted_.account_ != nullptr) {
+            summary.account_ = admitted_.account_->id_.value();
+        }
+        summary.status_ = status;
+        summary.reason_ = reason;
+        summary.dispatches_ = dispatches_;
+        summary.arrivals_ = arrivals_;
+        summary.mayHaveRun_ = mayHaveRun_;
+        summary.timeLeft_ = timeLeft();
+        summary.elapsed_ = elapsed();
+        summary.configuration_ = configuration_ ? configuration_->version_ : 0;
+        summary.configurationAge_ = context_.age_.age(context_.clock_.now());
+        requestlog::ended(summary);
     }
 
     GatewayContext &context_;
@@ -611,23 +490,20 @@
     std::chrono::milliseconds timeLimit_{ 0 };
     std::unique_ptr<Dispatch<D>> dispatch_;
     std::optional<CacheHandle> cache_;
-    std::set<EndpointId> tried_;
-    std::set<EndpointId> triedPrefill_;
-    EventFramer framer_;
-    EventPosition position_;
+    std::optional<RequestRouter> router_;
+    StreamRelay relay_;
     std::string lastEndpoint_;
-    std::size_t heldBytes_ = 0;
     std::uint32_t dispatches_ = 0;
     std::uint32_t runs_ = 0;
 
     /// Calls that endpoints got for this request, but for prompts that were read.
     std::uint32_t arrivals_ = 0;
     int unopened_ = 0;
-    int prefills_ = 0;
     bool mayHaveRun_ = false;
-    bool isAnswerBegun_ = false;
     bool isCounted_ = false;
-    bool isKeyStale_ = false;
+
+    /// Why the request was not written although its endpoint was ready.
+    std::optional<ErrorCode> withheldFor_;
 };
 
 } // namespace cowsliphead
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -46,7 +46,7 @@
     /// Thread safety: the loop's task only.
     void receive(Message message)
     {
-        std::visit([this](auto &&part) { take(std::forward<decltype(part)>(part)); }, std::move(message));
+        std::visit([this](auto &&part) { this->take(std::forward<decltype(part)>(part)); }, std::move(message));
     }
 
 private:
--- a/src/gateway/releasecache.h
+++ b/src/gateway/releasecache.h
@@ -16,7 +16,7 @@
 template <Dialect D>
 void releaseCache(GatewayContext &context, const CacheHandle &handle)
 {
-    constexpr std::chrono::milliseconds connectTimeout{ 300 };
+    constexpr std::chrono::milliseconds ConnectTimeout{ 300 };
     const auto connection = std::make_shared<ClientConnection>(context.loop_, handle.engine_);
     connection->begin({
                           .onOpen_ = [connection, head = D::releaseRequest(handle)] { connection->write(requestBytes(head)); },
@@ -25,7 +25,7 @@
                           .onComplete_ = [connection] { connection->close(); },
                           .onFailed_ = [](ConnectionFailure /*failure*/) {},
                       },
-                      connectTimeout);
+                      ConnectTimeout);
 }
 
 } // namespace cowsliphead
--- /dev/null
+++ b/src/gateway/requestlog.cpp
@@ -0,0 +1,65 @@
+#include "gateway/requestlog.h"
+
+#include <algorithm>
+
+#include "http/httpstatus.h"
+#include "logs/log.h"
+
+namespace cowsliphead::requestlog
+{
+
+namespace
+{
+
+std::uint64_t countOf(std::chrono::milliseconds duration)
+{
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, duration.count()));
+}
+
+} // namespace
+
+void ended(const Summary &summary)
+{
+    const auto write = summary.status_ == httpstatus::Ok ? logRoutine : logEvent;
+    write(LogEvent::RequestEnded,
+          { { "request", summary.request_ },
+            { "route", summary.route_ },
+            { "account", summary.account_ },
+            { "service", summary.service_ },
+            { "status", std::uint64_t(summary.status_) },
+            { "reason", summary.reason_ },
+            { "endpoint", summary.endpoint_ },
+            { "dispatches", std::uint64_t(summary.dispatches_) },
+            { "arrivals", std::uint64_t(summary.arrivals_) },
+            { "mayHaveRun", summary.mayHaveRun_ ? "yes" : "no" },
+            { "timeLeftMs", countOf(summary.timeLeft_) },
+            { "afterMs", countOf(summary.elapsed_) },
+            { "configuration", summary.configuration_ },
+            { "configurationAgeMs", countOf(summary.configurationAge_) } });
+}
+
+void dispatchEnded(const DispatchPlan &plan, const AttemptResult &result, std::chrono::milliseconds elapsed)
+{
+    logEvent(LogEvent::DispatchEnded,
+             { { "request", plan.attemptId_ },
+               { "endpoint", plan.facts_.endpoint_.value() },
+               { "purpose", plan.facts_.isPrefill_ ? "prefill" : "run" },
+               { "end", attemptEndName(result.end_) },
+               { "reason", result.reason_ },
+               { "status", std::uint64_t(result.head_.status_) },
+               { "afterMs", countOf(elapsed) } });
+}
+
+void promptRead(const DispatchPlan &plan, const std::string &sharedParts, std::uint64_t sharedTokens, std::chrono::milliseconds taken)
+{
+    logRoutine(LogEvent::PromptRead,
+               { { "request", plan.attemptId_ },
+                 { "endpoint", plan.facts_.endpoint_.value() },
+                 { "parts", sharedParts },
+                 { "fetchedFrom", plan.facts_.fetchSource_ },
+                 { "sharedTokens", sharedTokens },
+                 { "ownTokens", plan.promptTokens_ },
+                 { "takenMs", countOf(taken) } });
+}
+
+} // namespace cowsliphead::requestlog
--- /dev/null
+++ b/src/gateway/streamrelay.cpp
@@ -0,0 +1,53 @@
+#include "gateway/streamrelay.h"
+
+#include <utility>
+
+#include "http1/callerconnection.h"
+#include "http1/connectionheaders.h"
+#include "http1/responsehead.h"
+
+namespace cowsliphead
+{
+
+StreamRelay::StreamRelay(CallerConnection &connection)
+    : connection_(connection)
+{
+}
+
+void StreamRelay::begin(const ResponseHead &head)
+{
+    if (!std::exchange(hasBegun_, true)) {
+        connection_.beginAnswer(head.status_, head.reason_, endToEndHeaders(head.headers_));
+    }
+}
+
+void StreamRelay::pass(std::string_view data)
+{
+    const auto events = framer_.add(data);
+    position_.passed(events);
+    connection_.sendPiece(events);
+    heldBytes_ = heldBytes_ + data.size() - events.size();
+}
+
+void StreamRelay::dropPartial()
+{
+    framer_.dropPartial();
+    heldBytes_ = 0;
+}
+
+bool StreamRelay::hasBegun() const
+{
+    return hasBegun_;
+}
+
+bool StreamRelay::hasPartial() const
+{
+    return heldBytes_ > 0;
+}
+
+const std::string &StreamRelay::lastEventId() const
+{
+    return position_.lastId();
+}
+
+} // namespace cowsliphead
--- a/src/logs/log.cpp
+++ b/src/logs/log.cpp
@@ -58,6 +58,13 @@
     return format;
 }
 
+/// Set once, before any task is started.
+std::string &processName()
+{
+    static std::string name;
+    return name;
+}
+
 std::int64_t nowInMicroseconds()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -77,6 +84,9 @@
         { "event", static_cast<int>(description.event_) },
         { "name", description.name_ },
     };
+    if (!processName().empty()) {
+        line["instance"] = processName();
+    }
     for (const auto &field : fields) {
         line[std::string(field.name_)] = valueOf(field);
     }
@@ -129,6 +139,11 @@
     core->set_filter(boost::log::expressions::attr<LogLevel>("Severity") >= lowest);
 }
 
+void nameLog(const std::string &instance)
+{
+    processName() = instance;
+}
+
 void flushLog()
 {
     boost::log::core::get()->flush();
--- a/src/logs/logsetup.h
+++ b/src/logs/logsetup.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <string>
+
 #include "logs/logformat.h"
 #include "logs/loglevel.h"
 #include "logs/logtarget.h"
@@ -10,6 +12,9 @@
 /// Precondition: called once, before any task is started.
 void setUpLogging(LogFormat format, LogLevel lowest, LogTarget target = LogTarget::StandardError);
 
+/// Names this process in each line from now on. Precondition: called before any task is started.
+void nameLog(const std::string &instance);
+
 /// Writes out what is queued. Precondition: called by the thread that ends the process.
 void flushLog();
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -16,9 +16,10 @@
 const std::map<std::string, std::function<int(int, char **)>> &commandTable()
 {
     static const std::map<std::string, std::function<int(int, char **)>> table{
-        { "gateway", commands::gateway }, { "serve", commands::serve }, { "config", commands::config },
-        { "record", commands::record },   { "key", commands::key },     { "status", commands::status },
-        { "standin", commands::standin }, { "bench", commands::bench }, { "experiment", commands::experiment },
+        { "gateway", commands::gateway },       { "explain", commands::explain }, { "serve", commands::serve },
+        { "config", commands::config },         { "record", commands::record },   { "key", commands::key },
+        { "status", commands::status },         { "standin", commands::standin }, { "bench", commands::bench },
+        { "experiment", commands::experiment },
     };
     return table;
 }
--- a/src/operate/commands.h
+++ b/src/operate/commands.h
@@ -9,6 +9,9 @@
 /// Serves callers on the users' platform. Returns an exit code.
 int gateway(int argc, char **argv);
 
+/// Prints what the logs tell of a request. Returns an exit code.
+int explain(int argc, char **argv);
+
 /// Checks a settings file. Returns an exit code.
 int config(int argc, char **argv);
 
--- /dev/null
+++ b/src/operate/explaincommand.cpp
@@ -0,0 +1,63 @@
+#include <iostream>
+#include <sstream>
+
+#include <cxxopts.hpp>
+
+#include "logs/requeststory.h"
+#include "operate/commands.h"
+#include "operate/exitcode.h"
+#include "operate/readfile.h"
+
+namespace cowsliphead::commands
+{
+
+namespace
+{
+
+bool addFile(const std::string &file, RequestStory &story)
+{
+    const auto text = readFile(file);
+    if (!text) {
+        std::cerr << "cowsliphead: " << file << ": " << text.error().message() << "\n";
+        return false;
+    }
+    std::istringstream lines(*text);
+    for (std::string line; std::getline(lines, line);) {
+        story.add(line);
+    }
+    return true;
+}
+
+} // namespace
+
+int explain(int argc, char **argv)
+{
+    cxxopts::Options options("cowsliphead explain",
+                             "Tells what the logs say of a request, joined over processes. Exit codes: 0 found, 1 no line names it, 2 wrong input.");
+    auto add = options.add_options();
+    add("request", "The request's identifier", cxxopts::value<std::string>());
+    add("files", "Log files in JSON lines; - or none: standard input", cxxopts::value<std::vector<std::string>>());
+    add("h,help", "Show this help");
+    options.parse_positional({ "request", "files" });
+    options.positional_help("ID [FILE...]");
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") > 0) {
+        std::cout << options.help();
+        return exitcode::Success;
+    }
+    if (parsed.count("request") == 0) {
+        std::cerr << options.help();
+        return exitcode::WrongInput;
+    }
+    RequestStory story(parsed["request"].as<std::string>());
+    const auto files = parsed.count("files") > 0 ? parsed["files"].as<std::vector<std::string>>() : std::vector<std::string>{ "-" };
+    for (const auto &file : files) {
+        if (!addFile(file, story)) {
+            return exitcode::WrongInput;
+        }
+    }
+    std::cout << story.tell();
+    return story.isKnown() ? exitcode::Success : exitcode::Failed;
+}
+
+} // namespace cowsliphead::commands
