--- a/src/http1/callerconnection.h
+++ b/src/http1/callerconnection.h
@@ -91,7 +91,6 @@
     bool closesAfterAnswer_ = false;
     bool isHeadRequest_ = false;
     bool isBodyless_ = false;
-    bool isParsing_ = false;
 };
 
 } // namespace cowsliphead
