--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -178,6 +178,10 @@
 
     void wentSilent()
     {
+        if (!events_.mayAbandon_()) {
+            listen();
+            return;
+        }
         connection_->close();
         fail("silent");
     }
--- a/src/gateway/dispatchevents.h
+++ b/src/gateway/dispatchevents.h
@@ -14,6 +14,9 @@
     /// Asked right before the request is written; false withholds it.
     std::function<bool()> mayWrite_;
 
+    /// Asked when the endpoint has given nothing for the plan's time; false waits on, since no other can take over.
+    std::function<bool()> mayAbandon_;
+
     /// A successful stream has begun.
     std::function<void(const ResponseHead &)> onStream_;
     std::function<void(std::string_view)> onData_;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -237,6 +237,7 @@
                                                   std::move(plan),
                                                   DispatchEvents{
                                                       .mayWrite_ = [this] { return mayWrite(); },
+                                                      .mayAbandon_ = [this] { return mayAbandon(); },
                                                       .onStream_ = [this](const ResponseHead &head) { streamBegan(head); },
                                                       .onData_ = [this](std::string_view data) { relay_.pass(data); },
                                                       .onEnd_ = std::move(onEnd),
@@ -244,6 +245,14 @@
         dispatch_->start();
     }
 
+    /// A silent endpoint is left only for another one: silence alone is no reason to end an answer.
+    bool mayAbandon()
+    {
+        const bool isPrefill = dispatch_->plan().facts_.isPrefill_;
+        const bool canRunElsewhere = route().mayRunAgain() && runs_ + 1 < route().maxAttempts_ && router_->hasOtherRunner();
+        return context_.allowanceOf(service_).hasRoom() && (isPrefill || canRunElsewhere);
+    }
+
     /// Asked at the moment of writing: the process may have been suspended since the request was read.
     bool mayWrite()
     {
--- a/src/gateway/requestrouter.cpp
+++ b/src/gateway/requestrouter.cpp
@@ -141,10 +141,21 @@
     return isEngine_ && isLongPrompt() && !isPromptRead;
 }
 
+placement::Candidates RequestRouter::runners() const
+{
+    const auto stage = isEngine_ ? EngineStage::Decode : EngineStage::None;
+    return context_.endpoints_.candidates(service_, stage, triedRunners_, context_.clock_.now());
+}
+
+bool RequestRouter::hasOtherRunner() const
+{
+    return !runners().empty();
+}
+
 EndpointState *RequestRouter::chooseRunner(bool isPromptRead)
 {
     const auto now = context_.clock_.now();
-    const auto candidates = context_.endpoints_.candidates(service_, isEngine_ ? EngineStage::Decode : EngineStage::None, triedRunners_, now);
+    const auto candidates = runners();
     auto *chosen = readsPromptItself(isPromptRead) ? placement::prefillEngine(sharedParts_, candidates, context_.gatewayCount_, now).engine_
                                                    : placement::leastLoaded(candidates, context_.settings_.domain_, context_.random_);
     if (chosen != nullptr) {
--- a/src/gateway/requestrouter.h
+++ b/src/gateway/requestrouter.h
@@ -39,6 +39,9 @@
     /// The endpoint that runs the request; null if none is left. Thread safety: the context's task only.
     EndpointState *chooseRunner(bool isPromptRead);
 
+    /// True if another endpoint could run the request. Thread safety: the context's task only.
+    bool hasOtherRunner() const;
+
     /// True if the endpoint that runs the request reads a long prompt itself. Thread safety: the context's task only.
     bool readsPromptItself(bool isPromptRead) const;
 
@@ -59,6 +62,7 @@
     bool mayRelievePrefill() const;
     bool mayRelieveDecode() const;
     placement::Candidates prefillEngines() const;
+    placement::Candidates runners() const;
 
     GatewayContext &context_;
     CallerFacts facts_;
--- a/tests/gateway/gatewaytest.cpp
+++ b/tests/gateway/gatewaytest.cpp
@@ -150,6 +150,28 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(with_a_stream_that_falls_silent)
+
+BOOST_AUTO_TEST_CASE(waits_if_no_other_endpoint_can_go_on)
+{
+    // Found by a hunt (namib-verse, hunt-e888-35): the stream was cut although nothing could take it over.
+    GatewayWorld world;
+    world.addEndpoint({ { StreamHead + chunk("id: 1\ndata: a\n\n"), false, chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n", 1200ms } });
+    const auto answer = world.ask("/stream/x");
+    BOOST_TEST(answer.isWhole_);
+    BOOST_TEST(answer.body_ == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
+BOOST_AUTO_TEST_CASE(goes_on_at_another_endpoint_if_there_is_one)
+{
+    GatewayWorld world;
+    world.addEndpoint({ { StreamHead + chunk("id: 1\ndata: a\n\n") } });
+    world.addEndpoint({ { StreamHead + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n" } });
+    BOOST_TEST(world.ask("/stream/x").body_ == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(with_a_stream_that_breaks_off)
 
 BOOST_AUTO_TEST_CASE(goes_on_at_another_endpoint_after_the_last_whole_event)
--- a/tests/gateway/rawendpoint.cpp
+++ b/tests/gateway/rawendpoint.cpp
@@ -64,6 +64,14 @@
         script.bytes_.replace(place, 2, id);
     }
     bufferevent_write(events, script.bytes_.data(), script.bytes_.size());
+    if (!script.laterBytes_.empty()) {
+        later_.push_back(std::make_unique<Timer>(loop_, [this, events, bytes = script.laterBytes_] {
+            if (connections_.contains(events)) {
+                bufferevent_write(events, bytes.data(), bytes.size());
+            }
+        }));
+        later_.back()->startOnce(script.silence_);
+    }
     if (script.closes_) {
         bufferevent_setcb(events, nullptr, &RawEndpoint::onWritten, &RawEndpoint::onEvent, this);
     }
--- a/tests/gateway/rawendpoint.h
+++ b/tests/gateway/rawendpoint.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -9,6 +10,7 @@
 #include "http1/freebufferevent.h"
 #include "http1/listener.h"
 #include "task/eventloop.h"
+#include "task/timer.h"
 
 /// An endpoint that answers each request with given bytes, sound or not.
 class RawEndpoint
@@ -19,6 +21,10 @@
         /// ID stands for the request's identifier.
         std::string bytes_;
         bool closes_ = false;
+
+        /// Follows after the silence.
+        std::string laterBytes_ = {};
+        std::chrono::milliseconds silence_{ 0 };
     };
 
     RawEndpoint(cowsliphead::EventLoop &loop, std::vector<Script> scripts);
@@ -55,6 +61,7 @@
     std::vector<Script> scripts_;
     std::vector<std::string> requests_;
     std::map<bufferevent *, std::unique_ptr<bufferevent, cowsliphead::FreeBufferEvent>> connections_;
+    std::vector<std::unique_ptr<cowsliphead::Timer>> later_;
     cowsliphead::Listener listener_;
     std::uint16_t port_ = 0;
     int closed_ = 0;
