--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -229,7 +229,7 @@
         return plan;
     }
 
-    void send(EndpointState &endpoint, DispatchPlan plan, std::function<void(AttemptResult)> onEnd)
+    void send(EndpointState &endpoint, DispatchPlan plan, const std::function<void(AttemptResult)> &onEnd)
     {
         relay_.dropPartial();
         dispatch_ = std::make_unique<Dispatch<D>>(context_,
@@ -240,7 +240,7 @@
                                                       .mayAbandon_ = [this] { return mayAbandon(); },
                                                       .onStream_ = [this](const ResponseHead &head) { streamBegan(head); },
                                                       .onData_ = [this](std::string_view data) { relay_.pass(data); },
-                                                      .onEnd_ = std::move(onEnd),
+                                                      .onEnd_ = onEnd,
                                                   });
         dispatch_->start();
     }
--- a/tests/gateway/nextsteptest.cpp
+++ b/tests/gateway/nextsteptest.cpp
@@ -10,8 +10,8 @@
 
 AttemptEnd endOf(unsigned number)
 {
-    constexpr unsigned ends = 5;
-    return static_cast<AttemptEnd>(number % ends);
+    constexpr unsigned Ends = 5;
+    return static_cast<AttemptEnd>(number % Ends);
 }
 
 } // namespace
--- a/tests/gateway/retryallowancetest.cpp
+++ b/tests/gateway/retryallowancetest.cpp
@@ -11,10 +11,10 @@
 
 RC_BOOST_PROP(all_gateways_together_stay_within_the_bound, (std::uint8_t seed, const std::vector<bool> &events))
 {
-    constexpr double ratio = 0.2;
-    constexpr double reserve = 54;
+    constexpr double Ratio = 0.2;
+    constexpr double Reserve = 54;
     const std::size_t gateways = seed % 20 + 1;
-    std::vector<RetryAllowance> allowances(gateways, RetryAllowance(ratio, reserve));
+    std::vector<RetryAllowance> allowances(gateways, RetryAllowance(Ratio, Reserve));
     for (auto &allowance : allowances) {
         allowance.setGatewayCount(gateways);
     }
@@ -29,7 +29,7 @@
             ++retries;
         }
     }
-    RC_ASSERT(retries <= ratio * requests + reserve);
+    RC_ASSERT(retries <= Ratio * requests + Reserve);
 }
 
 BOOST_AUTO_TEST_CASE(an_unknown_number_of_gateways_leaves_a_small_share)
