--- a/src/duty/dutysettings.h
+++ b/src/duty/dutysettings.h
@@ -2,15 +2,11 @@
 
 #include <chrono>
 
-#include "core/instanceid.h"
-
 namespace cowsliphead
 {
 
 /// What the holder of the duties is told at its start.
 struct DutySettings {
-    InstanceId instance_;
-
     /// Length of a usage window; zero: no usage is reported.
     std::chrono::milliseconds windowLength_{ 5000 };
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -96,7 +96,7 @@
 
     std::chrono::milliseconds timeLeft() const
     {
-        return timeLimit_ - std::chrono::duration_cast<std::chrono::milliseconds>(context_.clock_.now() - request_.arrivedAt_);
+        return timeLimit_ - elapsed();
     }
 
     bool isEngineService() const
--- a/src/gateway/parsegatewaysettings.cpp
+++ b/src/gateway/parsegatewaysettings.cpp
@@ -34,7 +34,6 @@
 {
     settings.gateway_.instance_ = InstanceId(fields.text("instance"));
     settings.gateway_.domain_ = FailureDomain(fields.text("failureDomain"));
-    settings.duty_.instance_ = settings.gateway_.instance_;
 }
 
 void readAddresses(FieldReader &fields, GatewayDaemonSettings &settings)
--- a/src/http1/clientconnection.cpp
+++ b/src/http1/clientconnection.cpp
@@ -55,11 +55,6 @@
 
 ClientConnection::~ClientConnection() = default;
 
-bool ClientConnection::isFresh() const
-{
-    return state_ == State::New;
-}
-
 bool ClientConnection::isReusable(MonotonicTime now) const
 {
     return state_ == State::Open && !isAwaiting_ && mayReuse_ && now < idleUntil_;
--- a/src/http1/clientconnection.h
+++ b/src/http1/clientconnection.h
@@ -38,9 +38,6 @@
     /// True if another request may follow on this connection at that time. Thread safety: the loop's task only.
     bool isReusable(MonotonicTime now) const;
 
-    /// True before any request was written. Thread safety: the loop's task only.
-    bool isFresh() const;
-
 private:
     enum class State {
         New,
--- a/src/operate/servecommand.cpp
+++ b/src/operate/servecommand.cpp
@@ -7,8 +7,8 @@
 #include "operate/daemon.h"
 #include "operate/embedded.h"
 #include "operate/exitcode.h"
+#include "operate/loadsettings.h"
 #include "operate/parsesettings.h"
-#include "operate/readfile.h"
 #include "operate/stopsignal.h"
 
 namespace cowsliphead::commands
@@ -41,14 +41,8 @@
 
 int serveFrom(const std::string &file)
 {
-    const auto text = readFile(file);
-    if (!text) {
-        std::cerr << "cowsliphead: " << file << ": " << text.error().message() << "\n";
-        return exitcode::WrongInput;
-    }
-    const auto settings = parseSettings(*text);
+    const auto settings = loadSettings(file, parseSettings);
     if (!settings) {
-        std::cerr << "cowsliphead: " << file << ": " << settings.error().describe() << "\n";
         return exitcode::WrongInput;
     }
     const StopSignal stopSignal;
