--- a/src/duty/dutykeeper.h
+++ b/src/duty/dutykeeper.h
@@ -30,11 +30,11 @@
 
     /// incarnation names this process for good. Precondition: loop, store, platform and clock outlive the keeper.
     /// Thread safety: the loop's task only.
-    DutyKeeper(EventLoop &loop, S &store, P &platform, const C &clock, DutySettings settings, const InstanceId &incarnation)
+    DutyKeeper(EventLoop &loop, S &store, P &platform, const C &clock, const DutySettings &settings, const InstanceId &incarnation)
         : loop_(loop)
         , platform_(platform)
         , clock_(clock)
-        , settings_(std::move(settings))
+        , settings_(settings)
         , startedAt_(clock.now())
         , startedOn_(clock.wallNow())
         , lease_(store, clock, leasePolicy(settings_), "duty/leader", incarnation.value())
