A second signal during a stop no longer ends a gateway out of order

The log's writing thread was started before the stop signals were blocked, so it left them at their default. While the main thread waits for them that does no harm; once it has taken the first SIGTERM, a second one (or SIGHUP) went to the log's thread and ended the process with its streams. Ruled out: a crash in the new stop path (the process ended 0.02 to 1.03 s after SIGTERM, always without daemon_stopped, whatever it did last), the duties, the store.

The signals are now taken over before any thread starts.

Listening addresses may name port 0 for a free one.

--- a/src/gateway/gatewayprocess.h
+++ b/src/gateway/gatewayprocess.h
@@ -40,9 +40,10 @@
     logEvent(LogEvent::SettingsReloaded, { { "file", file } });
 }
 
-/// Runs a gateway by a settings file until a signal stops it. Returns the exit code. Precondition: no other thread runs.
+/// Runs a gateway by a settings file until a signal stops it. Returns the exit code. Precondition: stopSignal was made before any other
+/// thread, the log's included, so that no signal ends the process out of order.
 template <PlatformAdapter P>
-int runGatewayProcess(const std::string &file)
+int runGatewayProcess(const std::string &file, const StopSignal &stopSignal)
 {
     /// The file may change without a signal; a change is in use within this time.
     constexpr std::chrono::milliseconds SettingsInterval{ 1000 };
@@ -52,7 +53,6 @@
     }
     auto textInUse = readFile(file).value_or(std::string());
     nameLog(settings->gateway_.instance_.value());
-    const StopSignal stopSignal;
     GatewayDaemon<P> daemon;
     const auto port = daemon.start(*settings);
     if (!port) {
--- a/src/gateway/parsegatewaysettings.cpp
+++ b/src/gateway/parsegatewaysettings.cpp
@@ -19,10 +19,12 @@
 constexpr std::uint64_t LargestPercent = 1000;
 constexpr double Percent = 100.0;
 
-SocketAddress readAddress(FieldReader &fields, const std::string &field)
+using ParseAddress = Result<SocketAddress> (*)(std::string_view);
+
+SocketAddress readAddress(FieldReader &fields, const std::string &field, ParseAddress parse = parseSocketAddress)
 {
     const auto text = fields.text(field);
-    const auto address = parseSocketAddress(text);
+    const auto address = parse(text);
     if (!address) {
         fields.report(field, text, "IP:PORT");
         return {};
@@ -38,8 +40,8 @@
 
 void readAddresses(FieldReader &fields, GatewayDaemonSettings &settings)
 {
-    settings.gateway_.callers_ = readAddress(fields, "callers");
-    settings.gateway_.readiness_ = readAddress(fields, "readiness");
+    settings.gateway_.callers_ = readAddress(fields, "callers", parseListenAddress);
+    settings.gateway_.readiness_ = readAddress(fields, "readiness", parseListenAddress);
     settings.store_ = readAddress(fields, "store");
     settings.platform_ = readAddress(fields, "platform");
     settings.metrics_.port_ = static_cast<std::uint16_t>(fields.numberOr("metricsPort", 0, 0, LargestPort));
