Homes of a prompt fetch from each other; fewer calls to the store, and fewer the larger the fleet

Cause 1: 17% of the long prompts had their shared parts read again. Now each of the two fetches from the other what it lacks.

--- a/src/duty/dutykeeper.h
+++ b/src/duty/dutykeeper.h
@@ -7,6 +7,7 @@
 
 #include "core/clock.h"
 #include "duty/dutysettings.h"
+#include "duty/gatewaycensus.h"
 #include "duty/leaseholder.h"
 #include "duty/scaleplanner.h"
 #include "duty/windowreporter.h"
@@ -14,6 +15,7 @@
 #include "fleet/fleetsnapshot.h"
 #include "fleet/gatewaycount.h"
 #include "serve/drainrequest.h"
+#include "task/address.h"
 #include "task/eventloop.h"
 #include "task/timer.h"
 #include "usage/requestbegun.h"
@@ -27,15 +29,18 @@
 class DutyKeeper
 {
 public:
-    using Message = std::variant<RequestBegun, FleetSnapshot, GatewayCount, DrainRequest, UsageComplete>;
+    using Message = std::variant<RequestBegun, FleetSnapshot, DrainRequest, UsageComplete>;
 
-    /// incarnation names this process for good. Precondition: loop, store, platform and clock outlive the keeper.
-    /// Thread safety: the loop's task only.
-    DutyKeeper(EventLoop &loop, S &store, P &platform, const C &clock, const DutySettings &settings, const InstanceId &incarnation)
+    /// incarnation names this process for good; counts hears how many gateways there are. Precondition: loop, store, platform and
+    /// clock outlive the keeper. Thread safety: the loop's task only.
+    DutyKeeper(
+        EventLoop &loop, S &store, P &platform, const C &clock, const DutySettings &settings, const InstanceId &incarnation, Address<GatewayCount> counts)
         : loop_(loop)
+        , store_(store)
         , platform_(platform)
         , clock_(clock)
         , settings_(settings)
+        , counts_(std::move(counts))
         , startedAt_(clock.now())
         , startedOn_(clock.wallNow())
         , lease_(store, clock, leasePolicy(settings_), "duty/leader", incarnation.value())
@@ -61,8 +66,14 @@
 private:
     static constexpr std::chrono::milliseconds TickInterval{ 100 };
 
-    /// What a killed process loses of its counts.
-    static constexpr std::chrono::milliseconds FlushInterval{ 1500 };
+    /// A killed process loses what it has counted for so long; longer in a fleet where its share is small.
+    static constexpr std::chrono::milliseconds ShortestFlushInterval{ 1500 };
+
+    /// The part of a window's requests that a killed process may lose: less than the tolerance of a report.
+    static constexpr double LossPerKill = 0.03;
+
+    /// All candidates together look so often whether the duties are free.
+    static constexpr std::chrono::milliseconds LookInterval{ 500 };
 
     /// After a window's end: the last flush of each gateway and the store's answer.
     static constexpr std::chrono::milliseconds ReportDelay{ 1000 };
@@ -76,6 +87,9 @@
     /// Between two looks at the endpoints' number.
     static constexpr std::chrono::milliseconds ScaleInterval{ 500 };
 
+    /// Gateways are counted once in so many windows: their number changes by restarts and replacements only.
+    static constexpr UsageWindow WindowsBetweenCounts = 2;
+
     /// Windows that a new holder looks back for.
     static constexpr UsageWindow WindowsBack = 2;
 
@@ -119,11 +133,6 @@
         fleet_ = fleet;
     }
 
-    void take(const GatewayCount &count)
-    {
-        gatewayCount_ = count.count_;
-    }
-
     /// Another process can take the duties at once; usage is counted until the last answer.
     void take(const DrainRequest & /*request*/)
     {
@@ -148,6 +157,7 @@
             return;
         }
         flush(now);
+        countGateways(now);
         if (isStandingDown_) {
             return;
         }
@@ -207,13 +217,49 @@
     void flush(MonotonicTime now)
     {
         const auto window = windowAt(now);
-        if (window != flushedWindow_ || now - flushedAt_ >= FlushInterval) {
+        const auto interval = writer_.isBehind(window) ? ShortestFlushInterval : flushInterval();
+        if (window != flushedWindow_ || now - flushedAt_ >= interval) {
             flushedWindow_ = window;
             flushedAt_ = now;
             writer_.flush(window);
         }
     }
 
+    std::chrono::milliseconds flushInterval() const
+    {
+        const double share = LossPerKill * static_cast<double>(census_.count());
+        return std::max(ShortestFlushInterval, std::chrono::duration_cast<std::chrono::milliseconds>(settings_.windowLength_ * share));
+    }
+
+    /// Reads who wrote counts of the last whole window: each time until that is known, then at intervals.
+    void countGateways(MonotonicTime now)
+    {
+        const auto window = windowAt(now - ReportDelay) - 1;
+        const bool isDue = census_.count() == 0 || window >= countedWindow_ + WindowsBetweenCounts;
+        if (window <= countedWindow_ || !isDue) {
+            return;
+        }
+        countedWindow_ = window;
+        countGateways(window, {}, 0);
+    }
+
+    void countGateways(UsageWindow window, const std::string &after, std::size_t known)
+    {
+        store_.range(usagecountkeys::countsOf(window), after, [this, window, known](const Result<StoreRange> &page) {
+            if (!page) {
+                return;
+            }
+            const auto gateways = known + page->entries_.size();
+            if (page->hasMore_ && !page->entries_.empty()) {
+                countGateways(window, page->entries_.back().key_, gateways);
+                return;
+            }
+            census_.counted(window, gateways);
+            lease_.setCandidateInterval(LookInterval * std::max<std::size_t>(census_.count(), 1));
+            counts_.send(GatewayCount{ census_.count() });
+        });
+    }
+
     void report(MonotonicTime now)
     {
         if (!lease_.mayAct() || now - reportedAt_ < ReportInterval) {
@@ -224,14 +270,16 @@
         const auto oldest = std::max(newest - WindowsBack, windowAt(startedAt_));
         for (auto window = oldest; window <= newest; ++window) {
             const bool isLate = window <= windowAt(now - (settings_.reportBound_ - LateMargin)) - 1;
-            reporter_.report(window, isLate ? 0 : gatewayCount_);
+            reporter_.report(window, isLate ? 0 : census_.count());
         }
     }
 
     EventLoop &loop_;
+    S &store_;
     P &platform_;
     const C &clock_;
     DutySettings settings_;
+    Address<GatewayCount> counts_;
     MonotonicTime startedAt_;
     WallTime startedOn_;
     LeaseHolder<S, C> lease_;
@@ -242,7 +290,8 @@
     MonotonicTime reportedAt_;
     MonotonicTime scaledAt_;
     FleetSnapshot fleet_;
-    std::size_t gatewayCount_ = 0;
+    GatewayCensus census_;
+    UsageWindow countedWindow_ = 0;
     ScalePlanner planner_;
     UsageWindow flushedWindow_ = 0;
 
--- a/src/duty/leaseholder.h
+++ b/src/duty/leaseholder.h
@@ -3,6 +3,7 @@
 #include <cstdlib>
 #include <functional>
 #include <optional>
+#include <random>
 #include <string>
 #include <utility>
 
@@ -61,6 +62,13 @@
         return state_ == LeaseState::Holding && term_.mayAct(clock_.now());
     }
 
+    /// How often this process looks whether the duty is free, on the mean; each pause differs, so that candidates that start
+    /// together spread out. Thread safety: the store's task only.
+    void setCandidateInterval(std::chrono::milliseconds interval)
+    {
+        policy_.candidateInterval_ = interval;
+    }
+
     /// Gives the duty up, so that another process can take it at once. Thread safety: the store's task only.
     void resign()
     {
@@ -103,7 +111,7 @@
     /// Reads before it writes, since nearly always another process holds the duty.
     void look()
     {
-        asksFrom_ = clock_.now() + policy_.candidateInterval_;
+        asksFrom_ = clock_.now() + policy_.candidateInterval_ * spread_(random_) / WholeInterval;
         store_.read(name_, forThisTenure<std::optional<StoreEntry>>([this](const Result<std::optional<StoreEntry>> &answer) {
                         if (answer && !*answer) {
                             grant();
@@ -190,12 +198,17 @@
                           }));
     }
 
+    /// Pauses between looks are given in hundredths of the interval.
+    static constexpr int WholeInterval = 100;
+
     S &store_;
     const C &clock_;
     LeasePolicy policy_;
     std::string name_;
     std::string holder_;
     LeaseTerm term_;
+    std::minstd_rand random_{ static_cast<std::uint32_t>(std::hash<std::string>()(holder_)) };
+    std::uniform_int_distribution<int> spread_{ WholeInterval / 2, WholeInterval * 3 / 2 };
     LeaseState state_ = LeaseState::Idle;
     LeaseId lease_;
     FencingNumber fencing_ = 0;
--- a/src/duty/windowreporter.h
+++ b/src/duty/windowreporter.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "core/errorcode.h"
 #include "duty/dutyplatform.h"
@@ -55,6 +56,15 @@
     /// Windows that are remembered as reported.
     static constexpr std::size_t Remembered = 64;
 
+    /// Counts of a window are kept for so many windows more: gateways read them to tell how many there are.
+    static constexpr UsageWindow KeptCounts = 3;
+
+    /// Sealed counts are kept for so many windows, for a successor that reports again.
+    static constexpr UsageWindow KeptSealed = 60;
+
+    /// Keys that the store erases in one call.
+    static constexpr std::size_t ErasedAtOnce = 32;
+
     struct Gathered {
         WindowCounts sums_;
 
@@ -132,6 +142,7 @@
             while (reported_.size() > Remembered) {
                 reported_.erase(reported_.begin());
             }
+            clear(window);
         } else if (answer.error() == ErrorCode::PlatformRefused) {
             logEvent(LogEvent::DutyCallRefused, { { "window", std::uint64_t(window) }, { "fence", fence } });
             onRefused_();
@@ -140,6 +151,32 @@
         }
     }
 
+    /// What is not cleared now, for want of an answer, stays: it is small and does no harm.
+    void clear(UsageWindow reported)
+    {
+        erase({ usagecountkeys::sealedCounts(reported - KeptSealed) });
+        store_.range(usagecountkeys::countsOf(reported - KeptCounts), {}, [this](const Result<StoreRange> &page) {
+            if (!page) {
+                return;
+            }
+            std::vector<std::string> keys;
+            for (const auto &entry : page->entries_) {
+                keys.push_back(entry.key_);
+                if (keys.size() == ErasedAtOnce) {
+                    erase(std::exchange(keys, {}));
+                }
+            }
+            if (!keys.empty()) {
+                erase(keys);
+            }
+        });
+    }
+
+    void erase(const std::vector<std::string> &keys)
+    {
+        store_.erase(keys, [](const Result<StoreRevision> & /*answer*/) {});
+    }
+
     S &store_;
     P &platform_;
     std::function<std::optional<FencingNumber>()> authority_;
--- a/src/duty/windowwriter.h
+++ b/src/duty/windowwriter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <string>
@@ -35,7 +36,7 @@
         pending.isDirty_ = true;
     }
 
-    /// Writes what has changed since the last call, oldest window first; a window that has begun is written even without a request,
+    /// Writes what has changed since the last call, oldest window first; a window that has ended is written even without a request,
     /// so that the reporter knows that nothing is missing. Thread safety: the store's task only.
     void flush(UsageWindow current)
     {
@@ -46,12 +47,18 @@
                 pending.counts_.isFinal_ = true;
                 pending.isDirty_ = true;
             }
-            if (!pending.isWriting_ && (pending.isDirty_ || pending.revision_ == 0)) {
+            if (!pending.isWriting_ && pending.isDirty_) {
                 write(window, pending);
             }
         }
     }
 
+    /// True if the store lacks counts of a window that has ended. Thread safety: the store's task only.
+    bool isBehind(UsageWindow current) const
+    {
+        return std::any_of(pending_.begin(), pending_.end(), [current](const auto &item) { return item.first < current && item.second.isDirty_; });
+    }
+
     /// True if all counts lie in the store. Thread safety: the store's task only.
     bool isFlushed() const
     {
--- a/src/fleet/registrylinks.h
+++ b/src/fleet/registrylinks.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "fleet/fleetsnapshot.h"
-#include "fleet/gatewaycount.h"
 #include "fleet/lookconfirmed.h"
 #include "task/address.h"
 
@@ -13,8 +12,6 @@
     Address<FleetSnapshot> snapshots_;
     Address<FleetSnapshot> dutySnapshots_;
     Address<LookConfirmed> looks_;
-    Address<GatewayCount> counts_;
-    Address<GatewayCount> dutyCounts_;
 };
 
 } // namespace cowsliphead
--- a/src/gateway/dispatchplanner.cpp
+++ b/src/gateway/dispatchplanner.cpp
@@ -54,8 +54,8 @@
     auto plan = planFor(*choice.engine_, timeLeft, lastEventId);
     plan.facts_.isPrefill_ = true;
     plan.promptTokens_ = router_.ownTokens();
-    if (choice.home_ != nullptr) {
-        plan.facts_.fetchSource_ = textOf(choice.home_->entry_.address_);
+    if (choice.source_ != nullptr) {
+        plan.facts_.fetchSource_ = textOf(choice.source_->entry_.address_);
     }
     if (!router_.isLastPrefill()) {
         plan.silenceLimit_ = std::max(ShortestSilence, timeLeft / 2);
--- a/src/gateway/dutytask.h
+++ b/src/gateway/dutytask.h
@@ -18,11 +18,12 @@
     using Keeper = DutyKeeper<typename P::Store, typename P::DutyApi, SystemClock>;
     using Message = typename Keeper::Message;
 
-    /// incarnation names this process for good. Precondition: the loop outlives the task. Thread safety: the loop's task only.
-    DutyTask(EventLoop &loop, const GatewayDaemonSettings &settings, const InstanceId &incarnation)
+    /// incarnation names this process for good; counts hears how many gateways there are. Precondition: the loop outlives the task.
+    /// Thread safety: the loop's task only.
+    DutyTask(EventLoop &loop, const GatewayDaemonSettings &settings, const InstanceId &incarnation, Address<GatewayCount> counts)
         : store_(loop, settings.store_)
         , platform_(loop, settings.platform_, incarnation.value())
-        , keeper_(loop, store_, platform_, clock_, settings.duty_, incarnation)
+        , keeper_(loop, store_, platform_, clock_, settings.duty_, incarnation, std::move(counts))
     {
         keeper_.start();
     }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -78,6 +78,10 @@
     }
 
 private:
+    /// A configuration that was the newest one within so many times its bound may say that something does not exist: a look that is
+    /// under way, and the one before it.
+    static constexpr int RecentBounds = 2;
+
     const Route &route() const
     {
         return *admitted_.route_;
@@ -90,7 +94,7 @@
             return ErrorCode::RecordsNotLoaded;
         }
         const auto now = context_.clock_.now();
-        const bool isRecent = context_.age_.isWithin(context_.settings_.bounds_.configuration_, now);
+        const bool isRecent = context_.age_.isWithin(context_.settings_.bounds_.configuration_ * RecentBounds, now);
         const auto admitted = admitRequest(*configuration_, facts_, request_.head_.target_, isRecent);
         if (!admitted) {
             return static_cast<ErrorCode>(admitted.error().value());
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -32,7 +32,7 @@
             return port;
         }
         startRegistry(settings.store_);
-        duty_.start([settings, incarnation](EventLoop &loop) { return std::make_unique<DutyTask<P>>(loop, settings, incarnation); });
+        startDuties(settings, incarnation);
         const auto metricsPort = startMetrics(settings.metrics_);
         if (!metricsPort) {
             return metricsPort;
@@ -80,12 +80,17 @@
     {
         const RegistryLinks links{ gateway_.template address<FleetSnapshot>(),
                                    duty_.template address<FleetSnapshot>(),
-                                   gateway_.template address<LookConfirmed>(),
-                                   gateway_.template address<GatewayCount>(),
-                                   duty_.template address<GatewayCount>() };
+                                   gateway_.template address<LookConfirmed>() };
         registry_.start([store, links](EventLoop &loop) { return std::make_unique<RegistryTask<P>>(loop, store, links); });
     }
 
+    void startDuties(const GatewayDaemonSettings &settings, const InstanceId &incarnation)
+    {
+        duty_.start([settings, incarnation, counts = gateway_.template address<GatewayCount>()](EventLoop &loop) {
+            return std::make_unique<DutyTask<P>>(loop, settings, incarnation, counts);
+        });
+    }
+
     Result<std::uint16_t> startMetrics(const MetricsSettings &settings)
     {
         if (!settings.isEnabled_) {
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -77,7 +77,19 @@
             bestWait = wait;
         }
     }
-    return { best, best == home ? nullptr : home };
+    if (best != home) {
+        return { best, home };
+    }
+    // A home that started lately, or that had to make room, finds the parts at the second one.
+    return { home, ranked.size() > 1 ? ranked[1] : nullptr };
+}
+
+const EndpointState *home(const std::string &sharedParts, const Candidates &candidates)
+{
+    const auto first = std::max_element(candidates.begin(), candidates.end(), [&sharedParts](const EndpointState *left, const EndpointState *right) {
+        return rankOf(sharedParts, *left) < rankOf(sharedParts, *right);
+    });
+    return first == candidates.end() ? nullptr : *first;
 }
 
 EndpointState *shortestQueue(const Candidates &candidates, const FailureDomain &home, std::size_t gateways, MonotonicTime now)
--- a/src/gateway/prefillchoice.h
+++ b/src/gateway/prefillchoice.h
@@ -9,8 +9,8 @@
 struct PrefillChoice {
     EndpointState *engine_ = nullptr;
 
-    /// Null if the engine itself is the one that keeps the parts.
-    const EndpointState *home_ = nullptr;
+    /// Null if no other engine is likely to keep them.
+    const EndpointState *source_ = nullptr;
 };
 
 } // namespace cowsliphead
--- a/src/gateway/requestrouter.cpp
+++ b/src/gateway/requestrouter.cpp
@@ -168,8 +168,7 @@
 {
     const auto now = context_.clock_.now();
     const auto homes = context_.endpoints_.candidates(service_, EngineStage::Prefill, {}, now);
-    const auto choice = placement::prefillEngine(sharedParts_, homes, context_.gatewayCount_, now);
-    return choice.home_ != nullptr ? choice.home_ : choice.engine_;
+    return placement::home(sharedParts_, homes);
 }
 
 std::uint64_t RequestRouter::ownTokens() const
--- a/tests/duty/windowreportertest.cpp
+++ b/tests/duty/windowreportertest.cpp
@@ -49,6 +49,14 @@
         reply(range);
     }
 
+    void erase(const std::vector<std::string> &keys, const StoreReply<StoreRevision> &reply)
+    {
+        for (const auto &key : keys) {
+            entries_.erase(key);
+        }
+        reply(++revision_);
+    }
+
     void list(const std::string & /*prefix*/, const std::string & /*after*/, std::size_t /*limit*/, const StoreReply<std::vector<StoreEntry>> & /*reply*/)
     {
     }
@@ -69,6 +77,11 @@
     {
     }
 
+    bool holds(const std::string &key) const
+    {
+        return entries_.contains(key);
+    }
+
     bool isReachable_ = true;
 
 private:
@@ -170,6 +183,18 @@
     BOOST_TEST((world.platform_.reported_[0].requests_ == world.platform_.reported_[1].requests_));
 }
 
+BOOST_AUTO_TEST_CASE(clears_away_the_counts_of_windows_long_reported)
+{
+    World world;
+    world.count(world.first_, 2);
+    world.first_.flush(8);
+    const auto key = usagecountkeys::countsOf(7, InstanceId("first"));
+    world.reporter_.report(7, 0);
+    BOOST_TEST(world.store_.holds(key));
+    world.reporter_.report(10, 0);
+    BOOST_TEST(!world.store_.holds(key));
+}
+
 BOOST_AUTO_TEST_CASE(is_not_sent_without_authority_and_a_refusal_ends_it)
 {
     World world;
