An endpoint that refuses a request is left alone for a short time

Cause: one that refuses (full, or busy with an order) has nothing running and looks like the least loaded; each next request went there first and spent a retry. It is now avoided for 250 ms, longer each time until it answers. The story "leaves it alone for a while" fails without it.

Tried and not kept: orders that turn decode engines into prefill engines. Places on decode engines bind: an answer of 20 events is about 200 tokens, over a second of a place, and in bursts of short requests all places are taken. A change also takes its engine away for 3 s while bursts alternate every 2.8 s.

--- a/src/decide/endpointhealth.cpp
+++ b/src/decide/endpointhealth.cpp
@@ -9,6 +9,9 @@
 {
 
 constexpr std::chrono::milliseconds CrashAvoidance{ 1000 };
+
+/// A full endpoint has a free place after about one short request.
+constexpr std::chrono::milliseconds RefusalAvoidance{ 250 };
 constexpr std::chrono::milliseconds SilenceAvoidance{ 5000 };
 constexpr std::chrono::milliseconds MaxAvoidance{ 30000 };
 constexpr int Growth = 2;
@@ -25,6 +28,11 @@
     avoid(endpoint, SilenceAvoidance, now);
 }
 
+void EndpointHealth::refused(const EndpointId &endpoint, MonotonicTime now)
+{
+    avoid(endpoint, RefusalAvoidance, now);
+}
+
 void EndpointHealth::answered(const EndpointId &endpoint)
 {
     marks_.erase(endpoint);
--- a/src/decide/endpointhealth.h
+++ b/src/decide/endpointhealth.h
@@ -20,6 +20,9 @@
     /// Even a new connection to the endpoint went silent. Thread safety: owner task only.
     void wentSilent(const EndpointId &endpoint, MonotonicTime now);
 
+    /// The endpoint refused a request without running it: it is full, or busy with an order. Thread safety: owner task only.
+    void refused(const EndpointId &endpoint, MonotonicTime now);
+
     /// The endpoint gave a whole answer. Thread safety: owner task only.
     void answered(const EndpointId &endpoint);
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -366,8 +366,13 @@
 
     void noteFailure(const EndpointState &endpoint, AttemptEnd end)
     {
+        const auto now = context_.clock_.now();
+        // A refusal of a request that brings its KV cache may mean that the cache cannot be fetched.
+        const bool bringsCache = !dispatch_->plan().facts_.cacheSource_.empty();
         if (end == AttemptEnd::Lost || (end == AttemptEnd::NotOffered && !withheldFor_)) {
-            context_.endpoints_.health().crashed(endpoint.entry_.id_, context_.clock_.now());
+            context_.endpoints_.health().crashed(endpoint.entry_.id_, now);
+        } else if (end == AttemptEnd::NotExecuted && !bringsCache) {
+            context_.endpoints_.health().refused(endpoint.entry_.id_, now);
         }
     }
 
--- a/tests/decide/endpointhealthtest.cpp
+++ b/tests/decide/endpointhealthtest.cpp
@@ -59,6 +59,17 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(that_refuses_a_request, Fixture)
+
+BOOST_AUTO_TEST_CASE(is_left_alone_until_a_place_may_be_free)
+{
+    health_.refused(endpoint_, clock_.now());
+    BOOST_TEST(isAvoidedAfter(Moment));
+    BOOST_TEST(!isAvoidedAfter(std::chrono::milliseconds(300)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(that_crashes_again_and_again, Fixture)
 
 BOOST_AUTO_TEST_CASE(is_avoided_longer_each_time_up_to_a_limit)
--- a/tests/gateway/gatewaytest.cpp
+++ b/tests/gateway/gatewaytest.cpp
@@ -86,6 +86,18 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(leaves_it_alone_for_a_while)
+{
+    // An endpoint that refuses has nothing to do and looks like the best choice.
+    GatewayWorld world;
+    auto &first = world.addEndpoint({ { NotExecuted } });
+    auto &second = world.addEndpoint({ { Whole } });
+    BOOST_TEST(world.ask("/safe/x").status_ == 200);
+    BOOST_TEST(world.ask("/safe/x").status_ == 200);
+    BOOST_TEST(first.requests().size() == 1U);
+    BOOST_TEST(second.requests().size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(refuses_with_a_time_to_come_back_if_there_is_no_other)
 {
     GatewayWorld world;
