A process ends although nobody reads its log; a fault soak of our own

Cause: at its end a gateway wrote out its log's queue and waited for the reader without limit; with a full pipe it never exited and was killed at the end of its grace. It now waits 300 ms and then ends without the log's thread. The story "ends although nobody reads its log" fails without it (found while the soak was written, whose processes' output nobody read at first).

tests/soak: real gateway processes with stand-ins for the platform's store (keys, watches, transactions, leases), its duty calls and endpoints; each process reaches the store, and each endpoint is reached, by a loopback proxy that delays, resets, silences or cuts one way.

--- a/src/logs/log.cpp
+++ b/src/logs/log.cpp
@@ -1,8 +1,10 @@
 #include "logs/log.h"
 
 #include <chrono>
-
+#include <future>
 #include <iostream>
+#include <memory>
+#include <thread>
 
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/attributes/constant.hpp>
@@ -32,6 +34,9 @@
 /// Lines that wait for the reader of standard output; at the usual length some hundred kilobytes.
 constexpr std::size_t LongestQueue = 2048;
 
+/// What a process that ends waits for the reader of its log.
+constexpr std::chrono::milliseconds FlushTime{ 300 };
+
 using QueuedSink = boost::log::sinks::asynchronous_sink<boost::log::sinks::text_ostream_backend,
                                                         boost::log::sinks::bounded_fifo_queue<LongestQueue, boost::log::sinks::drop_on_overflow>>;
 using Logger = boost::log::sources::severity_logger<LogLevel>;
@@ -144,10 +149,19 @@
     processName() = instance;
 }
 
-void flushLog()
+bool flushLog()
 {
-    boost::log::core::get()->flush();
+    auto flushed = std::make_shared<std::promise<void>>();
+    const auto done = flushed->get_future();
+    std::thread([flushed] {
+        boost::log::core::get()->flush();
+        flushed->set_value();
+    }).detach();
+    if (done.wait_for(FlushTime) == std::future_status::timeout) {
+        return false;
+    }
     boost::log::core::get()->remove_all_sinks();
+    return true;
 }
 
 } // namespace cowsliphead
--- a/tests/scenarios/childprocess.cpp
+++ b/tests/scenarios/childprocess.cpp
@@ -21,6 +21,7 @@
 
 constexpr std::chrono::seconds StartLimit{ 30 };
 constexpr int SignalExitBase = 128;
+constexpr int SmallestPipe = 4096;
 
 int decodeStatus(int status)
 {
@@ -49,6 +50,28 @@
     if (pipe2(inputPipe.data(), O_CLOEXEC) != 0 || pipe2(outputPipe.data(), O_CLOEXEC) != 0) {
         return;
     }
+    // A small pipe, so that a process that waits for its reader is found out early.
+    fcntl(outputPipe[1], F_SETPIPE_SZ, SmallestPipe);
+    start(program, arguments, inputPipe[0], outputPipe[1]);
+    close(inputPipe[0]);
+    close(outputPipe[1]);
+    [[maybe_unused]] const auto written = write(inputPipe[1], input.data(), input.size());
+    close(inputPipe[1]);
+    output_ = outputPipe[0];
+    readPort();
+}
+
+ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments, const OutputFile &output)
+{
+    const int input = open("/dev/null", O_RDONLY | O_CLOEXEC);
+    const int file = open(output.name_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+    start(program, arguments, input, file);
+    close(input);
+    close(file);
+}
+
+void ChildProcess::start(const std::string &program, const std::vector<std::string> &arguments, int input, int output)
+{
     std::vector<char *> pointers{ const_cast<char *>(program.c_str()) };
     for (const auto &argument : arguments) {
         pointers.push_back(const_cast<char *>(argument.c_str()));
@@ -56,14 +79,8 @@
     pointers.push_back(nullptr);
     pid_ = fork();
     if (pid_ == 0) {
-        become(pointers, inputPipe[0], outputPipe[1]);
+        become(pointers, input, output);
     }
-    close(inputPipe[0]);
-    close(outputPipe[1]);
-    [[maybe_unused]] const auto written = write(inputPipe[1], input.data(), input.size());
-    close(inputPipe[1]);
-    output_ = outputPipe[0];
-    readPort();
 }
 
 ChildProcess::~ChildProcess()
@@ -72,7 +89,9 @@
         kill(pid_, SIGKILL);
         waitpid(pid_, nullptr, 0);
     }
-    close(output_);
+    if (output_ >= 0) {
+        close(output_);
+    }
 }
 
 std::uint16_t ChildProcess::port() const
--- a/tests/scenarios/childprocess.h
+++ b/tests/scenarios/childprocess.h
@@ -11,12 +11,20 @@
 namespace cowsliphead::scenarios
 {
 
+/// Where a process writes its output.
+struct OutputFile {
+    std::string name_;
+};
+
 /// One process of the program under test. It is killed when the object goes, and when the test program dies.
 class ChildProcess
 {
 public:
     /// Starts the program with the arguments and writes input to its standard input. Its first line of output tells its port.
     ChildProcess(const std::string &program, const std::vector<std::string> &arguments, const std::string &input);
+
+    /// Starts the program with the arguments; its output goes to the end of a file, and port() is not known.
+    ChildProcess(const std::string &program, const std::vector<std::string> &arguments, const OutputFile &output);
     ~ChildProcess();
     ChildProcess(const ChildProcess &) = delete;
     ChildProcess &operator=(const ChildProcess &) = delete;
@@ -31,6 +39,7 @@
     std::optional<int> waitForExit(std::chrono::milliseconds limit);
 
 private:
+    void start(const std::string &program, const std::vector<std::string> &arguments, int input, int output);
     void readPort();
 
     pid_t pid_ = 0;
--- a/tests/scenarios/gatewayprocesstest.cpp
+++ b/tests/scenarios/gatewayprocesstest.cpp
@@ -26,8 +26,7 @@
         auto name = path_.string();
         close(mkstemp(name.data()));
         path_ = name;
-        std::ofstream(path_) << R"({ "instance": "front-1", "failureDomain": "a", "callers": "127.0.0.1:0", "readiness": "127.0.0.1:0",)"
-                             << R"( "store": "127.0.0.1:1", "platform": "127.0.0.1:1", "stopGraceMs": 4000 })";
+        write(54);
     }
 
     ~SettingsFile()
@@ -43,7 +42,19 @@
         return path_.string();
     }
 
+    /// Changes a bound, so that the process has a reload to log.
+    void change(int retryReserve)
+    {
+        write(retryReserve);
+    }
+
 private:
+    void write(int retryReserve)
+    {
+        std::ofstream(path_) << R"({ "instance": "front-1", "failureDomain": "a", "callers": "127.0.0.1:0", "readiness": "127.0.0.1:0",)"
+                             << R"( "store": "127.0.0.1:1", "platform": "127.0.0.1:1", "stopGraceMs": 4000, "retryReserve": )" << retryReserve << " }";
+    }
+
     std::filesystem::path path_;
 };
 
@@ -72,6 +83,19 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(ends_although_nobody_reads_its_log)
+{
+    SettingsFile settings;
+    ChildProcess gateway(program(), { "gateway", "--config", settings.name() }, "");
+    for (int change = 0; change < 60; ++change) {
+        settings.change(100 + change);
+        gateway.signal(SIGHUP);
+        std::this_thread::sleep_for(10ms);
+    }
+    gateway.signal(SIGTERM);
+    BOOST_TEST(gateway.waitForExit(6000ms).value_or(-1) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/soak/serviceserver.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "http1/callerconnection.h"
+#include "http1/listener.h"
+#include "task/eventloop.h"
+#include "task/timer.h"
+
+class SoakLedger;
+
+/// A stand-in for an endpoint of a plain service: runs each request for a moment and answers with a body that names both.
+class ServiceServer
+{
+public:
+    ServiceServer(cowsliphead::EventLoop &loop, SoakLedger &ledger, std::string id);
+    ~ServiceServer();
+    ServiceServer(const ServiceServer &) = delete;
+    ServiceServer &operator=(const ServiceServer &) = delete;
+
+    std::uint16_t port() const
+    {
+        return port_;
+    }
+
+    const std::string &id() const
+    {
+        return id_;
+    }
+
+private:
+    struct Session {
+        std::unique_ptr<cowsliphead::CallerConnection> connection_;
+        std::unique_ptr<cowsliphead::Timer> work_;
+    };
+
+    void accept(int socket);
+    void begin(Session &session, const cowsliphead::CallerRequest &request);
+    void finish(Session &session, const std::string &request);
+
+    cowsliphead::EventLoop &loop_;
+    SoakLedger &ledger_;
+    std::string id_;
+    std::map<std::uint64_t, Session> sessions_;
+    std::uint64_t nextSession_ = 0;
+    int running_ = 0;
+    cowsliphead::Listener listener_;
+    std::uint16_t port_ = 0;
+};
--- /dev/null
+++ b/tests/soak/soakgateway.cpp
@@ -0,0 +1,72 @@
+#include "soakgateway.h"
+
+#include <cstdlib>
+#include <fstream>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace cowsliphead;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// A port that is free now. The process binds it again after each start.
+std::uint16_t freePort()
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof name;
+    bind(socket, reinterpret_cast<const sockaddr *>(&name), size);
+    getsockname(socket, reinterpret_cast<sockaddr *>(&name), &size);
+    close(socket);
+    return ntohs(name.sin_port);
+}
+
+std::string addressOf(std::uint16_t port)
+{
+    return "\"127.0.0.1:" + std::to_string(port) + "\"";
+}
+
+std::string program()
+{
+    const char *path = std::getenv("COWSLIPHEAD_PROGRAM");
+    return path == nullptr ? "./cowsliphead" : path;
+}
+
+} // namespace
+
+SoakGateway::SoakGateway(EventLoop &loop, int number, std::uint16_t store, std::uint16_t platform, const std::string &folder)
+    : store_(loop, store)
+    , port_(freePort())
+    , settings_(folder + "/gateway-" + std::to_string(number) + ".json")
+    , log_(folder + "/gateway-" + std::to_string(number) + ".log")
+{
+    std::ofstream(settings_) << R"({ "instance": "gateway-)" << number << R"(", "failureDomain": "a", "callers": )" << addressOf(port_)
+                             << R"(, "readiness": "127.0.0.1:0", "store": )" << addressOf(store_.port()) << R"(, "platform": )" << addressOf(platform)
+                             << R"(, "stopGraceMs": 4000, "retryReserve": 54, "usageWindowMs": 2000, "usageReportMs": 6000 })";
+    start();
+}
+
+void SoakGateway::start()
+{
+    process_ =
+        std::make_unique<scenarios::ChildProcess>(program(), std::vector<std::string>{ "gateway", "--config", settings_ }, scenarios::OutputFile{ log_ });
+}
+
+void SoakGateway::keepAlive()
+{
+    if (process_->waitForExit(0ms)) {
+        start();
+    }
+}
+
+void SoakGateway::signal(int number)
+{
+    process_->signal(number);
+}
