The base of the server plan lies in the store, so that the next holder keeps what was ordered

Cause: each holder of the duties took the most unreclaimable endpoints that it had seen for the original base. Ruled out: late execution of orders (no order asked for more afterwards either), reclaims with none to be had.

ScaleBaseKeeper keeps the base under duty/scale-base, written under a revision; a holder plans only once it has read it. Three tests fail without it.

--- a/src/duty/dutykeeper.h
+++ b/src/duty/dutykeeper.h
@@ -9,6 +9,7 @@
 #include "duty/dutysettings.h"
 #include "duty/gatewaycensus.h"
 #include "duty/leaseholder.h"
+#include "duty/scalebasekeeper.h"
 #include "duty/scaleplanner.h"
 #include "duty/windowreporter.h"
 #include "duty/windowwriter.h"
@@ -173,6 +174,10 @@
             return;
         }
         scaledAt_ = now;
+        scaleBase_.tick();
+        if (!scaleBase_.isKnown()) {
+            return;
+        }
         for (const auto &order : planner_.plan(fleet_, now)) {
             logEvent(LogEvent::ServersOrdered,
                      { { "service", order.service_.value() },
@@ -210,6 +215,7 @@
         }
         wasHolding_ = mayAct;
         planner_.reset();
+        scaleBase_.forget();
         logEvent(mayAct ? LogEvent::DutyTaken : LogEvent::DutyLeft, { { "fence", lease_.fencingNumber() } });
     }
 
@@ -293,6 +299,7 @@
     GatewayCensus census_;
     UsageWindow countedWindow_ = 0;
     ScalePlanner planner_;
+    ScaleBaseKeeper<S> scaleBase_{ store_, planner_ };
     UsageWindow flushedWindow_ = 0;
 
     /// When the last request had been counted.
--- a/src/duty/scaleplanner.cpp
+++ b/src/duty/scaleplanner.cpp
@@ -57,8 +57,7 @@
         return;
     }
     for (const auto &[domain, counts] : present) {
-        const Place basePlace{ service.name_, domain, false };
-        auto &original = original_[basePlace];
+        auto &original = base_[{ service.name_, domain }];
         original = std::max(original, counts.base_);
         if (original <= LeastBase) {
             continue;
@@ -102,6 +101,14 @@
     ordered_[{ order.service_, order.domain_, order.isReclaimable_ }].isUnderWay_ = false;
 }
 
+void ScalePlanner::restore(const ScaleBase &base)
+{
+    for (const auto &[place, count] : base) {
+        auto &known = base_[place];
+        known = std::max(known, count);
+    }
+}
+
 void ScalePlanner::reset()
 {
     ordered_.clear();
--- a/src/duty/scaleplanner.h
+++ b/src/duty/scaleplanner.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/time.h"
+#include "duty/scalebase.h"
 #include "duty/serverorder.h"
 #include "fleet/fleetsnapshot.h"
 
@@ -30,6 +31,15 @@
     /// No answer came; the order is sent again. Thread safety: owner task only.
     void unanswered(const ServerOrder &order);
 
+    /// How many endpoints there were in each place before any were ordered, as far as this planner knows. Thread safety: owner task only.
+    const ScaleBase &base() const
+    {
+        return base_;
+    }
+
+    /// What an earlier planner knew; the larger figures hold. Thread safety: owner task only.
+    void restore(const ScaleBase &base);
+
     /// Forgets what was ordered: another process may have ordered since. Thread safety: owner task only.
     void reset();
 
@@ -53,8 +63,8 @@
     std::map<Place, Ordered> ordered_;
     std::map<Place, MonotonicTime> refusedAt_;
 
-    /// The base that each place had when it was first seen, to which it returns without reclaimable endpoints.
-    std::map<Place, std::uint32_t> original_;
+    /// To which each place returns without reclaimable endpoints.
+    ScaleBase base_;
 };
 
 } // namespace cowsliphead
--- a/src/logs/eventcatalogue.cpp
+++ b/src/logs/eventcatalogue.cpp
@@ -57,6 +57,7 @@
     { LogEvent::DutyCallRefused, LogLevel::Warning, "duty_call_refused", "The platform refused a call of a duty." },
     { LogEvent::DutyCallUnanswered, LogLevel::Warning, "duty_call_unanswered", "A call of a duty got no answer; it may have taken effect." },
     { LogEvent::ServersOrdered, LogLevel::Info, "servers_ordered", "A number of endpoints is ordered for a service in a failure domain." },
+    { LogEvent::ScaleBaseMalformed, LogLevel::Error, "scale_base_malformed", "The base of the server plan in the store cannot be read; it is written anew." },
     { LogEvent::UsageLeftBehind, LogLevel::Warning, "usage_left_behind", "The store did not take the last usage before the daemon had to end." },
     { LogEvent::UsageReported, LogLevel::Info, "usage_reported", "The counts of a window were reported." },
     { LogEvent::UsageCountsLost, LogLevel::Warning, "usage_counts_lost", "The store did not take this gateway's counts of a window in time." },
--- a/src/logs/logevent.h
+++ b/src/logs/logevent.h
@@ -57,6 +57,7 @@
     DutyCallRefused = 602,
     DutyCallUnanswered = 603,
     ServersOrdered = 604,
+    ScaleBaseMalformed = 605,
 
     // 700 to 799: usage and reports
     UsageLeftBehind = 700,
--- a/tests/duty/scaleplannertest.cpp
+++ b/tests/duty/scaleplannertest.cpp
@@ -1,6 +1,8 @@
 #include <boost/test/unit_test.hpp>
 
+#include "duty/scalebasekeeper.h"
 #include "duty/scaleplanner.h"
+#include "mapstore.h"
 
 using namespace cowsliphead;
 using namespace std::chrono_literals;
@@ -97,4 +99,44 @@
     BOOST_TEST(planner.plan(fleet(6, 0), Start + 1s).size() == 1U);
 }
 
+BOOST_AUTO_TEST_SUITE(of_the_next_holder)
+
+BOOST_AUTO_TEST_CASE(keeps_what_was_ordered)
+{
+    // Found on a grown site (tks-bundles-grown scale-2): a new holder took the few that were left of the base for all there ever were.
+    ScalePlanner planner;
+    planner.restore({ { { ServiceName("models"), FailureDomain("a") }, 6 } });
+    BOOST_TEST(planner.plan(fleet(2, 10), Start).empty());
+    const auto orders = planner.plan(fleet(2, 4), Start);
+    BOOST_REQUIRE(orders.size() == 1U);
+    BOOST_TEST((orders.front() == order(true, 10)));
+}
+
+BOOST_AUTO_TEST_CASE(learns_the_base_from_the_store)
+{
+    MapStore store;
+    ScalePlanner first;
+    ScaleBaseKeeper<MapStore> keeper(store, first);
+    first.plan(fleet(6, 0), Start);
+    keeper.tick();
+    keeper.tick();
+    ScalePlanner second;
+    ScaleBaseKeeper<MapStore> successor(store, second);
+    successor.tick();
+    BOOST_TEST(successor.isKnown());
+    BOOST_TEST((second.base() == first.base()));
+}
+
+BOOST_AUTO_TEST_CASE(does_not_plan_while_the_store_is_away)
+{
+    MapStore store;
+    store.isReachable_ = false;
+    ScalePlanner planner;
+    ScaleBaseKeeper<MapStore> keeper(store, planner);
+    keeper.tick();
+    BOOST_TEST(!keeper.isKnown());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/duty/windowreportertest.cpp
+++ b/tests/duty/windowreportertest.cpp
@@ -7,88 +7,13 @@
 #include "core/errorcode.h"
 #include "duty/windowreporter.h"
 #include "duty/windowwriter.h"
+#include "mapstore.h"
 
 using namespace cowsliphead;
 
 namespace
 {
 
-/// A store that answers at once. Models RangedStore.
-class MapStore
-{
-public:
-    void compareAndSwap(const StoreWrite &write, const StoreReply<StoreRevision> &reply)
-    {
-        if (!isReachable_) {
-            reply(failure(ErrorCode::StoreUnavailable));
-            return;
-        }
-        auto &entry = entries_[write.key_];
-        if (entry.revision_ != write.expectedRevision_) {
-            reply(failure(ErrorCode::StoreConflict));
-            return;
-        }
-        entry = StoreEntry{ write.key_, write.value_, ++revision_, false };
-        reply(revision_);
-    }
-
-    void read(const std::string &key, const StoreReply<std::optional<StoreEntry>> &reply)
-    {
-        const auto found = entries_.find(key);
-        reply(found == entries_.end() ? std::nullopt : std::optional<StoreEntry>(found->second));
-    }
-
-    void range(const std::string &prefix, const std::string & /*after*/, const StoreReply<StoreRange> &reply)
-    {
-        StoreRange range;
-        for (const auto &[key, entry] : entries_) {
-            if (key.starts_with(prefix)) {
-                range.entries_.push_back(entry);
-            }
-        }
-        reply(range);
-    }
-
-    void erase(const std::vector<std::string> &keys, const StoreReply<StoreRevision> &reply)
-    {
-        for (const auto &key : keys) {
-            entries_.erase(key);
-        }
-        reply(++revision_);
-    }
-
-    void list(const std::string & /*prefix*/, const std::string & /*after*/, std::size_t /*limit*/, const StoreReply<std::vector<StoreEntry>> & /*reply*/)
-    {
-    }
-
-    void watch(const std::string & /*prefix*/, StoreRevision /*after*/, std::chrono::milliseconds /*wait*/, const StoreReply<WatchAnswer> & /*reply*/)
-    {
-    }
-
-    void grantLease(std::chrono::milliseconds /*duration*/, const StoreReply<LeaseId> & /*reply*/)
-    {
-    }
-
-    void renewLease(const LeaseId & /*lease*/, const StoreReply<LeaseId> & /*reply*/)
-    {
-    }
-
-    void revokeLease(const LeaseId & /*lease*/, const StoreReply<LeaseId> & /*reply*/)
-    {
-    }
-
-    bool holds(const std::string &key) const
-    {
-        return entries_.contains(key);
-    }
-
-    bool isReachable_ = true;
-
-private:
-    std::map<std::string, StoreEntry> entries_;
-    StoreRevision revision_ = 0;
-};
-
 /// Keeps what is reported to it. Models DutyPlatform.
 struct Platform {
     void reportUsage(const WindowCounts &counts, FencingNumber /*fence*/, const std::function<void(Result<void>)> &reply)
