Gateways read the endpoints' entries the less often the more of them there are

Cause: endpoints write their entries all the time, so each gateway's watch is answered at once and every pause costs a call; on the grown sites calls are the largest price. The pause is now 16 ms for each gateway, at least 450 ms and at most a third of the time in which a leaving endpoint's entry must be acted on (a new setting).

--- a/src/fleet/endpointreader.h
+++ b/src/fleet/endpointreader.h
@@ -25,11 +25,12 @@
 public:
     using OnChanged = std::function<void(std::vector<EndpointEntry>)>;
 
-    /// onChanged gets all endpoints that may be used. Precondition: loop, store and clock outlive the reader. Thread safety: the
-    /// loop's task only.
-    EndpointReader(EventLoop &loop, S &store, const C &clock, OnChanged onChanged)
+    /// onChanged gets all endpoints that may be used. leaveBound: a leaving endpoint may be used for so long. Precondition: loop, store
+    /// and clock outlive the reader. Thread safety: the loop's task only.
+    EndpointReader(EventLoop &loop, S &store, const C &clock, std::chrono::milliseconds leaveBound, OnChanged onChanged)
         : store_(store)
         , clock_(clock)
+        , longestPause_(std::max(leaveBound / LeaveBoundParts, ShortestPause))
         , onChanged_(std::move(onChanged))
         , presence_("endpoints")
         , next_(loop, [this] { proceed(); })
@@ -44,13 +45,24 @@
         read();
     }
 
+    /// So many gateways read the entries. Thread safety: the loop's task only.
+    void setGatewayCount(std::size_t count)
+    {
+        pause_ = std::clamp(PauseForEachGateway * static_cast<int>(count), ShortestPause, longestPause_);
+    }
+
 private:
     /// A watch waits so long. A connection that falls silent is noticed half a second later.
     static constexpr std::chrono::milliseconds WatchWait{ 1000 };
 
-    /// Pause after a watch that found something: entries are written all the time, and each answer costs a call. Longer
-    /// pauses send more requests to endpoints that have left.
-    static constexpr std::chrono::milliseconds CoalescingPause{ 500 };
+    /// Pause after a watch that found something, since entries are written all the time and each answer costs a call: for each gateway,
+    /// so that the calls of all of them grow no further with the fleet, and its bounds. Longer pauses send more requests to endpoints that
+    /// have left.
+    static constexpr std::chrono::milliseconds PauseForEachGateway{ 16 };
+    static constexpr std::chrono::milliseconds ShortestPause{ 450 };
+
+    /// Part of the bound on a leaving endpoint's use that the pause may take; the rest is for a connection that falls silent.
+    static constexpr int LeaveBoundParts = 3;
 
     /// Pause after a failed call.
     static constexpr std::chrono::milliseconds RetryPause{ 150 };
@@ -124,7 +136,7 @@
             if (!answer->entries_.empty()) {
                 onChanged_(directory_.entries());
             }
-            next_.startOnce(answer->entries_.empty() ? std::chrono::milliseconds(0) : CoalescingPause);
+            next_.startOnce(answer->entries_.empty() ? std::chrono::milliseconds(0) : pause_);
         });
     }
 
@@ -175,6 +187,8 @@
 
     S &store_;
     const C &clock_;
+    std::chrono::milliseconds longestPause_;
+    std::chrono::milliseconds pause_{ ShortestPause };
     OnChanged onChanged_;
     StorePresence presence_;
     EndpointDirectory directory_;
--- a/src/fleet/registry.h
+++ b/src/fleet/registry.h
@@ -16,15 +16,16 @@
 class Registry
 {
 public:
-    /// Precondition: loop, store and clock outlive the registry. Thread safety: the loop's task only.
-    Registry(EventLoop &loop, S &store, const C &clock, RegistryLinks links)
+    /// leaveBound: a leaving endpoint may be used for so long. Precondition: loop, store and clock outlive the registry. Thread safety:
+    /// the loop's task only.
+    Registry(EventLoop &loop, S &store, const C &clock, std::chrono::milliseconds leaveBound, RegistryLinks links)
         : links_(std::move(links))
         , configurations_(loop,
                           store,
                           clock,
                           { [this](std::shared_ptr<const Configuration> configuration) { take(std::move(configuration)); },
                             [this](LookConfirmed look) { links_.looks_.send(look); } })
-        , endpoints_(loop, store, clock, [this](std::vector<EndpointEntry> endpoints) { take(std::move(endpoints)); })
+        , endpoints_(loop, store, clock, leaveBound, [this](std::vector<EndpointEntry> endpoints) { take(std::move(endpoints)); })
     {
     }
 
@@ -35,6 +36,12 @@
         endpoints_.start();
     }
 
+    /// So many gateways follow the store. Thread safety: the loop's task only.
+    void setGatewayCount(std::size_t count)
+    {
+        endpoints_.setGatewayCount(count);
+    }
+
 private:
     void take(std::shared_ptr<const Configuration> configuration)
     {
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -31,7 +31,7 @@
         if (!port) {
             return port;
         }
-        startRegistry(settings.store_);
+        startRegistry(settings);
         startDuties(settings, incarnation);
         const auto metricsPort = startMetrics(settings.metrics_);
         if (!metricsPort) {
@@ -76,19 +76,22 @@
             [](GatewayTask &gateway) { return gateway.listen(); });
     }
 
-    void startRegistry(const SocketAddress &store)
+    void startRegistry(const GatewayDaemonSettings &settings)
     {
         const RegistryLinks links{ gateway_.template address<FleetSnapshot>(),
                                    duty_.template address<FleetSnapshot>(),
                                    gateway_.template address<LookConfirmed>() };
-        registry_.start([store, links](EventLoop &loop) { return std::make_unique<RegistryTask<P>>(loop, store, links); });
+        registry_.start([settings, links](EventLoop &loop) { return std::make_unique<RegistryTask<P>>(loop, settings, links); });
     }
 
     void startDuties(const GatewayDaemonSettings &settings, const InstanceId &incarnation)
     {
-        duty_.start([settings, incarnation, counts = gateway_.template address<GatewayCount>()](EventLoop &loop) {
-            return std::make_unique<DutyTask<P>>(loop, settings, incarnation, counts);
-        });
+        const Address<GatewayCount> counts(
+            [gateway = gateway_.template address<GatewayCount>(), registry = registry_.template address<GatewayCount>()](const GatewayCount &count) {
+                gateway.send(count);
+                registry.send(count);
+            });
+        duty_.start([settings, incarnation, counts](EventLoop &loop) { return std::make_unique<DutyTask<P>>(loop, settings, incarnation, counts); });
     }
 
     Result<std::uint16_t> startMetrics(const MetricsSettings &settings)
--- a/src/gateway/gatewaydaemonsettings.h
+++ b/src/gateway/gatewaydaemonsettings.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chrono>
+
 #include "duty/dutysettings.h"
 #include "gateway/gatewaysettings.h"
 #include "http1/socketaddress.h"
@@ -19,6 +21,9 @@
 
     /// The platform's API for duties.
     SocketAddress platform_;
+
+    /// An endpoint may be used for so long after the store confirmed that it leaves.
+    std::chrono::milliseconds endpointLeaveBound_{ 2000 };
 };
 
 } // namespace cowsliphead
--- a/src/gateway/registrytask.h
+++ b/src/gateway/registrytask.h
@@ -4,7 +4,9 @@
 #include <variant>
 
 #include "core/systemclock.h"
+#include "fleet/gatewaycount.h"
 #include "fleet/registry.h"
+#include "gateway/gatewaydaemonsettings.h"
 #include "gateway/platformadapter.h"
 
 namespace cowsliphead
@@ -15,20 +17,20 @@
 class RegistryTask
 {
 public:
-    /// It takes no message; the store's answers drive it.
-    using Message = std::monostate;
+    using Message = std::variant<GatewayCount>;
 
     /// Precondition: the loop outlives the task. Thread safety: the loop's task only.
-    RegistryTask(EventLoop &loop, const SocketAddress &store, RegistryLinks links)
-        : store_(loop, store)
-        , registry_(loop, store_, clock_, std::move(links))
+    RegistryTask(EventLoop &loop, const GatewayDaemonSettings &settings, RegistryLinks links)
+        : store_(loop, settings.store_)
+        , registry_(loop, store_, clock_, settings.endpointLeaveBound_, std::move(links))
     {
         registry_.start();
     }
 
-    /// Nothing is expected. Thread safety: the loop's task only.
-    void receive(Message /*message*/)
+    /// Thread safety: the loop's task only.
+    void receive(const Message &message)
     {
+        registry_.setGatewayCount(std::get<GatewayCount>(message).count_);
     }
 
 private:
--- a/tests/fleet/registrytest.cpp
+++ b/tests/fleet/registrytest.cpp
@@ -77,6 +77,7 @@
     Registry<FakeStore, PlatformFleetCodec, VirtualClock> registry_{ loop_,
                                                                      store_,
                                                                      clock_,
+                                                                     2000ms,
                                                                      { Address<FleetSnapshot>(
                                                                            [this](FleetSnapshot snapshot) { snapshot_ = std::move(snapshot); }),
                                                                        {},
