Usage of windows before the holder's own start is reported; a stopping process completes its window

During a rolling restart the duties' holder is often a process that has just started, and it skipped all windows that began before itself. It also waited for the final counts of processes that had ended, since a stop wrote the window in hand without marking it complete. Ruled out: the lease's takeover (a holder was there in time), failing calls to the store or the platform (each step logged in a trial: none failed).

A holder now looks back two windows whatever its age; one of which no gateway wrote counts lies before the system's start and is left out. Gateways that are cut off get until 2.5 s before a report is due to write theirs.

--- a/src/duty/dutykeeper.h
+++ b/src/duty/dutykeeper.h
@@ -79,8 +79,8 @@
     /// After a window's end: the last flush of each gateway and the store's answer.
     static constexpr std::chrono::milliseconds ReportDelay{ 1000 };
 
-    /// What is left of a report's time when it no longer waits for gateways whose counts are missing: a second holder's takeover.
-    static constexpr std::chrono::milliseconds LateMargin{ 4000 };
+    /// What is left of a report's time when it no longer waits for gateways whose counts are missing: a few calls to a slow platform.
+    static constexpr std::chrono::milliseconds LateMargin{ 2500 };
 
     /// Between two tries to report.
     static constexpr std::chrono::milliseconds ReportInterval{ 500 };
@@ -145,7 +145,8 @@
     void take(const UsageComplete & /*notice*/)
     {
         completeAt_ = clock_.now();
-        writer_.flush(windowAt(*completeAt_));
+        // The window in hand is complete as well, as far as this process is concerned.
+        writer_.flush(windowAt(*completeAt_) + 1);
     }
 
     void tick()
@@ -273,8 +274,7 @@
         }
         reportedAt_ = now;
         const auto newest = windowAt(now - ReportDelay) - 1;
-        const auto oldest = std::max(newest - WindowsBack, windowAt(startedAt_));
-        for (auto window = oldest; window <= newest; ++window) {
+        for (auto window = newest - WindowsBack; window <= newest; ++window) {
             const bool isLate = window <= windowAt(now - (settings_.reportBound_ - LateMargin)) - 1;
             reporter_.report(window, isLate ? 0 : census_.count());
         }
--- a/src/duty/windowreporter.h
+++ b/src/duty/windowreporter.h
@@ -34,8 +34,8 @@
     {
     }
 
-    /// Reports the window unless that was done or is under way, once the final counts of so many gateways lie in the store.
-    /// Thread safety: the store's task only.
+    /// Reports the window unless that was done or is under way, once the final counts of so many gateways lie in the store. One of which
+    /// no gateway wrote counts lies before the system's start and is not reported. Thread safety: the store's task only.
     void report(UsageWindow window, std::size_t gateways)
     {
         if (reported_.contains(window) || !inHand_.insert(window).second) {
@@ -70,6 +70,7 @@
 
         /// Gateways whose final counts are missing.
         std::size_t missing_ = 0;
+        bool isEmpty_ = true;
     };
 
     void gather(UsageWindow window, const std::string &after, Gathered gathered)
@@ -84,7 +85,7 @@
             }
             if (page->hasMore_ && !page->entries_.empty()) {
                 gather(window, page->entries_.back().key_, std::move(gathered));
-            } else if (gathered.missing_ > 0) {
+            } else if (gathered.missing_ > 0 || gathered.isEmpty_) {
                 inHand_.erase(window);
             } else {
                 seal(window, windowcountscodec::toText(gathered.sums_));
@@ -99,6 +100,7 @@
             logEvent(LogEvent::UsageCountsLost, { { "window", std::uint64_t(gathered.sums_.window_) }, { "key", entry.key_ } });
             return;
         }
+        gathered.isEmpty_ = false;
         if (counts->isFinal_ && gathered.missing_ > 0) {
             --gathered.missing_;
         }
--- a/tests/duty/windowreportertest.cpp
+++ b/tests/duty/windowreportertest.cpp
@@ -108,6 +108,24 @@
     BOOST_TEST((world.platform_.reported_[0].requests_ == world.platform_.reported_[1].requests_));
 }
 
+BOOST_AUTO_TEST_CASE(is_not_made_of_a_window_before_the_systems_start)
+{
+    World world;
+    world.reporter_.report(7, 0);
+    BOOST_TEST(world.platform_.reported_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(counts_a_gateway_that_stopped_within_the_window_as_complete)
+{
+    // Found on a grown site (namib-verse-grown trouble-3): during a rolling restart reports waited for processes that had ended.
+    World world;
+    world.count(world.first_, 2);
+    world.first_.flush(7 + 1);
+    world.reporter_.report(7, 1);
+    BOOST_REQUIRE(world.platform_.reported_.size() == 1U);
+    BOOST_TEST(world.platform_.reported_[0].requests_.at(AccountId("press")) == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(clears_away_the_counts_of_windows_long_reported)
 {
     World world;
@@ -123,6 +141,8 @@
 BOOST_AUTO_TEST_CASE(is_not_sent_without_authority_and_a_refusal_ends_it)
 {
     World world;
+    world.count(world.first_, 1);
+    world.first_.flush(8);
     world.fence_.reset();
     world.reporter_.report(7, 0);
     BOOST_TEST(world.platform_.reported_.empty());
