--- a/tests/duty/windowreportertest.cpp
+++ b/tests/duty/windowreportertest.cpp
@@ -134,6 +134,8 @@
     const auto key = usagecountkeys::countsOf(7, InstanceId("first"));
     world.reporter_.report(7, 0);
     BOOST_TEST(world.store_.holds(key));
+    world.first_.count(AccountId("press"), 10);
+    world.first_.flush(11);
     world.reporter_.report(10, 0);
     BOOST_TEST(!world.store_.holds(key));
 }
