Gateways trace each hop; config check knows a gateway's settings

Cause: the house style asks for a span for each hop, and the gateway's path had none; its settings could be checked only by starting it. RequestTrace gives a span for a request and one for each prefill and dispatch below it, to a file or a collector by the settings, and costs nothing while traces are off, as on the users' platform. A story checks the chain from the caller's traceparent to the endpoint's.

--- a/src/gateway/dispatchfacts.h
+++ b/src/gateway/dispatchfacts.h
@@ -29,6 +29,9 @@
 
     /// The event after which a stream goes on; empty from its start.
     std::string lastEventId_;
+
+    /// The dispatch's place in its trace; empty to leave the caller's in place.
+    std::string traceparent_;
 };
 
 } // namespace cowsliphead
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -16,7 +16,9 @@
 #include "gateway/requestlog.h"
 #include "gateway/requestrouter.h"
 #include "gateway/requesttally.h"
+#include "gateway/requesttrace.h"
 #include "gateway/streamrelay.h"
+#include "http/httpheaders.h"
 #include "http1/callerconnection.h"
 #include "http1/connectionheaders.h"
 
@@ -38,6 +40,7 @@
         , configuration_(context.configuration_)
         , deadline_(context.loop_, [this] { deadlineReached(); })
         , relay_(connection)
+        , trace_(context, headerValue(request_.head_.headers_, "traceparent"))
     {
     }
 
@@ -145,6 +148,7 @@
 
     void prefillEnded(const AttemptResult &result)
     {
+        trace_.dispatchEnded(dispatch_->plan(), attemptEndName(result.end_));
         auto &engine = dispatch_->endpoint();
         const auto handle = result.head_.status_ == httpstatus::Ok ? D::readHandle(result.body_) : failure(ErrorCode::EndpointRefused);
         if (handle) {
@@ -204,6 +208,7 @@
     void send(EndpointState &endpoint, DispatchPlan plan, const std::function<void(AttemptResult)> &onEnd)
     {
         relay_.dropPartial();
+        plan.facts_.traceparent_ = trace_.dispatchStarted();
         dispatch_ = std::make_unique<Dispatch<D>>(context_,
                                                   context_.endpoints_.find(endpoint.entry_.id_),
                                                   std::move(plan),
@@ -259,6 +264,7 @@
             noteFailure(endpoint, result.end_);
             logDispatch(result);
         }
+        trace_.dispatchEnded(dispatch_->plan(), attemptEndName(result.end_));
         tally_.ended(result.end_);
         lastEndpoint_ = endpoint.entry_.id_.value();
         if (result.end_ == AttemptEnd::NotExecuted && cache_) {
@@ -402,6 +408,7 @@
         }
         context_.metrics_.requests_.increment({ { "status", std::to_string(status) } });
         logEnd(status, reason);
+        trace_.requestEnded(facts_.attemptId_, status, reason);
         dispatch_.reset();
         context_.loop_.defer([onDone = std::exchange(onDone_, nullptr)] {
             if (onDone) {
@@ -449,6 +456,7 @@
     std::optional<DispatchPlanner> planner_;
     std::optional<KeyGuard> keyGuard_;
     StreamRelay relay_;
+    RequestTrace trace_;
     std::string lastEndpoint_;
     RequestTally tally_;
     bool isCounted_ = false;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -27,9 +27,9 @@
 public:
     using Message = std::variant<FleetSnapshot, LookConfirmed, GatewayCount, GatewayBounds, DrainRequest, MetricsQuery>;
 
-    /// Precondition: the loop outlives the gateway. Thread safety: the loop's task only.
-    Gateway(EventLoop &loop, GatewaySettings settings, Address<RequestBegun> usage)
-        : context_{ .loop_ = loop, .settings_ = std::move(settings), .usage_ = std::move(usage) }
+    /// usage and spans hear of requests. Precondition: the loop outlives the gateway. Thread safety: the loop's task only.
+    Gateway(EventLoop &loop, GatewaySettings settings, Address<RequestBegun> usage, Address<Span> spans)
+        : context_{ .loop_ = loop, .settings_ = std::move(settings), .usage_ = std::move(usage), .spans_ = std::move(spans) }
         , listener_(loop, [this](int socket) { accept(socket); })
         , readiness_(loop, [this] { return isReady(); })
         , drain_(loop, [this] { continueDrain(); })
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -16,6 +16,7 @@
 #include "gateway/retryallowance.h"
 #include "task/address.h"
 #include "task/eventloop.h"
+#include "traces/span.h"
 #include "usage/requestbegun.h"
 
 namespace cowsliphead
@@ -26,6 +27,7 @@
     EventLoop &loop_;
     GatewaySettings settings_;
     Address<RequestBegun> usage_;
+    Address<Span> spans_;
     SystemClock clock_{};
     std::shared_ptr<const Configuration> configuration_{};
     ConfigurationAge age_{};
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -14,6 +14,7 @@
 #include "metrics/metricsbehaviour.h"
 #include "task/listening.h"
 #include "task/task.h"
+#include "traces/tracebehaviour.h"
 
 namespace cowsliphead
 {
@@ -26,6 +27,7 @@
     /// Starts all tasks. Returns the port towards callers. Precondition: called once. Thread safety: owner only. Errors: ListenFailed.
     Result<std::uint16_t> start(const GatewayDaemonSettings &settings)
     {
+        startTraces(settings);
         const InstanceId incarnation(settings.gateway_.instance_.value() + "-" + randomHex(IncarnationBytes));
         const auto port = startGateway(settings.gateway_);
         if (!port) {
@@ -59,6 +61,7 @@
         duty_.join();
         registry_.stop();
         metrics_.stop();
+        traces_.stop();
         logEvent(LogEvent::DaemonStopped);
     }
 
@@ -68,11 +71,22 @@
 
     using GatewayTask = Gateway<typename P::Dialect>;
 
+    void startTraces(const GatewayDaemonSettings &settings)
+    {
+        if (settings.traces_.isEnabled()) {
+            traces_.start([traces = settings.traces_, instance = settings.gateway_.instance_.value()](EventLoop &loop) {
+                return std::make_unique<TraceBehaviour>(loop, traces, instance);
+            });
+        }
+    }
+
     Result<std::uint16_t> startGateway(const GatewaySettings &settings)
     {
         return startListening(
             gateway_,
-            [settings, usage = duty_.template address<RequestBegun>()](EventLoop &loop) { return std::make_unique<GatewayTask>(loop, settings, usage); },
+            [settings, usage = duty_.template address<RequestBegun>(), spans = traces_.address<Span>()](EventLoop &loop) {
+                return std::make_unique<GatewayTask>(loop, settings, usage, spans);
+            },
             [](GatewayTask &gateway) { return gateway.listen(); });
     }
 
@@ -110,6 +124,7 @@
     Task<RegistryTask<P>> registry_;
     Task<DutyTask<P>> duty_;
     Task<MetricsBehaviour> metrics_;
+    Task<TraceBehaviour> traces_;
 };
 
 } // namespace cowsliphead
--- a/src/gateway/gatewaydaemonsettings.h
+++ b/src/gateway/gatewaydaemonsettings.h
@@ -6,6 +6,7 @@
 #include "gateway/gatewaysettings.h"
 #include "http1/socketaddress.h"
 #include "metrics/metricssettings.h"
+#include "traces/tracesettings.h"
 
 namespace cowsliphead
 {
@@ -15,6 +16,7 @@
     GatewaySettings gateway_;
     DutySettings duty_;
     MetricsSettings metrics_;
+    TraceSettings traces_;
 
     /// The platform's store.
     SocketAddress store_;
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -20,6 +20,9 @@
     SocketAddress readiness_;
 
     GatewayBounds bounds_;
+
+    /// Each request gives spans.
+    bool isTraced_ = false;
 };
 
 } // namespace cowsliphead
--- a/src/gateway/parsegatewaysettings.cpp
+++ b/src/gateway/parsegatewaysettings.cpp
@@ -49,6 +49,14 @@
     settings.metrics_.isEnabled_ = settings.metrics_.port_ != 0;
 }
 
+void readTraces(FieldReader &fields, GatewayDaemonSettings &settings)
+{
+    settings.traces_.file_ = fields.textOr("traceFile", {});
+    settings.traces_.collectorHost_ = fields.textOr("traceCollectorHost", {});
+    settings.traces_.collectorPort_ = static_cast<std::uint16_t>(fields.numberOr("traceCollectorPort", settings.traces_.collectorPort_, 1, LargestPort));
+    settings.gateway_.isTraced_ = settings.traces_.isEnabled();
+}
+
 void readBounds(FieldReader &fields, GatewayDaemonSettings &settings)
 {
     auto &bounds = settings.gateway_.bounds_;
@@ -75,6 +83,7 @@
     GatewayDaemonSettings settings;
     readIdentity(fields, settings);
     readAddresses(fields, settings);
+    readTraces(fields, settings);
     readBounds(fields, settings);
     if (fields.mistake()) {
         return tl::unexpected(*fields.mistake());
--- a/src/operate/configcommand.cpp
+++ b/src/operate/configcommand.cpp
@@ -2,6 +2,7 @@
 
 #include <cxxopts.hpp>
 
+#include "gateway/parsegatewaysettings.h"
 #include "operate/commands.h"
 #include "operate/exitcode.h"
 #include "operate/parsesettings.h"
@@ -10,12 +11,31 @@
 namespace cowsliphead::commands
 {
 
+namespace
+{
+
+/// Says whether the settings are in order. Returns the exit code.
+template <typename Parse>
+int check(const std::string &file, const std::string &text, Parse parse)
+{
+    const auto settings = parse(text);
+    if (!settings) {
+        std::cerr << file << ": " << settings.error().describe() << "\n";
+        return exitcode::WrongInput;
+    }
+    std::cout << file << ": in order\n";
+    return exitcode::Success;
+}
+
+} // namespace
+
 int config(int argc, char **argv)
 {
     cxxopts::Options options("cowsliphead config", "Checks a settings file. Exit codes: 0 in order, 2 wrong input.");
     auto add = options.add_options();
     add("action", "check", cxxopts::value<std::string>());
     add("file", "Settings file, - for standard input", cxxopts::value<std::string>());
+    add("gateway", "The settings are a gateway's");
     add("h,help", "Show this help");
     options.parse_positional({ "action", "file" });
     options.positional_help("check FILE");
@@ -34,13 +54,10 @@
         std::cerr << file << ": " << text.error().message() << "\n";
         return exitcode::WrongInput;
     }
-    const auto settings = parseSettings(*text);
-    if (!settings) {
-        std::cerr << file << ": " << settings.error().describe() << "\n";
-        return exitcode::WrongInput;
+    if (parsed.count("gateway") > 0) {
+        return check(file, *text, parseGatewaySettings);
     }
-    std::cout << file << ": in order\n";
-    return exitcode::Success;
+    return check(file, *text, parseSettings);
 }
 
 } // namespace cowsliphead::commands
--- a/tests/gateway/gatewaytest.cpp
+++ b/tests/gateway/gatewaytest.cpp
@@ -43,6 +43,20 @@
     BOOST_TEST(world.begun_ == 1);
 }
 
+BOOST_AUTO_TEST_CASE(gives_a_span_for_each_hop)
+{
+    GatewayWorld world;
+    auto &endpoint = world.addEndpoint({ { Whole } });
+    world.ask("/safe/x", { { "X-Api-Key", "key-1" }, { "traceparent", "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01" } });
+    BOOST_REQUIRE(world.spans_.size() == 2U);
+    const auto &dispatch = world.spans_[0];
+    const auto &request = world.spans_[1];
+    BOOST_TEST(request.parentSpanId_ == "b7ad6b7169203331");
+    BOOST_TEST(dispatch.parentSpanId_ == request.context_.spanId_);
+    BOOST_TEST(dispatch.context_.traceId_ == "0af7651916cd43dd8448eb211c80319c");
+    BOOST_TEST(endpoint.requests()[0].find("traceparent: " + dispatch.context_.toTraceparent()) != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(denies_an_unknown_key_and_an_unknown_route)
 {
     GatewayWorld world;
--- a/tests/gateway/gatewayworld.cpp
+++ b/tests/gateway/gatewayworld.cpp
@@ -29,7 +29,9 @@
 
 GatewayWorld::GatewayWorld(std::chrono::milliseconds lookAge, std::chrono::milliseconds stopGrace)
     : configuration_(configuration())
-    , gateway_(loop_, settings(stopGrace), Address<RequestBegun>([this](const RequestBegun & /*begun*/) { ++begun_; }))
+    , gateway_(loop_, settings(stopGrace), Address<RequestBegun>([this](const RequestBegun & /*begun*/) { ++begun_; }), Address<Span>([this](Span span) {
+                   spans_.push_back(std::move(span));
+               }))
 {
     port_ = *gateway_.listen();
     gateway_.receive(GatewayCount{ 1 });
@@ -44,6 +46,7 @@
     made.callers_ = { "127.0.0.1", 0 };
     made.readiness_ = { "127.0.0.1", 0 };
     made.bounds_.stopGrace_ = stopGrace;
+    made.isTraced_ = true;
     return made;
 }
 
--- a/tests/gateway/gatewayworld.h
+++ b/tests/gateway/gatewayworld.h
@@ -40,6 +40,7 @@
     void drainFor(std::chrono::milliseconds time);
 
     int begun_ = 0;
+    std::vector<cowsliphead::Span> spans_;
 
 private:
     using Gateway = cowsliphead::Gateway<cowsliphead::PlatformDialect>;
--- /dev/null
+++ b/tests/gateway/parsegatewaysettingstest.cpp
@@ -0,0 +1,58 @@
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/parsegatewaysettings.h"
+
+using namespace cowsliphead;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::string settingsWith(const std::string &more)
+{
+    return R"({ "instance": "front-1", "failureDomain": "a", "callers": "127.0.0.1:0", "readiness": "127.0.0.1:8406",)"
+           R"( "store": "10.0.0.1:8408", "platform": "10.0.0.2:8408")"
+        + more + " }";
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_settings_of_a_gateway)
+
+BOOST_AUTO_TEST_SUITE(that_are_in_order)
+
+BOOST_AUTO_TEST_CASE(give_every_bound)
+{
+    const auto settings = parseGatewaySettings(settingsWith(R"(, "keyWithdrawalMs": 4000, "endpointLeaveMs": 3000, "retryPercent": 10)"));
+    BOOST_REQUIRE(settings);
+    BOOST_TEST(settings->gateway_.bounds_.keyWithdrawal_.count() == 4000);
+    BOOST_TEST(settings->endpointLeaveBound_.count() == 3000);
+    BOOST_TEST(settings->gateway_.bounds_.retryRatio_ == 0.1);
+    BOOST_TEST(settings->gateway_.bounds_.stopGrace_.count() == 8000);
+}
+
+BOOST_AUTO_TEST_CASE(may_hold_fields_that_are_not_known)
+{
+    BOOST_TEST(parseGatewaySettings(settingsWith(R"(, "later": [1, 2])")).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(that_are_not)
+
+BOOST_AUTO_TEST_CASE(name_the_field_and_what_was_expected)
+{
+    const auto broken = parseGatewaySettings(settingsWith(R"(, "keyWithdrawalMs": "soon")"));
+    BOOST_REQUIRE(!broken);
+    BOOST_TEST(broken.error().describe().find("/keyWithdrawalMs") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(are_refused_without_a_store_or_with_its_port_missing)
+{
+    BOOST_TEST(!parseGatewaySettings(R"({ "instance": "front-1" })").has_value());
+    BOOST_TEST(!parseGatewaySettings(settingsWith(R"(, "store": "10.0.0.1:0")")).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
