--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -7,8 +7,10 @@
 #include <utility>
 
 #include "gateway/admitrequest.h"
+#include "gateway/calleranswer.h"
 #include "gateway/dispatch.h"
 #include "gateway/dispatchplanner.h"
+#include "gateway/endpointnotes.h"
 #include "gateway/keyguard.h"
 #include "gateway/nextstep.h"
 #include "gateway/refusalof.h"
@@ -17,10 +19,7 @@
 #include "gateway/requestrouter.h"
 #include "gateway/requesttally.h"
 #include "gateway/requesttrace.h"
-#include "gateway/streamrelay.h"
 #include "http/httpheaders.h"
-#include "http1/callerconnection.h"
-#include "http1/connectionheaders.h"
 
 namespace cowsliphead
 {
@@ -34,12 +33,11 @@
     /// exchange. Thread safety: the loop's task only.
     Exchange(GatewayContext &context, CallerConnection &connection, CallerRequest request, std::function<void()> onDone)
         : context_(context)
-        , connection_(connection)
         , request_(std::move(request))
         , onDone_(std::move(onDone))
         , configuration_(context.configuration_)
         , deadline_(context.loop_, [this] { deadlineReached(); })
-        , relay_(connection)
+        , answer_(context, connection, request_.arrivedAt_)
         , trace_(context, headerValue(request_.head_.headers_, "traceparent"))
     {
     }
@@ -143,7 +141,9 @@
             run();
             return;
         }
-        send(*choice.engine_, planner_->planPrefill(choice, timeLeft(), relay_.lastEventId()), [this](const AttemptResult &result) { prefillEnded(result); });
+        send(*choice.engine_, planner_->planPrefill(choice, timeLeft(), answer_.relay().lastEventId()), [this](const AttemptResult &result) {
+            prefillEnded(result);
+        });
     }
 
     void prefillEnded(const AttemptResult &result)
@@ -158,7 +158,7 @@
                 tally_.promptRefused();
             }
             logDispatch(result);
-            noteFailure(engine, result.end_);
+            endpointnotes::failed(context_, dispatch_->plan(), result.end_, withheldFor_.has_value());
         }
         dispatch_.reset();
         if (withheldFor_) {
@@ -175,7 +175,7 @@
         engine.queue_.read(dispatch_->plan().promptTokens_, taken, now);
         cache_ = CacheHandle{ engine.entry_.address_, handle };
         requestlog::promptRead(dispatch_->plan(), router_->sharedParts(), facts_.sharedTokens(), taken);
-        context_.endpoints_.health().answered(engine.entry_.id_);
+        endpointnotes::isWell(context_, engine.entry_.id_);
     }
 
     bool payForRepeat()
@@ -202,12 +202,14 @@
             return;
         }
         tally_.dispatched();
-        send(*chosen, planner_->planRun(*chosen, timeLeft(), relay_.lastEventId(), cache_), [this](AttemptResult result) { runEnded(std::move(result)); });
+        send(*chosen, planner_->planRun(*chosen, timeLeft(), answer_.relay().lastEventId(), cache_), [this](AttemptResult result) {
+            runEnded(std::move(result));
+        });
     }
 
     void send(EndpointState &endpoint, DispatchPlan plan, const std::function<void(AttemptResult)> &onEnd)
     {
-        relay_.dropPartial();
+        answer_.relay().dropPartial();
         plan.facts_.traceparent_ = trace_.dispatchStarted();
         dispatch_ = std::make_unique<Dispatch<D>>(context_,
                                                   context_.endpoints_.find(endpoint.entry_.id_),
@@ -216,7 +218,7 @@
                                                       .mayWrite_ = [this] { return mayWrite(); },
                                                       .mayAbandon_ = [this] { return mayAbandon(); },
                                                       .onStream_ = [this](const ResponseHead &head) { streamBegan(head); },
-                                                      .onData_ = [this](std::string_view data) { relay_.pass(data); },
+                                                      .onData_ = [this](std::string_view data) { answer_.relay().pass(data); },
                                                       .onEnd_ = onEnd,
                                                   });
         dispatch_->start();
@@ -240,17 +242,14 @@
     {
         countBegun(context_.clock_.now());
         noteAnswer();
-        if (!relay_.hasBegun()) {
-            context_.metrics_.firstByte_.record(context_.clock_.now() - request_.arrivedAt_);
-        }
-        relay_.begin(head);
+        answer_.beginStream(head);
     }
 
     void runEnded(AttemptResult result)
     {
         const auto &endpoint = dispatch_->endpoint();
         const bool isWritten = dispatch_->isWritten();
-        if (relay_.hasPartial() && result.end_ == AttemptEnd::Answered) {
+        if (answer_.relay().hasPartial() && result.end_ == AttemptEnd::Answered) {
             // The stream ended in the middle of an event.
             result.end_ = AttemptEnd::Lost;
             result.reason_ = "partial_event";
@@ -261,7 +260,7 @@
         if (result.end_ == AttemptEnd::Answered) {
             noteAnswer();
         } else {
-            noteFailure(endpoint, result.end_);
+            endpointnotes::failed(context_, dispatch_->plan(), result.end_, withheldFor_.has_value());
             logDispatch(result);
         }
         trace_.dispatchEnded(dispatch_->plan(), attemptEndName(result.end_));
@@ -281,7 +280,7 @@
             return;
         }
         auto step = nextStep(result.end_, tally_.progress(route(), context_.allowanceOf(service_)));
-        if (step == NextStep::PassOn && relay_.hasBegun() && result.end_ == AttemptEnd::Failed) {
+        if (step == NextStep::PassOn && answer_.relay().hasBegun() && result.end_ == AttemptEnd::Failed) {
             step = NextStep::Fail;
         }
         switch (step) {
@@ -311,20 +310,14 @@
 
     void passOn(const AttemptResult &result)
     {
-        if (relay_.hasBegun()) {
-            connection_.endAnswer();
-            ended(result.head_.status_, "");
-            return;
-        }
-        context_.metrics_.firstByte_.record(context_.clock_.now() - request_.arrivedAt_);
-        connection_.respond(result.head_.status_, result.head_.reason_, endToEndHeaders(result.head_.headers_), result.body_);
+        answer_.passOn(result);
         ended(result.head_.status_, "");
     }
 
     void giveUp(ErrorCode code)
     {
-        if (relay_.hasBegun()) {
-            connection_.abortAnswer();
+        if (answer_.relay().hasBegun()) {
+            answer_.abort();
             ended(0, errorName(code));
             return;
         }
@@ -333,13 +326,8 @@
 
     void refuse(ErrorCode code)
     {
-        const auto refusal = refusalOf(code);
-        HttpHeaders headers = D::ownAnswerHeaders(facts_.attemptId_);
-        if (refusal.retryAfter_) {
-            headers.emplace_back("Retry-After", std::to_string(std::chrono::duration<double>(*refusal.retryAfter_).count()));
-        }
-        connection_.respond(refusal.status_, reasonOf(refusal.status_), std::move(headers), errorName(code));
-        ended(refusal.status_, errorName(code));
+        const int status = answer_.refuse(code, facts_.attemptId_);
+        ended(status, errorName(code));
     }
 
     void deadlineReached()
@@ -363,22 +351,11 @@
 
     void noteAnswer()
     {
-        const auto state = context_.endpoints_.find(dispatch_->endpoint().entry_.id_);
-        if (state && !relay_.hasBegun() && route().targetLatency_.count() > 0) {
-            state->lateness_.answered(context_.clock_.now() - dispatch_->writtenAt(), route().targetLatency_);
-        }
-        context_.endpoints_.health().answered(dispatch_->endpoint().entry_.id_);
-    }
-
-    void noteFailure(const EndpointState &endpoint, AttemptEnd end)
-    {
-        const auto now = context_.clock_.now();
-        // A refusal of a request that brings its KV cache may mean that the cache cannot be fetched.
-        const bool bringsCache = !dispatch_->plan().facts_.cacheSource_.empty();
-        if (end == AttemptEnd::Lost || (end == AttemptEnd::NotOffered && !withheldFor_)) {
-            context_.endpoints_.health().crashed(endpoint.entry_.id_, now);
-        } else if (end == AttemptEnd::NotExecuted && !bringsCache) {
-            context_.endpoints_.health().refused(endpoint.entry_.id_, now);
+        const auto &endpoint = dispatch_->endpoint().entry_.id_;
+        if (answer_.relay().hasBegun()) {
+            endpointnotes::isWell(context_, endpoint);
+        } else {
+            endpointnotes::answered(context_, endpoint, context_.clock_.now() - dispatch_->writtenAt(), route().targetLatency_);
         }
     }
 
@@ -402,7 +379,7 @@
     void ended(int status, const char *reason)
     {
         deadline_.cancel();
-        const bool isCacheUnused = cache_ && !relay_.hasBegun() && !tally_.mayHaveRun() && status != httpstatus::Ok;
+        const bool isCacheUnused = cache_ && !answer_.relay().hasBegun() && !tally_.mayHaveRun() && status != httpstatus::Ok;
         if (isCacheUnused) {
             forgetCache();
         }
@@ -439,7 +416,6 @@
     }
 
     GatewayContext &context_;
-    CallerConnection &connection_;
     CallerRequest request_;
     std::function<void()> onDone_;
 
@@ -455,7 +431,7 @@
     std::optional<RequestRouter> router_;
     std::optional<DispatchPlanner> planner_;
     std::optional<KeyGuard> keyGuard_;
-    StreamRelay relay_;
+    CallerAnswer<D> answer_;
     RequestTrace trace_;
     std::string lastEndpoint_;
     RequestTally tally_;
--- a/tests/scenarios/childprocess.h
+++ b/tests/scenarios/childprocess.h
@@ -8,14 +8,11 @@
 
 #include <sys/types.h>
 
+#include "scenarios/outputfile.h"
+
 namespace cowsliphead::scenarios
 {
 
-/// Where a process writes its output.
-struct OutputFile {
-    std::string name_;
-};
-
 /// One process of the program under test. It is killed when the object goes, and when the test program dies.
 class ChildProcess
 {
--- a/tests/soak/soakgateway.cpp
+++ b/tests/soak/soakgateway.cpp
@@ -22,7 +22,7 @@
     name.sin_family = AF_INET;
     name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof name;
-    bind(socket, reinterpret_cast<const sockaddr *>(&name), size);
+    static_cast<void>(bind(socket, reinterpret_cast<const sockaddr *>(&name), size));
     getsockname(socket, reinterpret_cast<sockaddr *>(&name), &size);
     close(socket);
     return ntohs(name.sin_port);
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -6,7 +6,7 @@
 
 using namespace cowsliphead;
 using namespace std::chrono_literals;
-using json = nlohmann::json;
+using Json = nlohmann::json;
 
 namespace
 {
@@ -54,7 +54,7 @@
     return Faults[random() % Faults.size()];
 }
 
-json routeNamed(const std::string &name, const char *kind)
+Json routeNamed(const std::string &name, const char *kind)
 {
     return { { "name", name },
              { "hostname", "soak.example" },
@@ -225,7 +225,7 @@
 std::shared_ptr<SoakWorld::Endpoint> SoakWorld::takeEndpoint()
 {
     const auto chosen = endpoints_.begin() + static_cast<std::ptrdiff_t>(random_() % endpoints_.size());
-    const auto endpoint = *chosen;
+    auto endpoint = *chosen;
     endpoints_.erase(chosen);
     return endpoint;
 }
@@ -268,12 +268,12 @@
 
 void SoakWorld::writeConfiguration()
 {
-    json tenants = json::array();
+    Json tenants = Json::array();
     for (const auto &key : keys_) {
         tenants.push_back({ { "name", SoakLedger::accountOf(key) }, { "apiKeys", { key } } });
     }
     ++version_;
-    const json document{
+    const Json document{
         { "version", version_ },
         { "routes", { routeNamed("safe", "idempotent"), routeNamed("once", "non_idempotent"), routeNamed("v" + std::to_string(version_), "idempotent") } },
         { "services", { { { "name", "service" }, { "maxConnections", 100 } } } },
@@ -294,7 +294,7 @@
 
 void SoakWorld::describe(const std::string &id, const char *state, std::uint16_t port)
 {
-    const json entry{ { "service", "service" },
+    const Json entry{ { "service", "service" },
                       { "address", "127.0.0.1:" + std::to_string(port) },
                       { "zone", "a" },
                       { "state", state },
--- a/tests/soak/storeserver.cpp
+++ b/tests/soak/storeserver.cpp
@@ -9,7 +9,7 @@
 #include "platform/base64.h"
 
 using namespace cowsliphead;
-using json = nlohmann::json;
+using Json = nlohmann::json;
 
 namespace
 {
@@ -88,13 +88,13 @@
         renewLease(session, lastNumber(path));
     } else if (path.starts_with("/api/kv-lease-end/")) {
         endLease(lastNumber(path));
-        respond(session, 200, json::object());
+        respond(session, 200, Json::object());
     } else {
-        respond(session, 404, json::object());
+        respond(session, 404, Json::object());
     }
 }
 
-void StoreServer::respond(Session &session, int status, const json &document)
+void StoreServer::respond(Session &session, int status, const Json &document)
 {
     session.connection_->respond(status, reasonOf(status), { { "Content-Type", "application/json" } }, document.dump());
 }
@@ -102,7 +102,7 @@
 namespace
 {
 
-json itemOf(const std::string &key, const std::string &value, std::uint64_t revision, std::uint64_t created, std::uint64_t lease)
+Json itemOf(const std::string &key, const std::string &value, std::uint64_t revision, std::uint64_t created, std::uint64_t lease)
 {
     return { { "key", key }, { "value", base64::encode(value) }, { "revision", revision }, { "createRev", created }, { "lease", lease } };
 }
@@ -113,7 +113,7 @@
 {
     const auto found = items_.find(key);
     if (found == items_.end()) {
-        respond(session, 404, json::object());
+        respond(session, 404, Json::object());
         return;
     }
     const auto &item = found->second;
@@ -124,7 +124,7 @@
 
 void StoreServer::range(Session &session, const std::string &prefix, const std::string &after)
 {
-    json list = json::array();
+    Json list = Json::array();
     for (auto item = items_.lower_bound(prefix); item != items_.end() && item->first.starts_with(prefix); ++item) {
         if (item->first > after) {
             list.push_back(itemOf(item->first, item->second.value_, item->second.revision_, item->second.created_, item->second.lease_));
@@ -145,7 +145,7 @@
 
 void StoreServer::answerWatch(Session &session)
 {
-    json events = json::array();
+    Json events = Json::array();
     for (const auto &event : history_) {
         if (event.revision_ <= session.after_ || !event.key_.starts_with(session.prefix_)) {
             continue;
@@ -175,19 +175,19 @@
 
 void StoreServer::transact(Session &session, const std::string &body)
 {
-    const auto document = json::parse(body);
+    const auto document = Json::parse(body);
     for (const auto &row : document.at("expected")) {
         const auto found = items_.find(row.at("key").get<std::string>());
         const auto revision = found == items_.end() ? 0 : found->second.revision_;
         if (revision != row.at("revision").get<std::uint64_t>()) {
-            respond(session, 412, { { "items", json::array() } });
+            respond(session, 412, { { "items", Json::array() } });
             return;
         }
     }
     for (const auto &put : document.at("puts")) {
         const auto lease = put.value("lease", std::uint64_t(0));
         if (lease != 0 && !leases_.contains(lease)) {
-            respond(session, 404, json::object());
+            respond(session, 404, Json::object());
             return;
         }
     }
@@ -219,7 +219,7 @@
 
 void StoreServer::grantLease(Session &session, const std::string &body)
 {
-    const auto duration = std::chrono::milliseconds(json::parse(body).at("ttlMs").get<std::int64_t>());
+    const auto duration = std::chrono::milliseconds(Json::parse(body).at("ttlMs").get<std::int64_t>());
     const auto lease = nextLease_++;
     leases_[lease] = Lease{ duration, std::chrono::steady_clock::now() + duration };
     respond(session, 200, { { "lease", lease }, { "ttlMs", duration.count() } });
@@ -229,11 +229,11 @@
 {
     const auto found = leases_.find(lease);
     if (found == leases_.end()) {
-        respond(session, 404, json::object());
+        respond(session, 404, Json::object());
         return;
     }
     found->second.until_ = std::chrono::steady_clock::now() + found->second.duration_;
-    respond(session, 200, json::object());
+    respond(session, 200, Json::object());
 }
 
 void StoreServer::endLease(std::uint64_t lease)
