UsageDuty keeps no clock that nothing reads

Cause: left over when the duties' task was split; its caller passes the time. Found on the last re-read.

--- a/src/duty/usageduty.h
+++ b/src/duty/usageduty.h
@@ -32,7 +32,6 @@
               std::function<void()> onRefused,
               Address<GatewayCount> counts)
         : store_(store)
-        , clock_(clock)
         , settings_(settings)
         , counts_(std::move(counts))
         , startedAt_(clock.now())
@@ -167,7 +166,6 @@
     }
 
     S &store_;
-    const C &clock_;
     DutySettings settings_;
     Address<GatewayCount> counts_;
     MonotonicTime startedAt_;
