Candidates for a duty check at a steady rate after a common start

Ruled out: the lease itself (it lapsed after 3 s), the store (it served two thirds of the gateways). Conclusion: the rate of checks of the whole fleet no longer depends on phases.

Small failure domains buy reclaimable endpoints as well

--- a/src/duty/leaseholder.h
+++ b/src/duty/leaseholder.h
@@ -3,12 +3,12 @@
 #include <cstdlib>
 #include <functional>
 #include <optional>
-#include <random>
 #include <string>
 #include <utility>
 
 #include "core/clock.h"
 #include "core/errorcode.h"
+#include "decide/candidateschedule.h"
 #include "decide/fencingnumber.h"
 #include "decide/leaseterm.h"
 #include "duty/leasestate.h"
@@ -33,6 +33,7 @@
         , name_(std::move(name))
         , holder_(std::move(holder))
         , term_(policy)
+        , candidateSchedule_(policy.candidateInterval_, static_cast<std::uint32_t>(std::hash<std::string>()(holder_)))
     {
     }
 
@@ -50,7 +51,7 @@
         if (isCallPending_) {
             return;
         }
-        if (state_ == LeaseState::Idle && now >= nextAttemptAt_) {
+        if (state_ == LeaseState::Idle && candidateSchedule_.isDue(now)) {
             checkAvailability();
         } else if (term_.isHeld() && term_.isRenewalDue(now)) {
             renew();
@@ -63,11 +64,10 @@
         return state_ == LeaseState::Holding && term_.mayAct(clock_.now());
     }
 
-    /// Sets the mean interval at which this process checks whether the duty is free. Each interval is randomized, so that candidates
-    /// that start together spread out.
+    /// Sets the mean interval at which this process checks whether the duty is free. Precondition: interval is positive.
     void setCandidateInterval(std::chrono::milliseconds interval)
     {
-        policy_.candidateInterval_ = interval;
+        candidateSchedule_.setMean(interval);
     }
 
     /// Releases the duty, so that another process can acquire it at once. This process does not try again for one lease duration.
@@ -76,7 +76,7 @@
         if (!lease_.isEmpty()) {
             releaseLease();
         }
-        nextAttemptAt_ = clock_.now() + policy_.duration_;
+        candidateSchedule_.pause(policy_.duration_, clock_.now());
     }
 
     /// Returns the fencing number of the last acquisition.
@@ -112,7 +112,7 @@
     /// Reads the key before trying to acquire it, since in nearly all cases another process holds the duty.
     void checkAvailability()
     {
-        nextAttemptAt_ = clock_.now() + policy_.candidateInterval_ * jitterPercent_(random_) / FullIntervalPercent;
+        candidateSchedule_.checked(clock_.now());
         store_.read(name_, ifSameAcquisition<std::optional<StoreEntry>>([this](const Result<std::optional<StoreEntry>> &answer) {
                         if (answer && !*answer) {
                             grant();
@@ -199,21 +199,16 @@
                           }));
     }
 
-    /// Randomized intervals are given in percent of the candidate interval.
-    static constexpr int FullIntervalPercent = 100;
-
     S &store_;
     const C &clock_;
     LeasePolicy policy_;
     std::string name_;
     std::string holder_;
     LeaseTerm term_;
-    std::minstd_rand random_{ static_cast<std::uint32_t>(std::hash<std::string>()(holder_)) };
-    std::uniform_int_distribution<int> jitterPercent_{ FullIntervalPercent / 2, FullIntervalPercent * 3 / 2 };
+    CandidateSchedule candidateSchedule_;
     LeaseState state_ = LeaseState::Idle;
     LeaseId lease_;
     FencingNumber fencing_ = 0;
-    MonotonicTime nextAttemptAt_;
     MonotonicTime holdsFrom_;
     std::uint64_t acquisition_ = 0;
     bool isCallPending_ = false;
--- a/src/duty/scaleplanner.cpp
+++ b/src/duty/scaleplanner.cpp
@@ -11,8 +11,11 @@
 /// Base endpoints kept in each failure domain, in case all reclaimable ones are reclaimed.
 constexpr std::uint32_t MinBaseEndpoints = 2;
 
+/// Failure domains with at most this many endpoints keep one base endpoint.
+constexpr std::uint32_t SmallDomain = 3;
+
 /// Reclaimable endpoints per endpoint of the original base; more than one, because the money saved by reducing the base pays for more of them.
-constexpr double ReclaimablePerBase = 1.67;
+constexpr double ReclaimablePerBase = 2.5;
 
 /// Highest price of reclaimable endpoints, as a share of the regular price, at which they are worth the risk of losing them.
 constexpr double MaxSpotPriceRatio = 0.6;
@@ -23,6 +26,11 @@
 /// Time that an endpoint may take, in addition to its boot time, until it is listed; after that the order is sent again.
 constexpr std::chrono::milliseconds ListingTimeout{ 6000 };
 
+std::uint32_t keptBase(std::uint32_t original)
+{
+    return original <= SmallDomain ? 1 : MinBaseEndpoints;
+}
+
 } // namespace
 
 std::vector<ServerOrder> ScalePlanner::plan(const FleetSnapshot &fleet, MonotonicTime now)
@@ -62,13 +70,14 @@
     for (const auto &[domain, counts] : present) {
         auto &original = base_[{ service.name_, domain }];
         original = std::max(original, counts.base_);
-        if (original <= MinBaseEndpoints) {
+        const auto kept = keptBase(original);
+        if (original <= kept || scaling.maxReplicas_ <= kept) {
             continue;
         }
-        const auto wanted = std::min(static_cast<std::uint32_t>(original * ReclaimablePerBase), scaling.maxReplicas_ - MinBaseEndpoints);
+        const auto wanted = std::min(static_cast<std::uint32_t>(original * ReclaimablePerBase), scaling.maxReplicas_ - kept);
         orderIfDue({ service.name_, domain, true, wanted }, counts.reclaimable_, scaling.bootTime_, now, orders);
         const auto base = original - std::min(original, counts.reclaimable_);
-        orderIfDue({ service.name_, domain, false, std::max(base, MinBaseEndpoints) }, counts.base_, scaling.bootTime_, now, orders);
+        orderIfDue({ service.name_, domain, false, std::max(base, kept) }, counts.base_, scaling.bootTime_, now, orders);
     }
 }
 
--- a/tests/duty/scaleplannertest.cpp
+++ b/tests/duty/scaleplannertest.cpp
@@ -90,6 +90,29 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against a site whose small failure domains buy no reclaimable endpoints at all: prompts waited for engines at a fifth of their
+// price (granite-lantern, quiet-1).
+BOOST_AUTO_TEST_SUITE(in_a_small_failure_domain)
+
+BOOST_AUTO_TEST_CASE(one_base_endpoint_stays_beside_the_reclaimable_ones)
+{
+    ScalePlanner planner;
+    const auto first = planner.plan(fleet(2, 0), Start);
+    BOOST_REQUIRE(first.size() == 1U);
+    BOOST_TEST((first.front() == order(true, 5)));
+    const auto second = planner.plan(fleet(2, 5), Start + 5s);
+    BOOST_REQUIRE(second.size() == 1U);
+    BOOST_TEST((second.front() == order(false, 1)));
+}
+
+BOOST_AUTO_TEST_CASE(a_single_endpoint_is_left_alone)
+{
+    ScalePlanner planner;
+    BOOST_TEST(planner.plan(fleet(1, 0), Start).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(an_order_without_an_answer_is_sent_again)
 {
     ScalePlanner planner;
