--- a/src/duty/dutybehaviour.h
+++ b/src/duty/dutybehaviour.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 #include <variant>
@@ -10,6 +11,7 @@
 #include "duty/scaleduty.h"
 #include "duty/usageduty.h"
 #include "fleet/fleetsnapshot.h"
+#include "fleet/gatewaycount.h"
 #include "serve/drainrequest.h"
 #include "task/eventloop.h"
 #include "task/timer.h"
@@ -25,22 +27,16 @@
 class DutyBehaviour
 {
 public:
-    using Message = std::variant<RequestStarted, FleetSnapshot, DrainRequest, UsageComplete>;
-
-    /// incarnation identifies this run of the process and is never reused; gatewayCounts receives the number of gateways.
-    /// Precondition: loop, store, platform and clock outlive the behaviour.
-    DutyBehaviour(EventLoop &loop,
-                  S &store,
-                  P &platform,
-                  const C &clock,
-                  const DutySettings &settings,
-                  const InstanceId &incarnation,
-                  Address<GatewayCount> gatewayCounts)
+    using Message = std::variant<RequestStarted, FleetSnapshot, GatewayCount, DrainRequest, UsageComplete>;
+
+    /// incarnation identifies this run of the process and is never reused. Precondition: loop, store, platform and clock outlive the
+    /// behaviour.
+    DutyBehaviour(EventLoop &loop, S &store, P &platform, const C &clock, const DutySettings &settings, const InstanceId &incarnation)
         : loop_(loop)
         , clock_(clock)
         , lease_(store, clock, leasePolicy(settings), "duty/leader", incarnation.value())
         , usage_(
-              store, platform, clock, settings, incarnation, [this] { return activeFence(); }, [this] { lease_.resign(); }, std::move(gatewayCounts))
+              store, platform, clock, settings, incarnation, [this] { return activeFence(); }, [this] { lease_.resign(); })
         , scale_(store, platform, clock, lease_)
         , timer_(loop, [this] { tick(); })
     {
@@ -74,7 +70,7 @@
         policy.margin_ = settings.leaseDuration_ / 3;
         policy.renewInterval_ = settings.leaseDuration_ / 4;
         policy.successorWait_ = settings.leaseDuration_ / 10;
-        policy.candidateInterval_ = settings.leaseDuration_ * 2 / 3;
+        policy.candidateInterval_ = settings.leaseDuration_ * 4 / 3;
         return policy;
     }
 
@@ -93,6 +89,12 @@
         scale_.update(fleet);
     }
 
+    void handle(const GatewayCount &gateways)
+    {
+        usage_.setGatewayCount(gateways.count_);
+        lease_.setCandidateInterval(CandidateInterval * std::max<std::size_t>(1, gateways.count_));
+    }
+
     /// Releases the lease so that another process can take the duties at once. Usage is counted until the last answer has ended.
     void handle(const DrainRequest & /*request*/)
     {
@@ -118,9 +120,6 @@
         if (isDraining_) {
             return;
         }
-        if (const auto gateways = usage_.gatewayCount(); gateways > 0) {
-            lease_.setCandidateInterval(CandidateInterval * gateways);
-        }
         lease_.tick();
         handleDutyChange();
         if (lease_.mayAct()) {
--- a/src/duty/followerbehaviour.cpp
+++ b/src/duty/followerbehaviour.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "logs/log.h"
+#include "peer/peercodec.h"
 #include "records/recordset.h"
 
 namespace cowsliphead
@@ -15,7 +16,7 @@
     , confirmations_(std::move(confirmations))
     , store_(loop, settings_.store_.host_, settings_.store_.port_, settings_.store_.timeout_)
     , links_(loop, [this](const PeerAddress &peer, const RecordAnswer &answer) { replicator_->receiveAnswer(peer, answer); })
-    , server_(loop, [this](const RecordQuery &query) { return replicator_->answer(query); })
+    , server_(loop, [this](std::string_view bytes) { return answer(bytes); })
     , tick_(loop, [this] { replicator_->tick(); })
 {
 }
@@ -38,6 +39,15 @@
 {
 }
 
+std::optional<std::string> FollowerBehaviour::answer(std::string_view bytes)
+{
+    const auto query = peercodec::decodeQuery(bytes);
+    if (!query) {
+        return std::nullopt;
+    }
+    return peercodec::encode(replicator_->answer(*query));
+}
+
 Member FollowerBehaviour::self(std::uint16_t port) const
 {
     Member member;
--- a/src/duty/followerbehaviour.h
+++ b/src/duty/followerbehaviour.h
@@ -2,6 +2,8 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
+#include <string_view>
 #include <variant>
 
 #include "core/result.h"
@@ -44,6 +46,7 @@
 private:
     using Replicator = RecordReplicator<SystemClock, HttpStore, PeerConnectionPool>;
 
+    std::optional<std::string> answer(std::string_view bytes);
     Member self(std::uint16_t port) const;
     Replicator::Listener listener() const;
 
--- a/src/duty/usageduty.h
+++ b/src/duty/usageduty.h
@@ -5,11 +5,8 @@
 
 #include "core/clock.h"
 #include "duty/dutysettings.h"
-#include "duty/gatewaycounter.h"
 #include "duty/windowcountsreporter.h"
 #include "duty/windowcountswriter.h"
-#include "fleet/gatewaycount.h"
-#include "task/address.h"
 #include "usage/requeststarted.h"
 
 namespace cowsliphead
@@ -21,19 +18,16 @@
 class UsageDuty
 {
 public:
-    /// activeFence returns the fencing number while the process may act; onRefused is called if another holder has a higher one;
-    /// gatewayCounts receives the number of gateways. Precondition: store, platform and clock outlive the duty, which outlives their replies.
+    /// activeFence returns the fencing number while the process may act; onRefused is called if another holder has a higher one.
+    /// Precondition: store, platform and clock outlive the duty, which outlives their replies.
     UsageDuty(S &store,
               P &platform,
               const C &clock,
               const DutySettings &settings,
               const InstanceId &incarnation,
               std::function<std::optional<FencingNumber>()> activeFence,
-              std::function<void()> onRefused,
-              Address<GatewayCount> gatewayCounts)
-        : store_(store)
-        , settings_(settings)
-        , gatewayCounts_(std::move(gatewayCounts))
+              std::function<void()> onRefused)
+        : settings_(settings)
         , startedAt_(clock.now())
         , wallStartedAt_(clock.wallNow())
         , writer_(store, incarnation)
@@ -46,14 +40,26 @@
         writer_.count(request.account_, windowAt(request.at_));
     }
 
-    /// Writes the counts at the end of each window and at intervals in between, and counts the gateways.
+    /// Sets the number of gateways whose counts make up a window.
+    void setGatewayCount(std::size_t gateways)
+    {
+        gateways_ = gateways;
+    }
+
+    /// Writes the counts at the end of each window and at intervals in between.
     void tick(MonotonicTime now)
     {
-        flush(now);
-        countGateways(now);
+        const auto window = windowAt(now);
+        const auto interval = writer_.isBehind(window) ? MinFlushInterval : flushInterval();
+        if (window != flushedWindow_ || now - flushedAt_ >= interval) {
+            flushedWindow_ = window;
+            flushedAt_ = now;
+            writer_.flush(window);
+        }
     }
 
-    /// Reports the last windows, at most once per ReportInterval. Precondition: the process may act.
+    /// Reports the last windows, at most once per ReportInterval; while the number of gateways is not known, only those whose deadline is
+    /// near. Precondition: the process may act.
     void report(MonotonicTime now)
     {
         if (now - reportedAt_ < ReportInterval) {
@@ -63,7 +69,9 @@
         const auto newest = windowAt(now - ReportDelay) - 1;
         for (auto window = newest - LookbackWindows; window <= newest; ++window) {
             const bool isLate = window <= windowAt(now - (settings_.reportDeadline_ - LateMargin)) - 1;
-            reporter_.report(window, isLate ? 0 : gatewayCounter_.count());
+            if (isLate || gateways_ > 0) {
+                reporter_.report(window, isLate ? 0 : gateways_);
+            }
         }
     }
 
@@ -79,12 +87,6 @@
         return writer_.isFlushed();
     }
 
-    /// Number of gateways that recently wrote counts; zero while unknown.
-    std::size_t gatewayCount() const
-    {
-        return gatewayCounter_.count();
-    }
-
 private:
     /// A killed process loses the counts of at most one interval between writes. This is the shortest interval; it is longer in a large
     /// fleet, where one process has a smaller share of the requests.
@@ -105,9 +107,6 @@
     /// Number of windows before the newest that a new holder checks for missing reports.
     static constexpr UsageWindow LookbackWindows = 2;
 
-    /// Gateways are counted once in this many windows, since their number changes only by restarts and replacements.
-    static constexpr UsageWindow GatewayCountInterval = 2;
-
     /// Returns the wall time derived from the monotonic clock and the wall clock at the start; later jumps of the wall clock have no effect.
     WallTime wallTimeAt(MonotonicTime at) const
     {
@@ -119,63 +118,23 @@
         return usageWindowAt(wallTimeAt(at), settings_.windowLength_);
     }
 
-    void flush(MonotonicTime now)
-    {
-        const auto window = windowAt(now);
-        const auto interval = writer_.isBehind(window) ? MinFlushInterval : flushInterval();
-        if (window != flushedWindow_ || now - flushedAt_ >= interval) {
-            flushedWindow_ = window;
-            flushedAt_ = now;
-            writer_.flush(window);
-        }
-    }
-
     std::chrono::milliseconds flushInterval() const
     {
-        const double share = MaxLossPerKill * static_cast<double>(gatewayCounter_.count());
+        const double share = MaxLossPerKill * static_cast<double>(gateways_);
         return std::max(MinFlushInterval, std::chrono::duration_cast<std::chrono::milliseconds>(settings_.windowLength_ * share));
     }
 
-    /// Counts the gateways that wrote counts for the last complete window: in each window until the number is known, then at intervals.
-    void countGateways(MonotonicTime now)
-    {
-        const auto window = windowAt(now - ReportDelay) - 1;
-        const bool isDue = gatewayCounter_.count() == 0 || window >= countedWindow_ + GatewayCountInterval;
-        if (window <= countedWindow_ || !isDue) {
-            return;
-        }
-        countedWindow_ = window;
-        countGateways(window, {}, 0);
-    }
-
-    void countGateways(UsageWindow window, const std::string &after, std::size_t known)
-    {
-        store_.range(usagecountkeys::countsPrefix(window), after, [this, window, known](const Result<StoreRange> &page) {
-            if (!page) {
-                return;
-            }
-            const auto gateways = known + page->entries_.size();
-            if (page->hasMore_ && !page->entries_.empty()) {
-                countGateways(window, page->entries_.back().key_, gateways);
-                return;
-            }
-            gatewayCounter_.record(window, gateways);
-            gatewayCounts_.send(GatewayCount{ gatewayCounter_.count() });
-        });
-    }
-
-    S &store_;
     DutySettings settings_;
-    Address<GatewayCount> gatewayCounts_;
     MonotonicTime startedAt_;
     WallTime wallStartedAt_;
     WindowCountsWriter<S> writer_;
     WindowCountsReporter<S, P> reporter_;
-    GatewayCounter gatewayCounter_;
+
+    /// Zero while unknown.
+    std::size_t gateways_ = 0;
     MonotonicTime flushedAt_;
     MonotonicTime reportedAt_;
     UsageWindow flushedWindow_ = 0;
-    UsageWindow countedWindow_ = 0;
 };
 
 } // namespace cowsliphead
--- a/src/fleet/configurationreader.h
+++ b/src/fleet/configurationreader.h
@@ -12,6 +12,7 @@
 #include "fleet/configuration.h"
 #include "fleet/configurationconfirmed.h"
 #include "fleet/fleetcodec.h"
+#include "fleet/retrybackoff.h"
 #include "fleet/storeavailability.h"
 #include "logs/log.h"
 #include "store/rangedstore.h"
@@ -28,10 +29,14 @@
 public:
     /// Callbacks for the answers of the store.
     struct Events {
-        std::function<void(std::shared_ptr<const Configuration>)> onChanged_;
+        /// text: the stored form of the configuration.
+        std::function<void(std::shared_ptr<const Configuration>, const std::string &text)> onChanged_;
 
         /// The configuration last passed to onChanged_ was the newest one when the confirming call was sent.
         std::function<void(ConfigurationConfirmed)> onConfirmed_;
+
+        /// Whether the store answered the last call.
+        std::function<void(bool)> onAnswered_;
     };
 
     /// Precondition: loop, store and clock outlive the reader.
@@ -55,9 +60,6 @@
     /// answered, the configuration is only confirmed as of the start of the one before it.
     static constexpr std::chrono::milliseconds WatchWait{ 1650 };
 
-    /// Pause after a failed call.
-    static constexpr std::chrono::milliseconds RetryPause{ 150 };
-
     void proceed()
     {
         if (isReadDue_) {
@@ -81,7 +83,7 @@
             }
             answered(answer->revision_, askedAt);
             isReadDue_ = configuration_ == nullptr;
-            nextCall_.startOnce(isReadDue_ ? RetryPause : std::chrono::milliseconds(0));
+            nextCall_.startOnce(isReadDue_ ? backoff_.next() : std::chrono::milliseconds(0));
         });
     }
 
@@ -114,7 +116,7 @@
         }
         configuration_ = std::make_shared<const Configuration>(std::move(*decoded));
         logEvent(LogEvent::ConfigurationTaken, { { "version", configuration_->version_ }, { "revision", configuration_->revision_ } });
-        events_.onChanged_(configuration_);
+        events_.onChanged_(configuration_, entry.value_);
     }
 
     void answered(StoreRevision revision, MonotonicTime askedAt)
@@ -122,7 +124,9 @@
         cursor_ = std::max(cursor_, revision);
         availability_.answered(cursor_, clock_.now());
         if (configuration_) {
+            backoff_.reset();
             events_.onConfirmed_(ConfigurationConfirmed{ askedAt });
+            events_.onAnswered_(true);
         }
     }
 
@@ -131,15 +135,17 @@
         // StoreHistoryGone means that the store is available but no longer keeps the revisions that the watch asked for.
         if (error != ErrorCode::StoreHistoryGone) {
             availability_.failed(error, cursor_, clock_.now());
+            events_.onAnswered_(false);
         }
         isReadDue_ = true;
-        nextCall_.startOnce(RetryPause);
+        nextCall_.startOnce(backoff_.next());
     }
 
     S &store_;
     const C &clock_;
     Events events_;
     StoreAvailability availability_;
+    RetryBackoff backoff_;
     Timer nextCall_;
     std::shared_ptr<const Configuration> configuration_;
     StoreRevision cursor_ = 0;
--- a/src/fleet/endpointreader.h
+++ b/src/fleet/endpointreader.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -10,6 +11,7 @@
 #include "core/errorcode.h"
 #include "fleet/endpointdirectory.h"
 #include "fleet/fleetcodec.h"
+#include "fleet/retrybackoff.h"
 #include "fleet/storeavailability.h"
 #include "logs/log.h"
 #include "store/rangedstore.h"
@@ -23,15 +25,22 @@
 class EndpointReader
 {
 public:
-    using OnChanged = std::function<void(std::vector<EndpointEntry>)>;
-
-    /// onChanged receives all endpoints that may be used. maxUseAfterLeaving: how long an endpoint may still be used after it has
-    /// announced its leaving. Precondition: loop, store and clock outlive the reader.
-    EndpointReader(EventLoop &loop, S &store, const C &clock, std::chrono::milliseconds maxUseAfterLeaving, OnChanged onChanged)
+    /// Callbacks for the answers of the store.
+    struct Events {
+        /// All endpoints that may be used, as of a revision of the store.
+        std::function<void(std::vector<EndpointEntry>, StoreRevision)> onChanged_;
+
+        /// Whether the store answered the last call.
+        std::function<void(bool)> onAnswered_;
+    };
+
+    /// maxUseAfterLeaving: how long an endpoint may still be used after it has announced its leaving. Precondition: loop, store and clock
+    /// outlive the reader.
+    EndpointReader(EventLoop &loop, S &store, const C &clock, std::chrono::milliseconds maxUseAfterLeaving, Events events)
         : store_(store)
         , clock_(clock)
-        , longestPause_(std::max(maxUseAfterLeaving / UseAfterLeavingDivisor, ShortestPause))
-        , onChanged_(std::move(onChanged))
+        , pauseAfterChange_(std::min(maxUseAfterLeaving / UseAfterLeavingDivisor, MaxPauseAfterChange))
+        , events_(std::move(events))
         , availability_("endpoints")
         , nextCall_(loop, [this] { proceed(); })
         , expiry_(loop, [this] { expire(); })
@@ -45,27 +54,31 @@
         read();
     }
 
-    /// Sets how many gateways read the entries; the pause after a change grows with it.
-    void setGatewayCount(std::size_t count)
+    /// Sets the endpoints that were known before start(). storeAwaySince: since when the store has not answered whoever read them; entries
+    /// that are missing from the first read may then only have expired. Precondition: start() was not called yet.
+    void seed(const std::vector<EndpointEntry> &endpoints, std::optional<MonotonicTime> storeAwaySince)
     {
-        pauseAfterChange_ = std::clamp(PausePerGateway * static_cast<int>(count), ShortestPause, longestPause_);
+        for (const auto &endpoint : endpoints) {
+            directory_.update(endpoint);
+        }
+        if (storeAwaySince) {
+            availability_.failed(make_error_code(ErrorCode::StoreUnavailable), cursor_, *storeAwaySince);
+        }
     }
 
 private:
-    /// How long the store holds a watch without changes. A connection that stopped responding is detected half a second after that.
-    static constexpr std::chrono::milliseconds WatchWait{ 1000 };
+    /// How long the store holds a watch without changes. A connection that stopped responding is detected half a second after that, which
+    /// adds to the time after which an endpoint's leaving is known. Entries change all the time, so a longer wait would save no calls.
+    static constexpr std::chrono::milliseconds WatchWait{ 400 };
 
-    /// Pause after a watch that reported changes. Entries are written all the time, and each answer costs another call. The pause is
-    /// proportional to the number of gateways, so that the total rate of calls stays constant as the fleet grows, and is bounded on both
-    /// sides. Longer pauses send more requests to endpoints that have left.
-    static constexpr std::chrono::milliseconds PausePerGateway{ 16 };
-    static constexpr std::chrono::milliseconds ShortestPause{ 450 };
+    /// Pause after a watch that reported changes. Entries are written all the time, and each answer costs another call. Longer pauses send
+    /// more requests to endpoints that have left.
+    static constexpr std::chrono::milliseconds MaxPauseAfterChange{ 600 };
 
-    /// maxUseAfterLeaving divided by this is the longest pause; the rest is left for detecting a connection that stopped responding.
-    static constexpr int UseAfterLeavingDivisor = 3;
+    /// maxUseAfterLeaving divided by this is the longest pause; the rest is left for detecting a connection that stopped responding, and for
+    /// passing the change on to other gateways.
+    static constexpr int UseAfterLeavingDivisor = 6;
 
-    /// Pause after a failed call.
-    static constexpr std::chrono::milliseconds RetryPause{ 150 };
     static constexpr std::chrono::milliseconds ExpiryInterval{ 250 };
 
     void proceed()
@@ -106,7 +119,7 @@
 
     void finishRead()
     {
-        availability_.answered(watchStartRevision_, clock_.now());
+        answered(watchStartRevision_);
         cursor_ = watchStartRevision_;
         std::vector<EndpointEntry> entries;
         for (const auto &page : std::exchange(pages_, {})) {
@@ -116,7 +129,7 @@
         }
         directory_.replaceAll(entries, availability_.reregistrationDeadline(clock_.now()));
         isReadDue_ = false;
-        onChanged_(directory_.entries());
+        events_.onChanged_(directory_.entries(), cursor_);
         watch();
     }
 
@@ -129,12 +142,12 @@
                 return;
             }
             cursor_ = std::max(cursor_, answer->revision_);
-            availability_.answered(cursor_, clock_.now());
+            answered(cursor_);
             for (const auto &entry : answer->entries_) {
                 apply(entry);
             }
             if (!answer->entries_.empty()) {
-                onChanged_(directory_.entries());
+                events_.onChanged_(directory_.entries(), cursor_);
             }
             nextCall_.startOnce(answer->entries_.empty() ? std::chrono::milliseconds(0) : pauseAfterChange_);
         });
@@ -172,25 +185,33 @@
     void expire()
     {
         if (directory_.expire(clock_.now())) {
-            onChanged_(directory_.entries());
+            events_.onChanged_(directory_.entries(), cursor_);
         }
     }
 
+    void answered(StoreRevision revision)
+    {
+        backoff_.reset();
+        availability_.answered(revision, clock_.now());
+        events_.onAnswered_(true);
+    }
+
     void failed(std::error_code error)
     {
         // StoreHistoryGone means that the store is available, so entries missing from the next full read belong to endpoints that have left.
         if (error != ErrorCode::StoreHistoryGone) {
             availability_.failed(error, cursor_, clock_.now());
+            events_.onAnswered_(false);
         }
-        nextCall_.startOnce(RetryPause);
+        nextCall_.startOnce(backoff_.next());
     }
 
     S &store_;
     const C &clock_;
-    std::chrono::milliseconds longestPause_;
-    std::chrono::milliseconds pauseAfterChange_{ ShortestPause };
-    OnChanged onChanged_;
+    std::chrono::milliseconds pauseAfterChange_;
+    Events events_;
     StoreAvailability availability_;
+    RetryBackoff backoff_;
     EndpointDirectory directory_;
     Timer nextCall_;
     Timer expiry_;
--- a/src/fleet/gatewaycount.h
+++ b/src/fleet/gatewaycount.h
@@ -5,7 +5,7 @@
 namespace cowsliphead
 {
 
-/// The number of gateways that wrote usage counts to the store in recent windows.
+/// The number of gateways of the fleet, as the relays know it.
 struct GatewayCount {
     std::size_t count_ = 0;
 };
--- a/src/fleet/registry.h
+++ b/src/fleet/registry.h
@@ -1,35 +1,39 @@
 #pragma once
 
-#include <memory>
+#include <optional>
 #include <utility>
 #include <vector>
 
 #include "fleet/configurationreader.h"
 #include "fleet/endpointreader.h"
-#include "fleet/registrylinks.h"
+#include "fleet/registryevents.h"
 
 namespace cowsliphead
 {
 
-/// Follows the configuration and the endpoints' entries in the store and sends a new snapshot to its receivers after each change.
-/// Thread safety: the loop's task only.
+/// Follows the configuration and the endpoints' entries in the store. Thread safety: the loop's task only.
 template <RangedStore S, FleetCodec Codec, Clock C>
 class Registry
 {
 public:
     /// maxUseAfterLeaving: how long an endpoint may still be used after it has announced its leaving. Precondition: loop, store and
     /// clock outlive the registry.
-    Registry(EventLoop &loop, S &store, const C &clock, std::chrono::milliseconds maxUseAfterLeaving, RegistryLinks links)
-        : links_(std::move(links))
+    Registry(EventLoop &loop, S &store, const C &clock, std::chrono::milliseconds maxUseAfterLeaving, RegistryEvents events)
+        : events_(std::move(events))
         , configurations_(loop,
                           store,
                           clock,
-                          { [this](std::shared_ptr<const Configuration> configuration) { setConfiguration(std::move(configuration)); },
-                            [this](ConfigurationConfirmed confirmation) { links_.configurationConfirmations_.send(confirmation); } })
-        , endpoints_(loop, store, clock, maxUseAfterLeaving, [this](std::vector<EndpointEntry> endpoints) { setEndpoints(std::move(endpoints)); })
+                          { events_.onConfiguration_, events_.onConfirmed_, [this](bool isAnswered) { answered(isConfigurationAnswered_, isAnswered); } })
+        , endpoints_(loop, store, clock, maxUseAfterLeaving, { events_.onEndpoints_, [this](bool isAnswered) { answered(areEndpointsAnswered_, isAnswered); } })
     {
     }
 
+    /// Sets the endpoints known before start(); see EndpointReader::seed(). Precondition: start() was not called yet.
+    void seed(const std::vector<EndpointEntry> &endpoints, std::optional<MonotonicTime> storeAwaySince)
+    {
+        endpoints_.seed(endpoints, storeAwaySince);
+    }
+
     /// Reads the configuration and all entries, then watches both for changes. Precondition: called once.
     void start()
     {
@@ -37,33 +41,22 @@
         endpoints_.start();
     }
 
-    /// Sets how many gateways follow the store.
-    void setGatewayCount(std::size_t count)
-    {
-        endpoints_.setGatewayCount(count);
-    }
-
 private:
-    void setConfiguration(std::shared_ptr<const Configuration> configuration)
-    {
-        snapshot_.configuration_ = std::move(configuration);
-        publish();
-    }
-
-    void setEndpoints(std::vector<EndpointEntry> endpoints)
-    {
-        snapshot_.endpoints_ = std::make_shared<const std::vector<EndpointEntry>>(std::move(endpoints));
-        publish();
-    }
-
-    void publish()
+    void answered(bool &isReaderAnswered, bool isAnswered)
     {
-        links_.snapshots_.send(snapshot_);
-        links_.dutySnapshots_.send(snapshot_);
+        isReaderAnswered = isAnswered;
+        const bool isReachable = isConfigurationAnswered_ && areEndpointsAnswered_;
+        // Until both readers have an answer, only a failure is a result.
+        if ((isReachable || !isAnswered) && isReachable_ != isReachable) {
+            isReachable_ = isReachable;
+            events_.onReachable_(isReachable);
+        }
     }
 
-    RegistryLinks links_;
-    FleetSnapshot snapshot_{ nullptr, std::make_shared<const std::vector<EndpointEntry>>() };
+    RegistryEvents events_;
+    bool isConfigurationAnswered_ = false;
+    bool areEndpointsAnswered_ = false;
+    std::optional<bool> isReachable_;
     ConfigurationReader<S, Codec, C> configurations_;
     EndpointReader<S, Codec, C> endpoints_;
 };
--- a/src/gateway/dutytask.h
+++ b/src/gateway/dutytask.h
@@ -18,11 +18,11 @@
     using Behaviour = DutyBehaviour<typename P::Store, typename P::DutyApi, SystemClock>;
     using Message = typename Behaviour::Message;
 
-    /// incarnation: unique identifier of this process. counts: receives the number of gateways. Precondition: the loop outlives the task.
-    DutyTask(EventLoop &loop, const GatewayDaemonSettings &settings, const InstanceId &incarnation, Address<GatewayCount> counts)
+    /// incarnation: unique identifier of this process. Precondition: the loop outlives the task.
+    DutyTask(EventLoop &loop, const GatewayDaemonSettings &settings, const InstanceId &incarnation)
         : store_(loop, settings.store_)
         , platform_(loop, settings.platform_, incarnation.value())
-        , behaviour_(loop, store_, platform_, clock_, settings.duty_, incarnation, std::move(counts))
+        , behaviour_(loop, store_, platform_, clock_, settings.duty_, incarnation)
     {
         behaviour_.start();
     }
--- a/src/gateway/endpointstate.h
+++ b/src/gateway/endpointstate.h
@@ -1,12 +1,16 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 
+#include "core/time.h"
 #include "fleet/endpointentry.h"
 #include "gateway/latencyratio.h"
 #include "gateway/prefillqueue.h"
+#include "relay/endpointload.h"
 
 namespace cowsliphead
 {
@@ -16,10 +20,21 @@
 /// This gateway's state of an endpoint.
 struct EndpointState {
     EndpointEntry entry_;
+    EndpointKey key_ = 0;
 
     /// Requests of this gateway that the endpoint is processing.
     std::uint32_t running_ = 0;
 
+    /// What the other gateways have placed here, and when that was reported.
+    EndpointLoad others_;
+    MonotonicTime othersAt_;
+
+    /// What the other gateways have placed here; nothing if no recent report tells. Thread safety: owner task only.
+    std::optional<EndpointLoad> loadOfOthers(MonotonicTime now) const
+    {
+        return now - othersAt_ <= ReportLifetime ? std::optional<EndpointLoad>(others_) : std::nullopt;
+    }
+
     /// Prompts of this gateway that the endpoint has yet to read.
     PrefillQueue prefillQueue_;
     LatencyRatio latencyRatio_;
@@ -29,6 +44,10 @@
 
     /// False once the endpoint was removed; running dispatches keep the state alive.
     bool isListed_ = true;
+
+private:
+    /// Older reports say less than what this gateway sees itself.
+    static constexpr std::chrono::milliseconds ReportLifetime{ 1500 };
 };
 
 } // namespace cowsliphead
--- a/src/gateway/endpointtable.cpp
+++ b/src/gateway/endpointtable.cpp
@@ -40,6 +40,7 @@
             known != states_.end() && known->second->entry_.incarnation_ == entry.incarnation_ && known->second->entry_.address_ == entry.address_;
         auto state = isSame ? known->second : std::make_shared<EndpointState>();
         state->entry_ = entry;
+        state->key_ = endpointKeyOf(entry.id_);
         states.emplace(entry.id_, std::move(state));
     }
     for (const auto &[id, state] : states_) {
@@ -76,19 +77,44 @@
         states_.begin(), states_.end(), [&](const auto &item) { return item.second->entry_.service_ == service && item.second->entry_.stage_ == stage; });
 }
 
-double EndpointTable::occupancy(const ServiceName &service, EngineStage stage) const
+double EndpointTable::occupancy(const ServiceName &service, EngineStage stage, std::size_t gateways, MonotonicTime now) const
 {
     double running = 0;
     double slots = 0;
     for (const auto &[id, state] : states_) {
         if (state->entry_.service_ == service && state->entry_.stage_ == stage) {
-            running += state->running_;
+            const auto others = state->loadOfOthers(now);
+            const double factor = others ? 1.0 : static_cast<double>(std::max<std::size_t>(1, gateways));
+            running += state->running_ * factor + (others ? others->running_ : 0);
             slots += state->entry_.slots_;
         }
     }
     return slots > 0 ? running / slots : 0;
 }
 
+void EndpointTable::setLoadOfOthers(const EndpointLoads &loads, MonotonicTime now)
+{
+    for (const auto &[id, state] : states_) {
+        const auto found =
+            std::lower_bound(loads.begin(), loads.end(), state->key_, [](const EndpointLoad &load, EndpointKey key) { return load.endpoint_ < key; });
+        const bool isLoaded = found != loads.end() && found->endpoint_ == state->key_;
+        state->others_ = isLoaded ? *found : EndpointLoad{ state->key_, 0, 0 };
+        state->othersAt_ = now;
+    }
+}
+
+EndpointLoads EndpointTable::localLoads() const
+{
+    EndpointLoads loads;
+    for (const auto &[id, state] : states_) {
+        if (state->running_ > 0 || !state->prefillQueue_.isEmpty()) {
+            loads.push_back({ state->key_, state->running_, state->prefillQueue_.tokens() });
+        }
+    }
+    std::sort(loads.begin(), loads.end());
+    return loads;
+}
+
 std::shared_ptr<ClientConnection> EndpointTable::acquireConnection(EndpointState &state, bool isNew, MonotonicTime now)
 {
     while (!isNew && !state.idle_.empty()) {
--- a/src/gateway/endpointtable.h
+++ b/src/gateway/endpointtable.h
@@ -40,8 +40,15 @@
     /// True if an engine of this stage is listed.
     bool hasStage(const ServiceName &service, EngineStage stage) const;
 
-    /// Share of these engines' slots that requests of this gateway occupy.
-    double occupancy(const ServiceName &service, EngineStage stage) const;
+    /// Share of these engines' slots that requests of all gateways occupy. Where the load of the others is not known, each of the gateways
+    /// is taken to occupy as many as this one.
+    double occupancy(const ServiceName &service, EngineStage stage, std::size_t gateways, MonotonicTime now) const;
+
+    /// Sets what the other gateways have placed at the endpoints; those that are not listed have nothing of them.
+    void setLoadOfOthers(const EndpointLoads &loads, MonotonicTime now);
+
+    /// What this gateway has placed at the endpoints.
+    EndpointLoads localLoads() const;
 
     /// Returns an idle connection, or a new one if there is none or isNew is set.
     std::shared_ptr<ClientConnection> acquireConnection(EndpointState &state, bool isNew, MonotonicTime now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,6 +15,8 @@
 #include "http1/listener.h"
 #include "metrics/metricsquery.h"
 #include "metrics/metricsreport.h"
+#include "relay/fleetload.h"
+#include "relay/loadquery.h"
 #include "serve/drainrequest.h"
 
 namespace cowsliphead
@@ -25,7 +27,7 @@
 class Gateway
 {
 public:
-    using Message = std::variant<FleetSnapshot, ConfigurationConfirmed, GatewayCount, GatewayBounds, DrainRequest, MetricsQuery>;
+    using Message = std::variant<FleetSnapshot, ConfigurationConfirmed, GatewayCount, FleetLoad, LoadQuery, GatewayBounds, DrainRequest, MetricsQuery>;
 
     /// usage and spans receive a message for each request. Precondition: the loop outlives the gateway.
     Gateway(EventLoop &loop, GatewaySettings settings, Address<RequestStarted> usage, Address<Span> spans)
@@ -77,6 +79,16 @@
         context_.gatewayCount_ = count.count_;
     }
 
+    void handle(const FleetLoad &load)
+    {
+        context_.endpoints_.setLoadOfOthers(load.loads_, context_.clock_.now());
+    }
+
+    void handle(const LoadQuery &query)
+    {
+        query.answerTo_.send({ context_.endpoints_.localLoads() });
+    }
+
     /// Applies changed bounds to later checks. Nothing that was decided under the old bounds is revised; a drain that has begun keeps its
     /// schedule.
     void handle(const GatewayBounds &bounds)
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -47,10 +46,10 @@
         return found->second;
     }
 
-    /// Share of the decode engines' slots that all gateways occupy, assuming that each occupies as many as this one.
+    /// Share of the decode engines' slots that all gateways occupy.
     double decodeOccupancy(const ServiceName &service) const
     {
-        return endpoints_.occupancy(service, EngineStage::Decode) * static_cast<double>(std::max<std::size_t>(1, gatewayCount_));
+        return endpoints_.occupancy(service, EngineStage::Decode, gatewayCount_, clock_.now());
     }
 };
 
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -9,7 +9,7 @@
 #include "gateway/dutytask.h"
 #include "gateway/gateway.h"
 #include "gateway/gatewaydaemonsettings.h"
-#include "gateway/registrytask.h"
+#include "gateway/relaytask.h"
 #include "logs/log.h"
 #include "metrics/metricsbehaviour.h"
 #include "task/listening.h"
@@ -33,14 +33,20 @@
         if (!port) {
             return port;
         }
-        startRegistry(settings);
+        const auto peerPort = startRelay(settings, incarnation);
+        if (!peerPort) {
+            return peerPort;
+        }
         startDuties(settings, incarnation);
         const auto metricsPort = startMetrics(settings.metrics_);
         if (!metricsPort) {
             return metricsPort;
         }
         logEvent(LogEvent::DaemonStarted,
-                 { { "incarnation", incarnation.value() }, { "port", std::uint64_t(*port) }, { "metricsPort", std::uint64_t(*metricsPort) } });
+                 { { "incarnation", incarnation.value() },
+                   { "port", std::uint64_t(*port) },
+                   { "peerPort", std::uint64_t(*peerPort) },
+                   { "metricsPort", std::uint64_t(*metricsPort) } });
         return port;
     }
 
@@ -55,11 +61,12 @@
     {
         logEvent(LogEvent::DrainStarted);
         duty_.send(DrainRequest{});
+        relay_.send(DrainRequest{});
         gateway_.send(DrainRequest{});
         gateway_.join();
         duty_.send(UsageComplete{});
         duty_.join();
-        registry_.stop();
+        relay_.stop();
         metrics_.stop();
         traces_.stop();
         logEvent(LogEvent::DaemonStopped);
@@ -90,22 +97,33 @@
             [](GatewayTask &gateway) { return gateway.listen(); });
     }
 
-    void startRegistry(const GatewayDaemonSettings &settings)
+    Result<std::uint16_t> startRelay(const GatewayDaemonSettings &settings, const InstanceId &incarnation)
     {
-        const RegistryLinks links{ gateway_.template address<FleetSnapshot>(),
-                                   duty_.template address<FleetSnapshot>(),
-                                   gateway_.template address<ConfigurationConfirmed>() };
-        registry_.start([settings, links](EventLoop &loop) { return std::make_unique<RegistryTask<P>>(loop, settings, links); });
+        const RelayLinks links{
+            .snapshots_ = Address<FleetSnapshot>(
+                [gateway = gateway_.template address<FleetSnapshot>(), duty = duty_.template address<FleetSnapshot>()](const FleetSnapshot &snapshot) {
+                    gateway.send(snapshot);
+                    duty.send(snapshot);
+                }),
+            .configurationConfirmations_ = gateway_.template address<ConfigurationConfirmed>(),
+            .gatewayCounts_ = Address<GatewayCount>(
+                [gateway = gateway_.template address<GatewayCount>(), duty = duty_.template address<GatewayCount>()](const GatewayCount &count) {
+                    gateway.send(count);
+                    duty.send(count);
+                }),
+            .loadQueries_ = gateway_.template address<LoadQuery>(),
+            .loads_ = gateway_.template address<FleetLoad>(),
+            .localLoads_ = relay_.template address<LocalLoad>(),
+        };
+        return startListening(
+            relay_,
+            [settings, incarnation, links](EventLoop &loop) { return std::make_unique<RelayTask<P>>(loop, settings, incarnation, links); },
+            [](RelayTask<P> &relay) { return relay.listen(); });
     }
 
     void startDuties(const GatewayDaemonSettings &settings, const InstanceId &incarnation)
     {
-        const Address<GatewayCount> counts(
-            [gateway = gateway_.template address<GatewayCount>(), registry = registry_.template address<GatewayCount>()](const GatewayCount &count) {
-                gateway.send(count);
-                registry.send(count);
-            });
-        duty_.start([settings, incarnation, counts](EventLoop &loop) { return std::make_unique<DutyTask<P>>(loop, settings, incarnation, counts); });
+        duty_.start([settings, incarnation](EventLoop &loop) { return std::make_unique<DutyTask<P>>(loop, settings, incarnation); });
     }
 
     Result<std::uint16_t> startMetrics(const MetricsSettings &settings)
@@ -121,7 +139,7 @@
     }
 
     Task<GatewayTask> gateway_;
-    Task<RegistryTask<P>> registry_;
+    Task<RelayTask<P>> relay_;
     Task<DutyTask<P>> duty_;
     Task<MetricsBehaviour> metrics_;
     Task<SpanExporterBehaviour> traces_;
--- a/src/gateway/gatewaydaemonsettings.h
+++ b/src/gateway/gatewaydaemonsettings.h
@@ -1,11 +1,10 @@
 #pragma once
 
-#include <chrono>
-
 #include "duty/dutysettings.h"
 #include "gateway/gatewaysettings.h"
 #include "http1/socketaddress.h"
 #include "metrics/metricssettings.h"
+#include "relay/relaysettings.h"
 #include "traces/tracesettings.h"
 
 namespace cowsliphead
@@ -17,15 +16,13 @@
     DutySettings duty_;
     MetricsSettings metrics_;
     TraceSettings traces_;
+    RelaySettings relay_;
 
     /// Address of the platform's store.
     SocketAddress store_;
 
     /// Address of the platform's API for duties.
     SocketAddress platform_;
-
-    /// How long an endpoint may still be used after the store confirmed that it leaves.
-    std::chrono::milliseconds endpointLeaveBound_{ 2000 };
 };
 
 } // namespace cowsliphead
--- a/src/gateway/parsegatewaysettings.cpp
+++ b/src/gateway/parsegatewaysettings.cpp
@@ -49,6 +49,15 @@
     settings.metrics_.isEnabled_ = settings.metrics_.port_ != 0;
 }
 
+void readPeer(FieldReader &fields, GatewayDaemonSettings &settings)
+{
+    settings.relay_.domain_ = settings.gateway_.domain_;
+    if (!fields.textOr("peer", {}).empty()) {
+        const auto address = readAddress(fields, "peer", parseListenAddress);
+        settings.relay_.address_ = PeerAddress{ address.host_, address.port_ };
+    }
+}
+
 void readTraces(FieldReader &fields, GatewayDaemonSettings &settings)
 {
     settings.traces_.file_ = fields.textOr("traceFile", {});
@@ -65,7 +74,7 @@
     bounds.stopGrace_ = fields.millisecondsOr("stopGraceMs", bounds.stopGrace_);
     bounds.retryRatio_ = static_cast<double>(fields.numberOr("retryPercent", 20, 0, LargestPercent)) / Percent;
     bounds.retryReserve_ = static_cast<double>(fields.numberOr("retryReserve", 0, 0, LargestReserve));
-    settings.endpointLeaveBound_ = fields.millisecondsOr("endpointLeaveMs", settings.endpointLeaveBound_);
+    settings.relay_.endpointLeaveBound_ = fields.millisecondsOr("endpointLeaveMs", settings.relay_.endpointLeaveBound_);
     settings.duty_.windowLength_ = fields.millisecondsOr("usageWindowMs", settings.duty_.windowLength_);
     settings.duty_.reportDeadline_ = fields.millisecondsOr("usageReportMs", settings.duty_.reportDeadline_);
     settings.duty_.leaseDuration_ = fields.millisecondsOr("leaseMs", settings.duty_.leaseDuration_);
@@ -83,6 +92,7 @@
     GatewayDaemonSettings settings;
     readIdentity(fields, settings);
     readAddresses(fields, settings);
+    readPeer(fields, settings);
     readTraces(fields, settings);
     readBounds(fields, settings);
     if (fields.firstError()) {
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -28,12 +28,14 @@
 /// time.
 constexpr std::chrono::milliseconds RemoteDomainPenalty{ 10 };
 
-double loadOf(const EndpointState &state, const FailureDomain &localDomain)
+double loadOf(const EndpointState &state, const FailureDomain &localDomain, MonotonicTime now)
 {
+    const auto others = state.loadOfOthers(now).value_or(EndpointLoad{});
     const double slots = std::max<std::uint32_t>(1, state.entry_.slots_);
     const double domainFactor = state.entry_.domain_ == localDomain ? 1.0 : RemoteDomainFactor;
-    const double prefillFactor = state.prefillQueue_.isEmpty() ? 1.0 : PrefillingFactor;
-    return (state.running_ + 1) / slots * state.latencyRatio_.value() * domainFactor * prefillFactor;
+    const bool isReading = !state.prefillQueue_.isEmpty() || others.promptTokens_ > 0;
+    const double prefillFactor = isReading ? PrefillingFactor : 1.0;
+    return (state.running_ + others.running_ + 1) / slots * state.latencyRatio_.value() * domainFactor * prefillFactor;
 }
 
 std::uint64_t rankOf(const std::string &sharedParts, const EndpointState &state)
@@ -43,12 +45,12 @@
 
 } // namespace
 
-EndpointState *leastLoaded(const Candidates &candidates, const FailureDomain &localDomain, std::mt19937_64 &random)
+EndpointState *leastLoaded(const Candidates &candidates, const FailureDomain &localDomain, MonotonicTime now, std::mt19937_64 &random)
 {
     Candidates best;
     double bestLoad = 0;
     for (auto *candidate : candidates) {
-        const double load = loadOf(*candidate, localDomain);
+        const double load = loadOf(*candidate, localDomain, now);
         if (best.empty() || load < bestLoad) {
             best = { candidate };
             bestLoad = load;
@@ -59,6 +61,13 @@
     return best.empty() ? nullptr : best[random() % best.size()];
 }
 
+std::chrono::milliseconds prefillWait(const EndpointState &state, std::size_t gateways, MonotonicTime now)
+{
+    const auto own = state.prefillQueue_.tokens();
+    const auto others = state.loadOfOthers(now);
+    return state.prefillQueue_.waitTime(now, others ? own + others->promptTokens_ : own * std::max<std::size_t>(1, gateways));
+}
+
 PrefillChoice prefillEngine(const std::string &sharedParts, const Candidates &candidates, std::size_t gateways, MonotonicTime now)
 {
     if (candidates.empty()) {
@@ -70,10 +79,10 @@
     });
     EndpointState *primary = ranked.front();
     EndpointState *best = primary;
-    auto shortestWait = primary->prefillQueue_.waitTime(now, gateways);
+    auto shortestWait = prefillWait(*primary, gateways, now);
     ranked.resize(std::min(ranked.size(), MaxPrefillCandidates));
     for (auto *candidate : ranked) {
-        const auto wait = candidate->prefillQueue_.waitTime(now, gateways) + FetchPenalty;
+        const auto wait = prefillWait(*candidate, gateways, now) + FetchPenalty;
         if (candidate != primary && wait < shortestWait) {
             best = candidate;
             shortestWait = wait;
@@ -97,7 +106,7 @@
 EndpointState *shortestQueue(const Candidates &candidates, const FailureDomain &localDomain, std::size_t gateways, MonotonicTime now)
 {
     const auto waitOf = [&](const EndpointState *state) {
-        return state->prefillQueue_.waitTime(now, gateways) + (state->entry_.domain_ == localDomain ? std::chrono::milliseconds(0) : RemoteDomainPenalty);
+        return prefillWait(*state, gateways, now) + (state->entry_.domain_ == localDomain ? std::chrono::milliseconds(0) : RemoteDomainPenalty);
     };
     const auto shortest = std::min_element(
         candidates.begin(), candidates.end(), [&](const EndpointState *left, const EndpointState *right) { return waitOf(left) < waitOf(right); });
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -20,7 +20,11 @@
 
 /// Returns the endpoint with the lowest load relative to its speed, preferring localDomain unless another domain's load is much lower. Ties
 /// are broken at random. Null without candidates. Thread safety: owner task only.
-EndpointState *leastLoaded(const Candidates &candidates, const FailureDomain &localDomain, std::mt19937_64 &random);
+EndpointState *leastLoaded(const Candidates &candidates, const FailureDomain &localDomain, MonotonicTime now, std::mt19937_64 &random);
+
+/// Estimates how long a prompt that is sent now waits at an engine. Where the load of the other gateways is not known, each of the gateways is
+/// taken to have sent as much as this one. Thread safety: owner task only.
+std::chrono::milliseconds prefillWait(const EndpointState &state, std::size_t gateways, MonotonicTime now);
 
 /// Chooses the engine that reads a prompt, by rendezvous hashing of the prompt's shared parts: all gateways get the same ranking, and the
 /// first engine, the primary, keeps the parts cached. If its queue is long, the second engine reads the prompt. Each of the two fetches
--- a/src/gateway/prefillqueue.cpp
+++ b/src/gateway/prefillqueue.cpp
@@ -33,14 +33,14 @@
     delayAt_ = now;
 }
 
-std::chrono::milliseconds PrefillQueue::waitTime(MonotonicTime now, std::size_t gateways) const
+std::chrono::milliseconds PrefillQueue::waitTime(MonotonicTime now, std::uint64_t tokensAhead) const
 {
-    const auto ownWait = prefillTime(tokens_ * std::max<std::size_t>(1, gateways));
+    const auto knownWait = prefillTime(tokensAhead);
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - delayAt_);
     if (age >= DelayLifetime) {
-        return ownWait;
+        return knownWait;
     }
-    return std::max(ownWait, delay_ * (DelayLifetime - age).count() / DelayLifetime.count());
+    return std::max(knownWait, delay_ * (DelayLifetime - age).count() / DelayLifetime.count());
 }
 
 std::chrono::milliseconds PrefillQueue::prefillTime(std::uint64_t tokens)
--- a/src/gateway/prefillqueue.h
+++ b/src/gateway/prefillqueue.h
@@ -9,8 +9,8 @@
 namespace cowsliphead
 {
 
-/// Estimates how long a prompt waits at an engine before it is read, from this gateway's own prompts and from how long the last
-/// ones took. Other gateways' prompts show only in the latter.
+/// Estimates how long a prompt waits at an engine before it is read, from the tokens ahead of it and from how long this
+/// gateway's last ones took.
 /// Thread safety: owner task only unless a member states otherwise.
 class PrefillQueue
 {
@@ -24,9 +24,15 @@
     /// A prompt was read; duration: time since it was sent.
     void addMeasurement(std::uint64_t tokens, std::chrono::nanoseconds duration, MonotonicTime now);
 
-    /// Estimates how long a prompt that is sent now will wait before it is read. Assumes that each of the gateways has sent as many tokens as
-    /// this one.
-    std::chrono::milliseconds waitTime(MonotonicTime now, std::size_t gateways) const;
+    /// Estimates how long a prompt that is sent now will wait before it is read. tokensAhead: what the engine has yet to read, of all
+    /// gateways.
+    std::chrono::milliseconds waitTime(MonotonicTime now, std::uint64_t tokensAhead) const;
+
+    /// Tokens of this gateway's prompts that are waiting.
+    std::uint64_t tokens() const
+    {
+        return tokens_;
+    }
 
     /// True if no prompt of this gateway is waiting.
     bool isEmpty() const
--- a/src/gateway/requestrouter.cpp
+++ b/src/gateway/requestrouter.cpp
@@ -92,7 +92,7 @@
     }
     const auto now = context_.clock_.now();
     const auto choice = placement::prefillEngine(sharedParts_, prefillEngines(), context_.gatewayCount_, now);
-    return choice.engine_ != nullptr && choice.engine_->prefillQueue_.waitTime(now, context_.gatewayCount_) > BusyPrefillWait;
+    return choice.engine_ != nullptr && placement::prefillWait(*choice.engine_, context_.gatewayCount_, now) > BusyPrefillWait;
 }
 
 /// A short prompt is read by the decode engine, unless the decode engines are busy and a prefill engine is idle.
@@ -103,7 +103,7 @@
     }
     const auto now = context_.clock_.now();
     const auto *idle = placement::shortestQueue(prefillEngines(), context_.settings_.domain_, context_.gatewayCount_, now);
-    return idle != nullptr && idle->prefillQueue_.waitTime(now, context_.gatewayCount_) < IdleQueueWait;
+    return idle != nullptr && placement::prefillWait(*idle, context_.gatewayCount_, now) < IdleQueueWait;
 }
 
 placement::Candidates RequestRouter::prefillEngines() const
@@ -157,7 +157,7 @@
     const auto now = context_.clock_.now();
     const auto candidates = runCandidates();
     auto *chosen = readsPromptItself(isPromptRead) ? placement::prefillEngine(sharedParts_, candidates, context_.gatewayCount_, now).engine_
-                                                   : placement::leastLoaded(candidates, context_.settings_.domain_, context_.random_);
+                                                   : placement::leastLoaded(candidates, context_.settings_.domain_, now, context_.random_);
     if (chosen != nullptr) {
         triedEndpoints_.insert(chosen->entry_.id_);
     }
--- a/src/logs/eventcatalogue.cpp
+++ b/src/logs/eventcatalogue.cpp
@@ -67,6 +67,8 @@
       LogLevel::Warning,
       "usage_counts_lost",
       "Counts of a window were lost: the store did not accept them in time, or they cannot be decoded." },
+    { LogEvent::PeerMessageMalformed, LogLevel::Warning, "peer_message_malformed", "A message of another gateway cannot be decoded and is ignored." },
+    { LogEvent::RelayEntryMalformed, LogLevel::Warning, "relay_entry_malformed", "The entry that names a failure domain's relay cannot be decoded." },
 });
 
 }
--- a/src/logs/logevent.h
+++ b/src/logs/logevent.h
@@ -64,7 +64,9 @@
     UsageReported = 701,
     UsageCountsLost = 702,
 
-    // 800 to 899: reserved for peers and membership
+    // 800 to 899: peers and membership
+    PeerMessageMalformed = 800,
+    RelayEntryMalformed = 801,
 };
 
 } // namespace cowsliphead
--- a/src/peer/peercodec.cpp
+++ b/src/peer/peercodec.cpp
@@ -3,9 +3,7 @@
 #include <cstdint>
 #include <vector>
 
-#include <msgpack.hpp>
-
-#include "core/errorcode.h"
+#include "peer/messagepack.h"
 
 namespace cowsliphead::peercodec
 {
@@ -147,26 +145,6 @@
     return plain;
 }
 
-template <typename Wire>
-std::string pack(const Wire &wire)
-{
-    msgpack::sbuffer buffer;
-    msgpack::pack(buffer, wire);
-    return { buffer.data(), buffer.size() };
-}
-
-template <typename Wire>
-Result<Wire> unpack(std::string_view bytes)
-{
-    try {
-        return msgpack::unpack(bytes.data(), bytes.size()).get().as<Wire>();
-    } catch (const msgpack::unpack_error &) {
-        return failure(ErrorCode::CodecMalformed);
-    } catch (const msgpack::type_error &) {
-        return failure(ErrorCode::CodecMalformed);
-    }
-}
-
 } // namespace
 
 std::string encode(const RecordQuery &query)
@@ -179,7 +157,7 @@
     wire.name_ = query.lastSnapshotKey_.name_;
     wire.members_ = allToWire<WireMember>(query.members_);
     wire.wantsAllMembers_ = query.wantsAllMembers_;
-    return pack(wire);
+    return messagepack::pack(wire);
 }
 
 std::string encode(const RecordAnswer &answer)
@@ -193,12 +171,12 @@
     wire.records_ = answer.records_;
     wire.isLastPart_ = answer.isLastPart_;
     wire.members_ = allToWire<WireMember>(answer.members_);
-    return pack(wire);
+    return messagepack::pack(wire);
 }
 
 Result<RecordQuery> decodeQuery(std::string_view bytes)
 {
-    const auto wire = unpack<WireQuery>(bytes);
+    const auto wire = messagepack::unpack<WireQuery>(bytes);
     if (!wire) {
         return tl::unexpected(wire.error());
     }
@@ -214,7 +192,7 @@
 
 Result<RecordAnswer> decodeAnswer(std::string_view bytes)
 {
-    auto wire = unpack<WireAnswer>(bytes);
+    auto wire = messagepack::unpack<WireAnswer>(bytes);
     if (!wire) {
         return tl::unexpected(wire.error());
     }
--- a/src/peer/peerserver.cpp
+++ b/src/peer/peerserver.cpp
@@ -1,13 +1,11 @@
 #include "peer/peerserver.h"
 
-#include <string>
 #include <utility>
 
 #include <nng/protocol/reqrep0/rep.h>
 
 #include "core/errorcode.h"
 #include "peer/nngsocket.h"
-#include "peer/peercodec.h"
 #include "peer/peerurl.h"
 
 namespace cowsliphead
@@ -39,14 +37,13 @@
 
 void PeerServer::handle(nng_msg *message)
 {
-    const auto query = peercodec::decodeQuery({ static_cast<const char *>(nng_msg_body(message)), nng_msg_len(message) });
-    if (!query) {
+    const auto answer = handler_({ static_cast<const char *>(nng_msg_body(message)), nng_msg_len(message) });
+    if (!answer) {
         nng_msg_free(message);
         return;
     }
-    const auto answer = peercodec::encode(handler_(*query));
     nng_msg_clear(message);
-    nng_msg_append(message, answer.data(), answer.size());
+    nng_msg_append(message, answer->data(), answer->size());
     // An answer that cannot be sent at once is dropped; the peer repeats its query.
     if (nng_sendmsg(socket_->handle(), message, NNG_FLAG_NONBLOCK) != 0) {
         nng_msg_free(message);
--- a/src/peer/peerserver.h
+++ b/src/peer/peerserver.h
@@ -3,13 +3,14 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
 
 #include <nng/nng.h>
 
 #include "core/result.h"
 #include "decide/peeraddress.h"
-#include "peer/recordanswer.h"
-#include "peer/recordquery.h"
 
 namespace cowsliphead
 {
@@ -21,7 +22,8 @@
 class PeerServer
 {
 public:
-    using Handler = std::function<RecordAnswer(const RecordQuery &)>;
+    /// Returns the encoded answer to an encoded query, or nothing to leave a malformed one without an answer.
+    using Handler = std::function<std::optional<std::string>(std::string_view)>;
 
     /// Precondition: the loop outlives the server.
     PeerServer(EventLoop &loop, Handler handler);
--- /dev/null
+++ b/src/relay/relayanswer.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "relay/endpointload.h"
+#include "relay/gatewaymember.h"
+#include "relay/relaystatus.h"
+#include "relay/textupdate.h"
+
+namespace cowsliphead
+{
+
+/// The answer to a RelayQuery.
+struct RelayAnswer {
+    GatewayMember from_;
+    RelayStatus status_;
+
+    /// The newest configuration that the answering gateway has; 0 for none.
+    std::uint64_t configuration_ = 0;
+
+    /// When it was last confirmed as the newest one, as time before the answer; absent if it never was.
+    std::optional<std::chrono::milliseconds> configurationAge_;
+
+    /// Absent if the asking gateway has the newest ones already.
+    std::optional<TextUpdate> configurationUpdate_;
+    std::optional<TextUpdate> endpointUpdate_;
+
+    /// The gateways of the failure domain, if their version differs from the one that the asking gateway has.
+    std::uint64_t membersVersion_ = 0;
+    std::optional<std::vector<GatewayMember>> members_;
+
+    /// Number of gateways: of the fleet, or of the failure domain if a relay asks; 0 while unknown.
+    std::uint64_t gateways_ = 0;
+
+    /// What the gateways of the fleet, the asking one included, have placed at each endpoint; of the failure domain only if a relay asks.
+    EndpointLoads loads_;
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/relay/relaymessagecodec.cpp
@@ -0,0 +1,268 @@
+#include "relay/relaymessagecodec.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "peer/messagepack.h"
+
+namespace cowsliphead::relaymessagecodec
+{
+
+namespace
+{
+
+struct WireAddress {
+    std::string host_;
+    std::uint16_t port_ = 0;
+
+    MSGPACK_DEFINE_ARRAY(host_, port_)
+};
+
+struct WireMember {
+    std::string incarnation_;
+    std::string domain_;
+    WireAddress address_;
+
+    MSGPACK_DEFINE_ARRAY(incarnation_, domain_, address_)
+};
+
+struct WireLoad {
+    EndpointKey endpoint_ = 0;
+    std::uint32_t running_ = 0;
+    std::uint64_t promptTokens_ = 0;
+
+    MSGPACK_DEFINE_ARRAY(endpoint_, running_, promptTokens_)
+};
+
+struct WireUpdate {
+    std::uint64_t revision_ = 0;
+    std::uint64_t baseRevision_ = 0;
+    std::string bytes_;
+
+    MSGPACK_DEFINE_ARRAY(revision_, baseRevision_, bytes_)
+};
+
+/// Optional parts are arrays of at most one element.
+struct WireQuery {
+    WireMember from_;
+    bool isFromRelay_ = false;
+    bool isLeaving_ = false;
+    std::vector<WireAddress> unusableRelay_;
+    std::uint64_t configuration_ = 0;
+    std::uint64_t endpoints_ = 0;
+    std::string membersOf_;
+    std::uint64_t members_ = 0;
+    std::vector<WireLoad> loads_;
+
+    MSGPACK_DEFINE_MAP(MSGPACK_NVP("f", from_),
+                       MSGPACK_NVP("r", isFromRelay_),
+                       MSGPACK_NVP("x", isLeaving_),
+                       MSGPACK_NVP("u", unusableRelay_),
+                       MSGPACK_NVP("c", configuration_),
+                       MSGPACK_NVP("e", endpoints_),
+                       MSGPACK_NVP("o", membersOf_),
+                       MSGPACK_NVP("m", members_),
+                       MSGPACK_NVP("l", loads_))
+};
+
+struct WireAnswer {
+    WireMember from_;
+    bool isRelay_ = false;
+    bool isFit_ = false;
+    bool isStoreLost_ = false;
+    bool isLeaving_ = false;
+    std::vector<WireAddress> redirect_;
+    std::uint64_t configuration_ = 0;
+
+    /// In milliseconds; -1 if the configuration was never confirmed.
+    std::int64_t configurationAge_ = -1;
+    std::vector<WireUpdate> configurationUpdate_;
+    std::vector<WireUpdate> endpointUpdate_;
+    std::uint64_t membersVersion_ = 0;
+    std::vector<std::vector<WireMember>> members_;
+    std::uint64_t gateways_ = 0;
+    std::vector<WireLoad> loads_;
+
+    MSGPACK_DEFINE_MAP(MSGPACK_NVP("f", from_),
+                       MSGPACK_NVP("r", isRelay_),
+                       MSGPACK_NVP("t", isFit_),
+                       MSGPACK_NVP("s", isStoreLost_),
+                       MSGPACK_NVP("x", isLeaving_),
+                       MSGPACK_NVP("d", redirect_),
+                       MSGPACK_NVP("c", configuration_),
+                       MSGPACK_NVP("a", configurationAge_),
+                       MSGPACK_NVP("u", configurationUpdate_),
+                       MSGPACK_NVP("e", endpointUpdate_),
+                       MSGPACK_NVP("v", membersVersion_),
+                       MSGPACK_NVP("m", members_),
+                       MSGPACK_NVP("g", gateways_),
+                       MSGPACK_NVP("l", loads_))
+};
+
+WireAddress toWire(const PeerAddress &address)
+{
+    return { address.host_, address.port_ };
+}
+
+PeerAddress fromWire(const WireAddress &wire)
+{
+    return { wire.host_, wire.port_ };
+}
+
+WireMember toWire(const GatewayMember &member)
+{
+    return { member.incarnation_.value(), member.domain_.value(), toWire(member.address_) };
+}
+
+GatewayMember fromWire(const WireMember &wire)
+{
+    return { InstanceId(wire.incarnation_), FailureDomain(wire.domain_), fromWire(wire.address_) };
+}
+
+WireLoad toWire(const EndpointLoad &load)
+{
+    return { load.endpoint_, load.running_, load.promptTokens_ };
+}
+
+EndpointLoad fromWire(const WireLoad &wire)
+{
+    return { wire.endpoint_, wire.running_, wire.promptTokens_ };
+}
+
+WireUpdate toWire(const TextUpdate &update)
+{
+    return { update.revision_, update.baseRevision_, update.bytes_ };
+}
+
+TextUpdate fromWire(const WireUpdate &wire)
+{
+    return { wire.revision_, wire.baseRevision_, wire.bytes_ };
+}
+
+template <typename Wire, typename Items>
+std::vector<Wire> allToWire(const Items &items)
+{
+    std::vector<Wire> wire;
+    std::transform(items.begin(), items.end(), std::back_inserter(wire), [](const auto &item) { return toWire(item); });
+    return wire;
+}
+
+template <typename Item, typename Wire>
+std::vector<Item> allFromWire(const std::vector<Wire> &wire)
+{
+    std::vector<Item> items;
+    std::transform(wire.begin(), wire.end(), std::back_inserter(items), [](const Wire &item) { return fromWire(item); });
+    return items;
+}
+
+template <typename Wire, typename Item>
+std::vector<Wire> optionalToWire(const std::optional<Item> &item)
+{
+    return item ? std::vector<Wire>{ toWire(*item) } : std::vector<Wire>();
+}
+
+template <typename Item, typename Wire>
+std::optional<Item> optionalFromWire(const std::vector<Wire> &wire)
+{
+    return wire.empty() ? std::nullopt : std::optional<Item>(fromWire(wire.front()));
+}
+
+/// Sums and differences of loads need them in order and without duplicates.
+Result<EndpointLoads> loadsFromWire(const std::vector<WireLoad> &wire)
+{
+    auto loads = allFromWire<EndpointLoad>(wire);
+    const auto isOutOfOrder = [](const EndpointLoad &left, const EndpointLoad &right) { return left.endpoint_ >= right.endpoint_; };
+    if (std::adjacent_find(loads.begin(), loads.end(), isOutOfOrder) != loads.end()) {
+        return failure(ErrorCode::CodecMalformed);
+    }
+    return loads;
+}
+
+} // namespace
+
+std::string encode(const RelayQuery &query)
+{
+    return messagepack::pack(WireQuery{ toWire(query.from_),
+                                        query.isFromRelay_,
+                                        query.isLeaving_,
+                                        optionalToWire<WireAddress>(query.unusableRelay_),
+                                        query.configuration_,
+                                        query.endpoints_,
+                                        query.membersOf_.value(),
+                                        query.members_,
+                                        allToWire<WireLoad>(query.loads_) });
+}
+
+Result<RelayQuery> decodeQuery(std::string_view bytes)
+{
+    const auto wire = messagepack::unpack<WireQuery>(bytes);
+    if (!wire) {
+        return tl::unexpected(wire.error());
+    }
+    auto loads = loadsFromWire(wire->loads_);
+    if (!loads) {
+        return tl::unexpected(loads.error());
+    }
+    return RelayQuery{ fromWire(wire->from_),
+                       wire->isFromRelay_,
+                       wire->isLeaving_,
+                       optionalFromWire<PeerAddress>(wire->unusableRelay_),
+                       wire->configuration_,
+                       wire->endpoints_,
+                       InstanceId(wire->membersOf_),
+                       wire->members_,
+                       std::move(*loads) };
+}
+
+std::string encode(const RelayAnswer &answer)
+{
+    WireAnswer wire;
+    wire.from_ = toWire(answer.from_);
+    wire.isRelay_ = answer.status_.isRelay_;
+    wire.isFit_ = answer.status_.isFit_;
+    wire.isStoreLost_ = answer.status_.isStoreLost_;
+    wire.isLeaving_ = answer.status_.isLeaving_;
+    wire.redirect_ = optionalToWire<WireAddress>(answer.status_.redirect_);
+    wire.configuration_ = answer.configuration_;
+    wire.configurationAge_ = answer.configurationAge_ ? answer.configurationAge_->count() : -1;
+    wire.configurationUpdate_ = optionalToWire<WireUpdate>(answer.configurationUpdate_);
+    wire.endpointUpdate_ = optionalToWire<WireUpdate>(answer.endpointUpdate_);
+    wire.membersVersion_ = answer.membersVersion_;
+    if (answer.members_) {
+        wire.members_.push_back(allToWire<WireMember>(*answer.members_));
+    }
+    wire.gateways_ = answer.gateways_;
+    wire.loads_ = allToWire<WireLoad>(answer.loads_);
+    return messagepack::pack(wire);
+}
+
+Result<RelayAnswer> decodeAnswer(std::string_view bytes)
+{
+    const auto wire = messagepack::unpack<WireAnswer>(bytes);
+    if (!wire) {
+        return tl::unexpected(wire.error());
+    }
+    auto loads = loadsFromWire(wire->loads_);
+    if (!loads) {
+        return tl::unexpected(loads.error());
+    }
+    RelayAnswer answer;
+    answer.from_ = fromWire(wire->from_);
+    answer.status_ = RelayStatus{ wire->isRelay_, wire->isFit_, wire->isStoreLost_, wire->isLeaving_, optionalFromWire<PeerAddress>(wire->redirect_) };
+    answer.configuration_ = wire->configuration_;
+    if (wire->configurationAge_ >= 0) {
+        answer.configurationAge_ = std::chrono::milliseconds(wire->configurationAge_);
+    }
+    answer.configurationUpdate_ = optionalFromWire<TextUpdate>(wire->configurationUpdate_);
+    answer.endpointUpdate_ = optionalFromWire<TextUpdate>(wire->endpointUpdate_);
+    answer.membersVersion_ = wire->membersVersion_;
+    if (!wire->members_.empty()) {
+        answer.members_ = allFromWire<GatewayMember>(wire->members_.front());
+    }
+    answer.gateways_ = wire->gateways_;
+    answer.loads_ = std::move(*loads);
+    return answer;
+}
+
+} // namespace cowsliphead::relaymessagecodec
--- /dev/null
+++ b/src/relay/relayquery.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "relay/endpointload.h"
+#include "relay/gatewaymember.h"
+
+namespace cowsliphead
+{
+
+/// A gateway's query to the relay of its failure domain, or a relay's query to the relay of another one. It may be lost or arrive twice.
+struct RelayQuery {
+    GatewayMember from_;
+
+    /// The sender is the relay of another failure domain and asks only for the load there.
+    bool isFromRelay_ = false;
+
+    /// The sender's process is stopping.
+    bool isLeaving_ = false;
+
+    /// The relay that the sender cannot use.
+    std::optional<PeerAddress> unusableRelay_;
+
+    /// The revisions that the sender has of the configuration and of the list of endpoints; 0 if it has none.
+    std::uint64_t configuration_ = 0;
+    std::uint64_t endpoints_ = 0;
+
+    /// The relay whose list of members the sender has, and its version.
+    InstanceId membersOf_;
+    std::uint64_t members_ = 0;
+
+    /// What the sender has placed at each endpoint.
+    EndpointLoads loads_;
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/relay/relaystep.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "store/storerevision.h"
+
+namespace cowsliphead
+{
+
+/// A call to the store that RelaySelection asks for.
+struct RelayStep {
+    enum class Kind {
+        None,
+        ReadEntries, ///< Read the relay entries of all failure domains.
+        WriteEntry, ///< Write this gateway into the entry of its failure domain.
+    };
+
+    Kind kind_ = Kind::None;
+
+    /// For WriteEntry: the revision that the entry must have; 0 if it must not exist.
+    StoreRevision expectedRevision_ = 0;
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/relay/textupdate.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace cowsliphead
+{
+
+/// Brings a receiver's copy of a versioned text up to date.
+struct TextUpdate {
+    std::uint64_t revision_ = 0;
+
+    /// The revision that the receiver must have; 0 if it needs none.
+    std::uint64_t baseRevision_ = 0;
+
+    /// The text, compressed against the base.
+    std::string bytes_;
+};
+
+} // namespace cowsliphead
--- a/tests/fleet/registrytest.cpp
+++ b/tests/fleet/registrytest.cpp
@@ -5,6 +5,7 @@
 
 #include "core/virtualclock.h"
 #include "fakestore.h"
+#include "fleet/fleetsnapshot.h"
 #include "fleet/registry.h"
 #include "platform/platformfleetcodec.h"
 #include "task/eventloop.h"
@@ -74,14 +75,20 @@
     VirtualClock clock_;
     FleetSnapshot snapshot_;
     int confirmationCount_ = 0;
+    std::optional<bool> isReachable_;
     Registry<FakeStore, PlatformFleetCodec, VirtualClock> registry_{
         loop_,
         store_,
         clock_,
         2000ms,
-        { Address<FleetSnapshot>([this](FleetSnapshot snapshot) { snapshot_ = std::move(snapshot); }),
-          {},
-          Address<ConfigurationConfirmed>([this](ConfigurationConfirmed /*confirmation*/) { ++confirmationCount_; }) }
+        { .onConfiguration_ = [this](std::shared_ptr<const Configuration> configuration,
+                                     const std::string & /*text*/) { snapshot_.configuration_ = std::move(configuration); },
+          .onConfirmed_ = [this](ConfigurationConfirmed /*confirmation*/) { ++confirmationCount_; },
+          .onEndpoints_ =
+              [this](std::vector<EndpointEntry> endpoints, StoreRevision /*revision*/) {
+                  snapshot_.endpoints_ = std::make_shared<const std::vector<EndpointEntry>>(std::move(endpoints));
+              },
+          .onReachable_ = [this](bool isReachable) { isReachable_ = isReachable; } }
     };
 };
 
--- a/tests/gateway/parsegatewaysettingstest.cpp
+++ b/tests/gateway/parsegatewaysettingstest.cpp
@@ -26,7 +26,7 @@
     const auto settings = parseGatewaySettings(settingsWith(R"(, "keyWithdrawalMs": 4000, "endpointLeaveMs": 3000, "retryPercent": 10)"));
     BOOST_REQUIRE(settings);
     BOOST_TEST(settings->gateway_.bounds_.keyWithdrawal_.count() == 4000);
-    BOOST_TEST(settings->endpointLeaveBound_.count() == 3000);
+    BOOST_TEST(settings->relay_.endpointLeaveBound_.count() == 3000);
     BOOST_TEST(settings->gateway_.bounds_.retryRatio_ == 0.1);
     BOOST_TEST(settings->gateway_.bounds_.stopGrace_.count() == 8000);
 }
--- a/tests/gateway/placementtest.cpp
+++ b/tests/gateway/placementtest.cpp
@@ -92,7 +92,7 @@
 {
     Engines engines(2);
     std::mt19937_64 random(1);
-    BOOST_TEST(placement::leastLoaded(engines.candidates_, FailureDomain("b"), random)->entry_.domain_.value() == "b");
+    BOOST_TEST(placement::leastLoaded(engines.candidates_, FailureDomain("b"), Now, random)->entry_.domain_.value() == "b");
 }
 
 BOOST_AUTO_TEST_CASE(prefers_another_one_for_a_much_lower_load)
@@ -100,7 +100,7 @@
     Engines engines(2);
     engines.states_[1]->running_ = 8;
     std::mt19937_64 random(1);
-    BOOST_TEST(placement::leastLoaded(engines.candidates_, FailureDomain("b"), random)->entry_.domain_.value() == "a");
+    BOOST_TEST(placement::leastLoaded(engines.candidates_, FailureDomain("b"), Now, random)->entry_.domain_.value() == "a");
 }
 
 BOOST_AUTO_TEST_CASE(avoids_an_endpoint_whose_answers_come_late)
@@ -111,7 +111,7 @@
         engines.states_[2]->latencyRatio_.addAnswer(50ms, 250ms);
     }
     std::mt19937_64 random(1);
-    BOOST_TEST(placement::leastLoaded(engines.candidates_, FailureDomain("a"), random) == engines.candidates_[2]);
+    BOOST_TEST(placement::leastLoaded(engines.candidates_, FailureDomain("a"), Now, random) == engines.candidates_[2]);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/relay/fleetstatetest.cpp
@@ -0,0 +1,190 @@
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include "platform/platformfleetcodec.h"
+#include "relay/fleetstate.h"
+#include "relay/relaymessagecodec.h"
+#include "relay/textdelta.h"
+
+using namespace cowsliphead;
+
+namespace
+{
+
+std::string configurationText(int version)
+{
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[]})";
+}
+
+std::vector<EndpointEntry> endpoints(int count)
+{
+    std::vector<EndpointEntry> entries;
+    for (int number = 0; number < count; ++number) {
+        EndpointEntry entry;
+        entry.id_ = EndpointId("e" + std::to_string(number));
+        entry.address_ = SocketAddress{ "10.0.0.1", 80 };
+        entry.stage_ = number % 2 == 0 ? EngineStage::Prefill : EngineStage::Decode;
+        entries.push_back(entry);
+    }
+    return entries;
+}
+
+/// A relay and a gateway that asks it.
+struct Pair {
+    using State = FleetState<PlatformFleetCodec>;
+
+    void configure(std::uint64_t revision, int version)
+    {
+        auto configuration = std::make_shared<Configuration>();
+        configuration->revision_ = revision;
+        relay_.setConfiguration(configuration, configurationText(version));
+    }
+
+    Result<bool> update()
+    {
+        const auto update = relay_.configurations().updateFor(member_.configurations().revision());
+        return update ? member_.applyConfiguration(*update) : Result<bool>(false);
+    }
+
+    State relay_;
+    State member_;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_gateway_that_follows_a_relay)
+
+BOOST_AUTO_TEST_CASE(takes_each_new_configuration_once)
+{
+    Pair pair;
+    pair.configure(5, 1);
+    BOOST_TEST(*pair.update());
+    BOOST_TEST(!*pair.update());
+    pair.configure(6, 2);
+    BOOST_TEST(*pair.update());
+    BOOST_TEST(pair.member_.snapshot().configuration_->version_ == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(never_goes_back_when_it_follows_another_relay_that_is_behind)
+{
+    Pair pair;
+    pair.configure(6, 2);
+    BOOST_REQUIRE(*pair.update());
+    Pair behind;
+    behind.configure(5, 1);
+    const auto older = behind.relay_.configurations().updateFor(0);
+    BOOST_TEST(!*pair.member_.applyConfiguration(*older));
+    BOOST_TEST(!behind.relay_.configurations().updateFor(6).has_value());
+    BOOST_TEST(pair.member_.snapshot().configuration_->version_ == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(asks_for_the_whole_text_if_it_lacks_the_base_of_an_update)
+{
+    Pair pair;
+    pair.configure(5, 1);
+    pair.configure(6, 2);
+    const auto update = pair.relay_.configurations().updateFor(5);
+    BOOST_TEST(update->baseRevision_ == 5U);
+    BOOST_TEST(!pair.member_.applyConfiguration(*update).has_value());
+    BOOST_TEST(*pair.member_.applyConfiguration(*pair.relay_.configurations().updateFor(0)));
+}
+
+BOOST_AUTO_TEST_CASE(takes_the_endpoints_without_their_sequence_numbers)
+{
+    Pair pair;
+    auto listed = endpoints(9);
+    BOOST_TEST(pair.relay_.setEndpoints(listed, 7));
+    listed[3].sequence_ = 8;
+    BOOST_TEST(!pair.relay_.setEndpoints(listed, 8));
+    BOOST_TEST(*pair.member_.applyEndpoints(*pair.relay_.endpoints().updateFor(0)));
+    BOOST_TEST((*pair.member_.snapshot().endpoints_ == endpoints(9)));
+}
+
+BOOST_AUTO_TEST_CASE(takes_a_change_of_endpoints_that_the_store_did_not_change)
+{
+    Pair pair;
+    pair.relay_.setEndpoints(endpoints(9), 7);
+    BOOST_TEST(pair.relay_.setEndpoints(endpoints(8), 7));
+    BOOST_TEST(*pair.member_.applyEndpoints(*pair.relay_.endpoints().updateFor(0)));
+    BOOST_TEST(pair.member_.snapshot().endpoints_->size() == 8U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(an_update_of_a_text)
+
+RC_BOOST_PROP(leads_from_any_version_to_the_newest, (const std::vector<std::string> &texts, std::uint8_t known))
+{
+    TextHistory relay;
+    TextHistory member;
+    std::uint64_t revision = 0;
+    for (const auto &text : texts) {
+        relay.add(++revision, text);
+        if (revision == known % 16U) {
+            member.add(revision, text);
+        }
+    }
+    const auto update = relay.updateFor(member.revision());
+    if (update) {
+        RC_ASSERT(member.apply(*update).value_or(false));
+    }
+    RC_ASSERT(member.text() == relay.text() || texts.empty());
+}
+
+BOOST_AUTO_TEST_CASE(costs_the_size_of_the_change)
+{
+    std::string text;
+    for (int number = 0; number < 2000; ++number) {
+        text += "\"key-" + std::to_string(number * 7919) + "\",";
+    }
+    const auto changed = text + "\"added\"";
+    BOOST_TEST(textdelta::compress(changed, text).size() < 200U);
+}
+
+BOOST_AUTO_TEST_CASE(that_claims_a_huge_text_is_refused)
+{
+    const std::string text(textdelta::MaxTextBytes + 1, 'a');
+    BOOST_TEST(!textdelta::expand(textdelta::compress(text, {}), {}).has_value());
+    BOOST_TEST(!textdelta::expand("no such text", {}).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(messages_between_gateways)
+
+BOOST_AUTO_TEST_CASE(keep_all_their_fields)
+{
+    const GatewayMember member{ InstanceId("g-1"), FailureDomain("a"), { "10.0.0.1", 9 } };
+    const RelayQuery query{ member, true, true, PeerAddress{ "10.0.0.2", 8 }, 3, 4, InstanceId("g-2"), 5, { { 1, 2, 3 }, { 2, 0, 7 } } };
+    const auto decodedQuery = relaymessagecodec::decodeQuery(relaymessagecodec::encode(query));
+    BOOST_REQUIRE(decodedQuery.has_value());
+    BOOST_TEST(relaymessagecodec::encode(*decodedQuery) == relaymessagecodec::encode(query));
+    BOOST_TEST((decodedQuery->loads_ == query.loads_));
+    RelayAnswer answer;
+    answer.from_ = member;
+    answer.status_ = { true, true, false, true, PeerAddress{ "10.0.0.3", 7 } };
+    answer.configurationAge_ = std::chrono::milliseconds(12);
+    answer.endpointUpdate_ = TextUpdate{ 4, 3, "bytes" };
+    answer.members_ = { member };
+    answer.gateways_ = 340;
+    const auto decodedAnswer = relaymessagecodec::decodeAnswer(relaymessagecodec::encode(answer));
+    BOOST_REQUIRE(decodedAnswer.has_value());
+    BOOST_TEST(relaymessagecodec::encode(*decodedAnswer) == relaymessagecodec::encode(answer));
+    BOOST_TEST((decodedAnswer->members_ == answer.members_));
+    BOOST_TEST(decodedAnswer->status_.isStoreLost_ == false);
+}
+
+BOOST_AUTO_TEST_CASE(with_loads_out_of_order_are_refused)
+{
+    RelayQuery query;
+    query.loads_ = { { 2, 1, 0 }, { 1, 1, 0 } };
+    BOOST_TEST(!relaymessagecodec::decodeQuery(relaymessagecodec::encode(query)).has_value());
+}
+
+RC_BOOST_PROP(made_of_arbitrary_bytes_do_no_harm, (const std::string &bytes))
+{
+    relaymessagecodec::decodeQuery(bytes);
+    relaymessagecodec::decodeAnswer(bytes);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
