The relay of a failure domain writes its gateways' usage counts

Now counts travel with the queries to the relay, whose duty writes one key a window; each gateway's counts stay apart in the value with a version, so they count once however many processes write them; a gateway keeps them until the store holds them, sends them to the next relay, and writes them itself if they are overdue.

--- a/src/duty/dutybehaviour.h
+++ b/src/duty/dutybehaviour.h
@@ -27,16 +27,16 @@
 class DutyBehaviour
 {
 public:
-    using Message = std::variant<RequestStarted, FleetSnapshot, GatewayCount, DrainRequest, UsageComplete>;
+    using Message = std::variant<RequestStarted, FleetSnapshot, GatewayCount, MemberCounts, CountsStored, DrainRequest, UsageComplete>;
 
-    /// incarnation identifies this run of the process and is never reused. Precondition: loop, store, platform and clock outlive the
-    /// behaviour.
-    DutyBehaviour(EventLoop &loop, S &store, P &platform, const C &clock, const DutySettings &settings, const InstanceId &incarnation)
+    /// incarnation identifies this run of the process and is never reused; links lead to the relay. Precondition: loop, store, platform and
+    /// clock outlive the behaviour.
+    DutyBehaviour(EventLoop &loop, S &store, P &platform, const C &clock, const DutySettings &settings, const InstanceId &incarnation, UsageLinks links)
         : loop_(loop)
         , clock_(clock)
         , lease_(store, clock, leasePolicy(settings), "duty/leader", incarnation.value())
         , usage_(
-              store, platform, clock, settings, incarnation, [this] { return activeFence(); }, [this] { lease_.resign(); })
+              store, platform, clock, settings, incarnation, [this] { return activeFence(); }, [this] { lease_.resign(); }, std::move(links))
         , scale_(store, platform, clock, lease_)
         , timer_(loop, [this] { tick(); })
     {
@@ -89,6 +89,16 @@
         scale_.update(fleet);
     }
 
+    void handle(const MemberCounts &counts)
+    {
+        usage_.add(counts);
+    }
+
+    void handle(const CountsStored &counts)
+    {
+        usage_.stored(counts);
+    }
+
     void handle(const GatewayCount &gateways)
     {
         usage_.setGatewayCount(gateways.count_);
--- a/src/duty/dutyplatform.h
+++ b/src/duty/dutyplatform.h
@@ -6,7 +6,7 @@
 #include "core/result.h"
 #include "decide/fencingnumber.h"
 #include "duty/serverorder.h"
-#include "duty/windowcounts.h"
+#include "usage/windowcounts.h"
 
 namespace cowsliphead
 {
--- a/src/duty/usageduty.h
+++ b/src/duty/usageduty.h
@@ -5,6 +5,8 @@
 
 #include "core/clock.h"
 #include "duty/dutysettings.h"
+#include "duty/ownwindowcounts.h"
+#include "duty/usagelinks.h"
 #include "duty/windowcountsreporter.h"
 #include "duty/windowcountswriter.h"
 #include "usage/requeststarted.h"
@@ -12,32 +14,48 @@
 namespace cowsliphead
 {
 
-/// Counts this process's requests, writes the counts to the store, and reports the counts of all processes while it holds the duties.
+/// Counts this process's requests and passes the counts on to the relay of the failure domain, whose duty writes them to the store; writes them
+/// itself if that takes too long. Reports the counts of all processes while it holds the duties.
 /// Thread safety: all members, on the store's task only.
 template <RangedStore S, DutyPlatform P, Clock C>
 class UsageDuty
 {
 public:
-    /// activeFence returns the fencing number while the process may act; onRefused is called if another holder has a higher one.
-    /// Precondition: store, platform and clock outlive the duty, which outlives their replies.
+    /// activeFence returns the fencing number while the process may act; onRefused is called if another holder has a higher one; links
+    /// lead to the relay. Precondition: store, platform and clock outlive the duty, which outlives their replies.
     UsageDuty(S &store,
               P &platform,
               const C &clock,
               const DutySettings &settings,
               const InstanceId &incarnation,
               std::function<std::optional<FencingNumber>()> activeFence,
-              std::function<void()> onRefused)
+              std::function<void()> onRefused,
+              UsageLinks links)
         : settings_(settings)
         , startedAt_(clock.now())
         , wallStartedAt_(clock.wallNow())
-        , writer_(store, incarnation)
+        , links_(std::move(links))
+        , own_(incarnation)
+        , writer_(store, incarnation, [stored = links_.stored_](const CountsStored &counts) { stored.send(counts); })
         , reporter_(store, platform, std::move(activeFence), std::move(onRefused))
     {
     }
 
     void count(const RequestStarted &request)
     {
-        writer_.count(request.account_, windowAt(request.at_));
+        own_.count(request.account_, windowAt(request.at_));
+    }
+
+    /// As the duty of a relay: takes the counts of a gateway of the failure domain.
+    void add(const MemberCounts &counts)
+    {
+        writer_.add(counts);
+    }
+
+    /// The store holds counts of this gateway.
+    void stored(const CountsStored &counts)
+    {
+        own_.stored(counts.window_, counts.version_);
     }
 
     /// Sets the number of gateways whose counts make up a window.
@@ -46,13 +64,19 @@
         gateways_ = gateways;
     }
 
-    /// Writes the counts at the end of each window and at intervals in between.
+    /// Passes this gateway's counts on, and writes what it has taken: some time after the end of each window, and at intervals in between.
     void tick(MonotonicTime now)
     {
         const auto window = windowAt(now);
-        const auto interval = writer_.isBehind(window) ? MinFlushInterval : flushInterval();
-        if (window != flushedWindow_ || now - flushedAt_ >= interval) {
-            flushedWindow_ = window;
+        for (const auto &counts : own_.takeChanged(window, now)) {
+            links_.counts_.send(counts);
+        }
+        for (const auto &counts : own_.overdue(now)) {
+            writer_.add(counts);
+        }
+        const bool isSettled = windowAt(now - SettleTime) == window;
+        const bool isDue = writer_.isBehind(window) ? isSettled && now - flushedAt_ >= MinRewriteInterval : now - flushedAt_ >= flushInterval();
+        if (isDue) {
             flushedAt_ = now;
             writer_.flush(window);
         }
@@ -78,6 +102,9 @@
     /// Writes the counts of the current window as final. Precondition: count() is not called any more.
     void complete(MonotonicTime now)
     {
+        for (const auto &counts : own_.finish(windowAt(now))) {
+            writer_.add(counts);
+        }
         writer_.flush(windowAt(now) + 1);
     }
 
@@ -92,6 +119,12 @@
     /// fleet, where one process has a smaller share of the requests.
     static constexpr std::chrono::milliseconds MinFlushInterval{ 1500 };
 
+    /// Time from the end of a window until its counts are written, in which the gateways of the failure domain pass them on.
+    static constexpr std::chrono::milliseconds SettleTime{ 600 };
+
+    /// Time between two writes of a window that has ended.
+    static constexpr std::chrono::milliseconds MinRewriteInterval{ 500 };
+
     /// Share of a window's requests that may be lost with a killed process; less than the tolerance of a report.
     static constexpr double MaxLossPerKill = 0.03;
 
@@ -127,6 +160,8 @@
     DutySettings settings_;
     MonotonicTime startedAt_;
     WallTime wallStartedAt_;
+    UsageLinks links_;
+    OwnWindowCounts own_;
     WindowCountsWriter<S> writer_;
     WindowCountsReporter<S, P> reporter_;
 
@@ -134,7 +169,6 @@
     std::size_t gateways_ = 0;
     MonotonicTime flushedAt_;
     MonotonicTime reportedAt_;
-    UsageWindow flushedWindow_ = 0;
 };
 
 } // namespace cowsliphead
--- a/src/duty/windowcountscodec.h
+++ b/src/duty/windowcountscodec.h
@@ -3,7 +3,7 @@
 #include <string>
 
 #include "core/result.h"
-#include "duty/windowcounts.h"
+#include "usage/windowcounts.h"
 
 namespace cowsliphead::windowcountscodec
 {
--- a/src/duty/windowcountsreporter.h
+++ b/src/duty/windowcountsreporter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <optional>
@@ -10,6 +11,7 @@
 
 #include "core/errorcode.h"
 #include "duty/dutyplatform.h"
+#include "duty/membercountscodec.h"
 #include "duty/windowcountscodec.h"
 #include "logs/log.h"
 #include "store/rangedstore.h"
@@ -48,7 +50,7 @@
             } else if (*answer) {
                 submit(window, (*answer)->value_);
             } else {
-                collectCounts(window, {}, CollectedCounts{ { window, {}, true }, gateways });
+                collectCounts(window, {}, CollectedCounts{ window, gateways, {} });
             }
         });
     }
@@ -57,7 +59,7 @@
     /// Number of reported windows that are remembered.
     static constexpr std::size_t RememberedWindows = 64;
 
-    /// The counts of a window are kept for this many windows, since gateways read them to determine the number of gateways.
+    /// The counts of a window are kept for this many windows after its report, for those who look for the cause of a wrong one.
     static constexpr UsageWindow CountsRetention = 3;
 
     /// Sealed counts are kept for this many windows, since the next holder may report them again.
@@ -67,11 +69,28 @@
     static constexpr std::size_t EraseBatchSize = 32;
 
     struct CollectedCounts {
-        WindowCounts sums_;
+        UsageWindow window_ = 0;
 
-        /// Number of gateways whose final counts are missing.
-        std::size_t missing_ = 0;
-        bool isEmpty_ = true;
+        /// Number of gateways whose final counts are needed.
+        std::size_t gateways_ = 0;
+        membercountscodec::CountsByGateway counts_;
+
+        bool isComplete() const
+        {
+            const auto finals = std::count_if(counts_.begin(), counts_.end(), [](const auto &item) { return item.second.counts_.isFinal_; });
+            return !counts_.empty() && static_cast<std::size_t>(finals) >= gateways_;
+        }
+
+        WindowCounts sum() const
+        {
+            WindowCounts sum{ window_, {}, true };
+            for (const auto &[gateway, member] : counts_) {
+                for (const auto &[account, requests] : member.counts_.requests_) {
+                    sum.requests_[account] += requests;
+                }
+            }
+            return sum;
+        }
     };
 
     void collectCounts(UsageWindow window, const std::string &after, CollectedCounts collected)
@@ -86,28 +105,22 @@
             }
             if (page->hasMore_ && !page->entries_.empty()) {
                 collectCounts(window, page->entries_.back().key_, std::move(collected));
-            } else if (collected.missing_ > 0 || collected.isEmpty_) {
-                inProgress_.erase(window);
+            } else if (collected.isComplete()) {
+                seal(window, windowcountscodec::toText(collected.sum()));
             } else {
-                seal(window, windowcountscodec::toText(collected.sums_));
+                inProgress_.erase(window);
             }
         });
     }
 
     static void add(const StoreEntry &entry, CollectedCounts &collected)
     {
-        const auto counts = windowcountscodec::fromText(collected.sums_.window_, entry.value_);
+        const auto counts = membercountscodec::fromText(collected.window_, entry.value_);
         if (!counts) {
-            logEvent(LogEvent::UsageCountsLost, { { "window", std::uint64_t(collected.sums_.window_) }, { "key", entry.key_ } });
+            logEvent(LogEvent::UsageCountsLost, { { "window", std::uint64_t(collected.window_) }, { "key", entry.key_ } });
             return;
         }
-        collected.isEmpty_ = false;
-        if (counts->isFinal_ && collected.missing_ > 0) {
-            --collected.missing_;
-        }
-        for (const auto &[account, requests] : counts->requests_) {
-            collected.sums_.requests_[account] += requests;
-        }
+        membercountscodec::merge(collected.counts_, *counts);
     }
 
     void seal(UsageWindow window, const std::string &text)
--- a/src/duty/windowcountswriter.h
+++ b/src/duty/windowcountswriter.h
@@ -1,52 +1,62 @@
 #pragma once
 
 #include <algorithm>
-#include <chrono>
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "core/errorcode.h"
-#include "duty/windowcounts.h"
-#include "duty/windowcountscodec.h"
+#include "duty/membercountscodec.h"
 #include "logs/log.h"
 #include "store/store.h"
+#include "usage/countsstored.h"
+#include "usage/membercounts.h"
 #include "usage/usagecountkeys.h"
 
 namespace cowsliphead
 {
 
-/// Counts this gateway's requests per window and writes the counts to the store for WindowCountsReporter.
+/// Writes the counts of several gateways to the store for WindowCountsReporter, one key for each window. Each gateway's counts stay apart
+/// in the value, so they count once however many processes write them.
 /// Thread safety: all members, on the store's task only.
 template <Store S>
 class WindowCountsWriter
 {
 public:
-    /// incarnation identifies this run of the process and is never reused. Precondition: the store outlives the writer.
-    WindowCountsWriter(S &store, InstanceId incarnation)
+    using OnStored = std::function<void(const CountsStored &)>;
+
+    /// incarnation identifies this run of the process and is never reused; onStored is called for the counts of each gateway that the store
+    /// has accepted. Precondition: the store outlives the writer.
+    WindowCountsWriter(S &store, InstanceId incarnation, OnStored onStored)
         : store_(store)
         , incarnation_(std::move(incarnation))
+        , onStored_(std::move(onStored))
     {
     }
 
-    void count(const AccountId &account, UsageWindow window)
+    /// Takes counts to write; older ones than those already known change nothing.
+    void add(const MemberCounts &counts)
     {
-        auto &pending = pending_[window];
-        ++pending.counts_.requests_[account];
+        auto &pending = pending_[counts.counts_.window_];
+        const auto known = pending.counts_.find(counts.gateway_);
+        if (known != pending.counts_.end() && known->second.version_ >= counts.version_) {
+            if (known->second.version_ <= pending.storedVersions_[counts.gateway_]) {
+                // The gateway has not learned that its counts are stored.
+                onStored_({ counts.gateway_, counts.counts_.window_, known->second.version_ });
+            }
+            return;
+        }
+        pending.counts_[counts.gateway_] = counts;
         pending.isDirty_ = true;
     }
 
-    /// Writes the counts that have changed since the last call, oldest window first. A window that has ended is written even without
-    /// requests, so that the reporter knows that nothing is missing.
+    /// Writes the counts that have changed since the last call, oldest window first.
     void flush(UsageWindow current)
     {
-        pending_.try_emplace(current);
         std::erase_if(pending_, [current](const auto &item) { return item.first + RetainedWindows < current && logDropped(item.first, item.second); });
         for (auto &[window, pending] : pending_) {
-            if (window < current && !pending.counts_.isFinal_) {
-                pending.counts_.isFinal_ = true;
-                pending.isDirty_ = true;
-            }
             if (!pending.isWriting_ && pending.isDirty_) {
                 write(window, pending);
             }
@@ -62,12 +72,7 @@
     /// True if the store has all counts.
     bool isFlushed() const
     {
-        for (const auto &[window, pending] : pending_) {
-            if (pending.isDirty_ || pending.isWriting_) {
-                return false;
-            }
-        }
-        return true;
+        return std::none_of(pending_.begin(), pending_.end(), [](const auto &item) { return item.second.isDirty_ || item.second.isWriting_; });
     }
 
 private:
@@ -75,7 +80,8 @@
     static constexpr UsageWindow RetainedWindows = 3;
 
     struct Pending {
-        WindowCounts counts_;
+        membercountscodec::CountsByGateway counts_;
+        std::map<InstanceId, std::uint64_t> storedVersions_;
         StoreRevision revision_ = 0;
         bool isDirty_ = false;
         bool isWriting_ = false;
@@ -94,14 +100,18 @@
     {
         StoreWrite write;
         write.key_ = usagecountkeys::countsKey(window, incarnation_);
-        write.value_ = windowcountscodec::toText(pending.counts_);
+        write.value_ = membercountscodec::toText(pending.counts_);
         write.expectedRevision_ = pending.revision_;
         pending.isWriting_ = true;
         pending.isDirty_ = false;
-        store_.compareAndSwap(write, [this, window](const Result<StoreRevision> &answer) { written(window, answer); });
+        std::vector<CountsStored> stored;
+        for (const auto &[gateway, counts] : pending.counts_) {
+            stored.push_back({ gateway, window, counts.version_ });
+        }
+        store_.compareAndSwap(write, [this, window, stored](const Result<StoreRevision> &answer) { written(window, stored, answer); });
     }
 
-    void written(UsageWindow window, const Result<StoreRevision> &answer)
+    void written(UsageWindow window, const std::vector<CountsStored> &stored, const Result<StoreRevision> &answer)
     {
         const auto found = pending_.find(window);
         if (found == pending_.end()) {
@@ -111,6 +121,11 @@
         pending.isWriting_ = false;
         if (answer) {
             pending.revision_ = *answer;
+            for (const auto &counts : stored) {
+                if (std::exchange(pending.storedVersions_[counts.gateway_], counts.version_) != counts.version_) {
+                    onStored_(counts);
+                }
+            }
             return;
         }
         pending.isDirty_ = true;
@@ -137,6 +152,7 @@
 
     S &store_;
     InstanceId incarnation_;
+    OnStored onStored_;
     std::map<UsageWindow, Pending> pending_;
 };
 
--- a/src/gateway/dutytask.h
+++ b/src/gateway/dutytask.h
@@ -18,11 +18,11 @@
     using Behaviour = DutyBehaviour<typename P::Store, typename P::DutyApi, SystemClock>;
     using Message = typename Behaviour::Message;
 
-    /// incarnation: unique identifier of this process. Precondition: the loop outlives the task.
-    DutyTask(EventLoop &loop, const GatewayDaemonSettings &settings, const InstanceId &incarnation)
+    /// incarnation: unique identifier of this process; links lead to the relay. Precondition: the loop outlives the task.
+    DutyTask(EventLoop &loop, const GatewayDaemonSettings &settings, const InstanceId &incarnation, UsageLinks links)
         : store_(loop, settings.store_)
         , platform_(loop, settings.platform_, incarnation.value())
-        , behaviour_(loop, store_, platform_, clock_, settings.duty_, incarnation)
+        , behaviour_(loop, store_, platform_, clock_, settings.duty_, incarnation, std::move(links))
     {
         behaviour_.start();
     }
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -114,6 +114,8 @@
             .loadQueries_ = gateway_.template address<LoadQuery>(),
             .loads_ = gateway_.template address<FleetLoad>(),
             .localLoads_ = relay_.template address<LocalLoad>(),
+            .memberCounts_ = duty_.template address<MemberCounts>(),
+            .countsStored_ = duty_.template address<CountsStored>(),
         };
         return startListening(
             relay_,
@@ -123,7 +125,8 @@
 
     void startDuties(const GatewayDaemonSettings &settings, const InstanceId &incarnation)
     {
-        duty_.start([settings, incarnation](EventLoop &loop) { return std::make_unique<DutyTask<P>>(loop, settings, incarnation); });
+        const UsageLinks links{ relay_.template address<MemberCounts>(), relay_.template address<CountsStored>() };
+        duty_.start([settings, incarnation, links](EventLoop &loop) { return std::make_unique<DutyTask<P>>(loop, settings, incarnation, links); });
     }
 
     Result<std::uint16_t> startMetrics(const MetricsSettings &settings)
--- a/src/relay/relayanswer.h
+++ b/src/relay/relayanswer.h
@@ -9,6 +9,7 @@
 #include "relay/gatewaymember.h"
 #include "relay/relaystatus.h"
 #include "relay/textupdate.h"
+#include "usage/countsstored.h"
 
 namespace cowsliphead
 {
@@ -37,6 +38,9 @@
 
     /// What the gateways of the fleet, the asking one included, have placed at each endpoint; of the failure domain only if a relay asks.
     EndpointLoads loads_;
+
+    /// The counts of the asking gateway that the store holds.
+    std::vector<CountsStored> stored_;
 };
 
 } // namespace cowsliphead
--- a/src/relay/relaybehaviour.h
+++ b/src/relay/relaybehaviour.h
@@ -26,6 +26,7 @@
 #include "relay/relaymessagecodec.h"
 #include "relay/relayselection.h"
 #include "relay/relaysettings.h"
+#include "relay/usageoutbox.h"
 #include "serve/drainrequest.h"
 #include "task/timer.h"
 
@@ -39,7 +40,7 @@
 class RelayBehaviour
 {
 public:
-    using Message = std::variant<LocalLoad, DrainRequest>;
+    using Message = std::variant<LocalLoad, MemberCounts, CountsStored, DrainRequest>;
     using OpenStore = std::function<std::unique_ptr<S>()>;
 
     /// incarnation identifies this run of the process and is never reused; openStore creates a client of the store. Precondition: loop and
@@ -91,6 +92,9 @@
     /// Interval at which relays ask each other; their bytes cross failure domains.
     static constexpr std::chrono::milliseconds DomainInterval{ 300 };
 
+    /// Windows for which a relay remembers whose counts are stored.
+    static constexpr std::size_t RememberedWindows = 4;
+
     /// A client of the store and what reads from it; the client is destroyed first, after which no answer follows.
     struct Reading {
         std::unique_ptr<Registry<S, Codec, C>> registry_;
@@ -102,6 +106,9 @@
         const auto now = clock_.now();
         members_.heard(self_, now);
         members_.expire(now);
+        if (selection_->role() != RelayRole::Relay) {
+            storedVersions_.clear();
+        }
         selection_->update(now);
         connections_.closeIdle(now);
         applyRole();
@@ -133,6 +140,36 @@
         askTarget(now);
     }
 
+    /// This gateway has counted requests. As a relay, it hands them back to the duty task to be written.
+    void handle(const MemberCounts &counts)
+    {
+        if (!selection_ || selection_->role() == RelayRole::Relay) {
+            links_.memberCounts_.send(counts);
+        } else {
+            outbox_.put(counts);
+        }
+    }
+
+    void handle(const CountsStored &counts)
+    {
+        if (counts.gateway_ == self_.incarnation_) {
+            ownCountsStored(counts);
+            return;
+        }
+        auto &versions = storedVersions_[counts.gateway_];
+        versions[counts.window_] = counts.version_;
+        if (versions.size() > RememberedWindows) {
+            versions.erase(versions.begin());
+        }
+    }
+
+    void ownCountsStored(CountsStored counts)
+    {
+        counts.gateway_ = self_.incarnation_;
+        outbox_.stored(counts);
+        links_.countsStored_.send(counts);
+    }
+
     void handle(const DrainRequest & /*request*/)
     {
         if (selection_) {
@@ -150,12 +187,22 @@
                  { { "unusable", textOf(selection_->unusableRelay()) }, { "relay", textOf(selection_->target()) } });
         if (isRelay) {
             fleetSize_.restart(clock_.now());
+            passOutboxToDuty();
             startReading();
         } else {
             reading_ = {};
         }
     }
 
+    /// What no relay has is written by this one.
+    void passOutboxToDuty()
+    {
+        outbox_.relayChanged();
+        for (const auto &counts : outbox_.toSend()) {
+            links_.memberCounts_.send(counts);
+        }
+    }
+
     static std::string textOf(const std::optional<PeerAddress> &address)
     {
         return address ? address->host_ + ":" + std::to_string(address->port_) : std::string();
@@ -322,7 +369,9 @@
         query.membersOf_ = membersOf_;
         query.members_ = membersVersion_;
         query.loads_ = local_;
+        query.counts_ = outbox_.toSend();
         sentLoads_ = local_;
+        sentCounts_ = query.counts_;
         connections_.ask(*target, relaymessagecodec::encode(query), now);
     }
 
@@ -359,6 +408,14 @@
             members_.heard(query.from_, now);
         }
         board_.reportGateway(query.from_.incarnation_, query.loads_, now);
+        for (const auto &counts : query.counts_) {
+            links_.memberCounts_.send(counts);
+        }
+        if (const auto stored = storedVersions_.find(query.from_.incarnation_); stored != storedVersions_.end()) {
+            for (const auto &[window, version] : stored->second) {
+                answer.stored_.push_back({ query.from_.incarnation_, window, version });
+            }
+        }
         answer.configuration_ = state_.configurations().revision();
         if (confirmedAt_) {
             answer.configurationAge_ = std::chrono::ceil<std::chrono::milliseconds>(now - *confirmedAt_);
@@ -411,6 +468,7 @@
             domainSize_ = answer.members_->size();
             selection_->setMembers(*answer.members_);
         }
+        receiveStored(answer);
         selection_->answered(peer, answer.status_, now);
         if (answer.status_.isFit_) {
             publishFleet(answer.loads_, sentLoads_, answer.gateways_);
@@ -418,6 +476,19 @@
         applyRole();
     }
 
+    void receiveStored(const RelayAnswer &answer)
+    {
+        if (std::exchange(countsSentTo_, answer.from_.incarnation_) != answer.from_.incarnation_) {
+            outbox_.relayChanged();
+        }
+        if (answer.status_.isRelay_) {
+            outbox_.delivered(sentCounts_);
+        }
+        for (const auto &counts : answer.stored_) {
+            ownCountsStored(counts);
+        }
+    }
+
     void applyUpdates(const RelayAnswer &answer)
     {
         bool isChanged = false;
@@ -461,6 +532,14 @@
     EndpointLoads local_;
     EndpointLoads sentLoads_;
 
+    /// This gateway's counts, what the last query carried of them, and the relay that answered last.
+    UsageOutbox outbox_;
+    std::vector<MemberCounts> sentCounts_;
+    InstanceId countsSentTo_;
+
+    /// As a relay: the versions of each gateway's counts that the store holds, by window.
+    std::map<InstanceId, std::map<UsageWindow, std::uint64_t>> storedVersions_;
+
     /// The newest configuration was confirmed by a read sent at this time.
     std::optional<MonotonicTime> confirmedAt_;
 
--- a/src/relay/relaylinks.h
+++ b/src/relay/relaylinks.h
@@ -7,6 +7,8 @@
 #include "relay/loadquery.h"
 #include "relay/localload.h"
 #include "task/address.h"
+#include "usage/countsstored.h"
+#include "usage/membercounts.h"
 
 namespace cowsliphead
 {
@@ -24,6 +26,10 @@
 
     /// The task itself.
     Address<LocalLoad> localLoads_;
+
+    /// The duty task: as that of a relay it writes the counts of the failure domain's gateways, and learns which of its own are stored.
+    Address<MemberCounts> memberCounts_;
+    Address<CountsStored> countsStored_;
 };
 
 } // namespace cowsliphead
--- a/src/relay/relaymessagecodec.cpp
+++ b/src/relay/relaymessagecodec.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <map>
 #include <utility>
 
 #include "peer/messagepack.h"
@@ -43,6 +44,24 @@
     MSGPACK_DEFINE_ARRAY(revision_, baseRevision_, bytes_)
 };
 
+/// The gateway is the sender of the query.
+struct WireCounts {
+    std::uint64_t window_ = 0;
+    std::uint64_t version_ = 0;
+    bool isFinal_ = false;
+    std::map<std::string, std::uint64_t> requests_;
+
+    MSGPACK_DEFINE_ARRAY(window_, version_, isFinal_, requests_)
+};
+
+/// The gateway is the receiver of the answer.
+struct WireStored {
+    std::uint64_t window_ = 0;
+    std::uint64_t version_ = 0;
+
+    MSGPACK_DEFINE_ARRAY(window_, version_)
+};
+
 /// Optional parts are arrays of at most one element.
 struct WireQuery {
     WireMember from_;
@@ -54,6 +73,7 @@
     std::string membersOf_;
     std::uint64_t members_ = 0;
     std::vector<WireLoad> loads_;
+    std::vector<WireCounts> counts_;
 
     MSGPACK_DEFINE_MAP(MSGPACK_NVP("f", from_),
                        MSGPACK_NVP("r", isFromRelay_),
@@ -63,7 +83,8 @@
                        MSGPACK_NVP("e", endpoints_),
                        MSGPACK_NVP("o", membersOf_),
                        MSGPACK_NVP("m", members_),
-                       MSGPACK_NVP("l", loads_))
+                       MSGPACK_NVP("l", loads_),
+                       MSGPACK_NVP("w", counts_))
 };
 
 struct WireAnswer {
@@ -83,6 +104,7 @@
     std::vector<std::vector<WireMember>> members_;
     std::uint64_t gateways_ = 0;
     std::vector<WireLoad> loads_;
+    std::vector<WireStored> stored_;
 
     MSGPACK_DEFINE_MAP(MSGPACK_NVP("f", from_),
                        MSGPACK_NVP("r", isRelay_),
@@ -97,7 +119,8 @@
                        MSGPACK_NVP("v", membersVersion_),
                        MSGPACK_NVP("m", members_),
                        MSGPACK_NVP("g", gateways_),
-                       MSGPACK_NVP("l", loads_))
+                       MSGPACK_NVP("l", loads_),
+                       MSGPACK_NVP("w", stored_))
 };
 
 WireAddress toWire(const PeerAddress &address)
@@ -140,6 +163,34 @@
     return { wire.revision_, wire.baseRevision_, wire.bytes_ };
 }
 
+WireCounts toWire(const MemberCounts &counts)
+{
+    WireCounts wire{ counts.counts_.window_, counts.version_, counts.counts_.isFinal_, {} };
+    for (const auto &[account, requests] : counts.counts_.requests_) {
+        wire.requests_.emplace(account.value(), requests);
+    }
+    return wire;
+}
+
+MemberCounts fromWire(const WireCounts &wire)
+{
+    MemberCounts counts{ {}, wire.version_, { wire.window_, {}, wire.isFinal_ } };
+    for (const auto &[account, requests] : wire.requests_) {
+        counts.counts_.requests_.emplace(AccountId(account), requests);
+    }
+    return counts;
+}
+
+WireStored toWire(const CountsStored &stored)
+{
+    return { stored.window_, stored.version_ };
+}
+
+CountsStored fromWire(const WireStored &wire)
+{
+    return { {}, wire.window_, wire.version_ };
+}
+
 template <typename Wire, typename Items>
 std::vector<Wire> allToWire(const Items &items)
 {
@@ -191,7 +242,8 @@
                                         query.endpoints_,
                                         query.membersOf_.value(),
                                         query.members_,
-                                        allToWire<WireLoad>(query.loads_) });
+                                        allToWire<WireLoad>(query.loads_),
+                                        allToWire<WireCounts>(query.counts_) });
 }
 
 Result<RelayQuery> decodeQuery(std::string_view bytes)
@@ -204,6 +256,10 @@
     if (!loads) {
         return tl::unexpected(loads.error());
     }
+    auto counts = allFromWire<MemberCounts>(wire->counts_);
+    for (auto &member : counts) {
+        member.gateway_ = InstanceId(wire->from_.incarnation_);
+    }
     return RelayQuery{ fromWire(wire->from_),
                        wire->isFromRelay_,
                        wire->isLeaving_,
@@ -212,7 +268,8 @@
                        wire->endpoints_,
                        InstanceId(wire->membersOf_),
                        wire->members_,
-                       std::move(*loads) };
+                       std::move(*loads),
+                       std::move(counts) };
 }
 
 std::string encode(const RelayAnswer &answer)
@@ -234,6 +291,7 @@
     }
     wire.gateways_ = answer.gateways_;
     wire.loads_ = allToWire<WireLoad>(answer.loads_);
+    wire.stored_ = allToWire<WireStored>(answer.stored_);
     return messagepack::pack(wire);
 }
 
@@ -262,6 +320,7 @@
     }
     answer.gateways_ = wire->gateways_;
     answer.loads_ = std::move(*loads);
+    answer.stored_ = allFromWire<CountsStored>(wire->stored_);
     return answer;
 }
 
--- a/src/relay/relayquery.h
+++ b/src/relay/relayquery.h
@@ -2,9 +2,11 @@
 
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 #include "relay/endpointload.h"
 #include "relay/gatewaymember.h"
+#include "usage/membercounts.h"
 
 namespace cowsliphead
 {
@@ -32,6 +34,9 @@
 
     /// What the sender has placed at each endpoint.
     EndpointLoads loads_;
+
+    /// Requests that the sender has counted and that the relay does not have yet.
+    std::vector<MemberCounts> counts_{};
 };
 
 } // namespace cowsliphead
--- a/tests/duty/windowcountsreportertest.cpp
+++ b/tests/duty/windowcountsreportertest.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/errorcode.h"
+#include "duty/ownwindowcounts.h"
 #include "duty/windowcountsreporter.h"
 #include "duty/windowcountswriter.h"
 #include "mapstore.h"
@@ -30,19 +31,47 @@
     Result<void> answer_;
 };
 
+/// A gateway that writes its counts itself.
+struct Gateway {
+    Gateway(MapStore &store, const std::string &name)
+        : own_(InstanceId(name))
+        , writer_(store, InstanceId(name), [this](const CountsStored &counts) { own_.stored(counts.window_, counts.version_); })
+    {
+    }
+
+    void count(const AccountId &account, UsageWindow window)
+    {
+        own_.count(account, window);
+    }
+
+    /// Writes what was counted until now, in the given window.
+    void flush(UsageWindow current)
+    {
+        now_ += std::chrono::seconds(2);
+        for (const auto &counts : own_.takeChanged(current, now_)) {
+            writer_.add(counts);
+        }
+        writer_.flush(current);
+    }
+
+    OwnWindowCounts own_;
+    WindowCountsWriter<MapStore> writer_;
+    MonotonicTime now_{ std::chrono::hours(1) };
+};
+
 struct Fixture {
     MapStore store_;
     Platform platform_;
     bool isRefused_ = false;
     std::optional<FencingNumber> fence_ = 3;
-    WindowCountsWriter<MapStore> first_{ store_, InstanceId("first") };
-    WindowCountsWriter<MapStore> second_{ store_, InstanceId("second") };
+    Gateway first_{ store_, "first" };
+    Gateway second_{ store_, "second" };
     WindowCountsReporter<MapStore, Platform> reporter_{ store_, platform_, [this] { return fence_; }, [this] { isRefused_ = true; } };
 
-    void count(WindowCountsWriter<MapStore> &writer, int requests)
+    static void count(Gateway &gateway, int requests)
     {
         for (int request = 0; request < requests; ++request) {
-            writer.count(AccountId("press"), 7);
+            gateway.count(AccountId("press"), 7);
         }
     }
 };
--- a/tests/relay/fleetstatetest.cpp
+++ b/tests/relay/fleetstatetest.cpp
@@ -155,11 +155,21 @@
 BOOST_AUTO_TEST_CASE(keep_all_their_fields)
 {
     const GatewayMember member{ InstanceId("g-1"), FailureDomain("a"), { "10.0.0.1", 9 } };
-    const RelayQuery query{ member, true, true, PeerAddress{ "10.0.0.2", 8 }, 3, 4, InstanceId("g-2"), 5, { { 1, 2, 3 }, { 2, 0, 7 } } };
+    const RelayQuery query{ member,
+                            true,
+                            true,
+                            PeerAddress{ "10.0.0.2", 8 },
+                            3,
+                            4,
+                            InstanceId("g-2"),
+                            5,
+                            { { 1, 2, 3 }, { 2, 0, 7 } },
+                            { { InstanceId("g-1"), 2, { 9, { { AccountId("press"), 4 } }, true } } } };
     const auto decodedQuery = relaymessagecodec::decodeQuery(relaymessagecodec::encode(query));
     BOOST_REQUIRE(decodedQuery.has_value());
     BOOST_TEST(relaymessagecodec::encode(*decodedQuery) == relaymessagecodec::encode(query));
     BOOST_TEST((decodedQuery->loads_ == query.loads_));
+    BOOST_TEST(decodedQuery->counts_.at(0).gateway_.value() == "g-1");
     RelayAnswer answer;
     answer.from_ = member;
     answer.status_ = { true, true, false, true, PeerAddress{ "10.0.0.3", 7 } };
@@ -167,6 +177,7 @@
     answer.endpointUpdate_ = TextUpdate{ 4, 3, "bytes" };
     answer.members_ = { member };
     answer.gateways_ = 340;
+    answer.stored_ = { { {}, 9, 2 } };
     const auto decodedAnswer = relaymessagecodec::decodeAnswer(relaymessagecodec::encode(answer));
     BOOST_REQUIRE(decodedAnswer.has_value());
     BOOST_TEST(relaymessagecodec::encode(*decodedAnswer) == relaymessagecodec::encode(answer));
