--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -88,6 +88,9 @@
     /// Ten times the longest round trip between failure domains, so that one lost packet can be retransmitted.
     static constexpr std::chrono::milliseconds ConnectTimeout{ 300 };
 
+    /// Limit on an answer that is not streamed; a faulty endpoint may send bytes without end.
+    static constexpr std::size_t MaxBufferedBytes = 8U << 20U;
+
     static constexpr int FirstRedirection = 300;
     static constexpr int FirstServerError = 500;
 
@@ -140,11 +143,30 @@
 
     void onData(std::string_view data)
     {
-        restartNoDataTimer();
         if (isStreaming_) {
-            events_.onData_(data);
-        } else {
-            body_.append(data);
+            onStreamData(data);
+            return;
+        }
+        restartNoDataTimer();
+        if (body_.size() + data.size() > MaxBufferedBytes) {
+            abandon("too_long");
+            return;
+        }
+        body_.append(data);
+    }
+
+    /// Only whole events show that the endpoint makes progress.
+    void onStreamData(std::string_view data)
+    {
+        switch (events_.onData_(data)) {
+        case StreamProgress::Event:
+            restartNoDataTimer();
+            break;
+        case StreamProgress::Partial:
+            break;
+        case StreamProgress::Oversized:
+            abandon("too_long");
+            break;
         }
     }
 
@@ -180,8 +202,13 @@
             restartNoDataTimer();
             return;
         }
+        abandon("silent");
+    }
+
+    void abandon(const char *reason)
+    {
         connection_->close();
-        fail("silent");
+        fail(reason);
     }
 
     void fail(const char *reason)
--- a/src/gateway/dispatchevents.h
+++ b/src/gateway/dispatchevents.h
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "gateway/attemptresult.h"
+#include "gateway/streamprogress.h"
 #include "http1/responsehead.h"
 
 namespace cowsliphead
@@ -19,7 +20,7 @@
 
     /// A successful streamed response has begun.
     std::function<void(const ResponseHead &)> onStream_;
-    std::function<void(std::string_view)> onData_;
+    std::function<StreamProgress(std::string_view)> onData_;
     std::function<void(AttemptResult)> onEnd_;
 };
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -218,7 +218,7 @@
                                                       .mayWrite_ = [this] { return mayWrite(); },
                                                       .mayAbandon_ = [this] { return mayAbandon(); },
                                                       .onStream_ = [this](const ResponseHead &head) { streamBegan(head); },
-                                                      .onData_ = [this](std::string_view data) { response_.relay().forward(data); },
+                                                      .onData_ = [this](std::string_view data) { return response_.relay().forward(data); },
                                                       .onEnd_ = onEnd,
                                                   });
         dispatch_->start();
--- a/src/gateway/streamrelay.cpp
+++ b/src/gateway/streamrelay.cpp
@@ -21,12 +21,16 @@
     }
 }
 
-void StreamRelay::forward(std::string_view data)
+StreamProgress StreamRelay::forward(std::string_view data)
 {
     const auto events = framer_.add(data);
     eventIds_.addEvents(events);
     connection_.sendBodyData(events);
     partialBytes_ = partialBytes_ + data.size() - events.size();
+    if (partialBytes_ > MaxEventBytes) {
+        return StreamProgress::Oversized;
+    }
+    return events.empty() ? StreamProgress::Partial : StreamProgress::Event;
 }
 
 void StreamRelay::discardPartialEvent()
--- a/src/gateway/streamrelay.h
+++ b/src/gateway/streamrelay.h
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "gateway/eventidtracker.h"
+#include "gateway/streamprogress.h"
 #include "serve/sseframer.h"
 
 namespace cowsliphead
@@ -25,7 +26,7 @@
     void begin(const ResponseHead &head);
 
     /// Forwards the events that this data completes. Precondition: begin() was called.
-    void forward(std::string_view data);
+    StreamProgress forward(std::string_view data);
 
     /// Discards an incomplete event of the previous endpoint.
     void discardPartialEvent();
@@ -40,6 +41,9 @@
     const std::string &lastEventId() const;
 
 private:
+    /// A faulty endpoint may send an event without end.
+    static constexpr std::size_t MaxEventBytes = 1U << 20U;
+
     CallerConnection &connection_;
     SseFramer framer_;
     EventIdTracker eventIds_;
--- a/src/http1/bufferedhttpclient.cpp
+++ b/src/http1/bufferedhttpclient.cpp
@@ -16,6 +16,9 @@
 
 constexpr std::chrono::milliseconds ConnectTimeout{ 400 };
 
+/// Sixteen of the store's largest values.
+constexpr std::size_t MaxAnswerBytes = 16U << 20U;
+
 } // namespace
 
 struct BufferedHttpClient::Call {
@@ -77,7 +80,14 @@
                                          call->answer_.status_ = answer.status_;
                                          return AnswerHandling::Accept;
                                      },
-                                 .onData_ = [call](std::string_view data) { call->answer_.body_.append(data); },
+                                 .onData_ =
+                                     [call, end](std::string_view data) {
+                                         if (call->answer_.body_.size() + data.size() > MaxAnswerBytes) {
+                                             end(tl::make_unexpected(ConnectionFailure::TooLong));
+                                         } else {
+                                             call->answer_.body_.append(data);
+                                         }
+                                     },
                                  .onComplete_ = [call, end] { end(call->answer_); },
                                  .onFailed_ = [end](ConnectionFailure failure) { end(tl::make_unexpected(failure)); },
                              },
--- a/src/http1/clientconnection.cpp
+++ b/src/http1/clientconnection.cpp
@@ -1,5 +1,6 @@
 #include "http1/clientconnection.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <arpa/inet.h>
@@ -31,6 +32,10 @@
 
 constexpr int FirstFinalStatus = 200;
 
+/// Limit on the bytes of heads, interim responses, answers to other requests and framing for one request. A faulty server may send such
+/// bytes without end.
+constexpr std::size_t MaxExtraBytes = 4U << 20U;
+
 sockaddr_in toSockaddr(const SocketAddress &address)
 {
     sockaddr_in name{};
@@ -65,6 +70,7 @@
     events_ = std::make_shared<ClientConnectionEvents>(std::move(events));
     isAwaitingAnswer_ = true;
     isRequestWritten_ = false;
+    extraBytes_ = 0;
     answerHandling_ = AnswerHandling::Accept;
     if (state_ == State::New) {
         connect(connectTimeout);
@@ -165,12 +171,16 @@
         }
         const auto *bytes = reinterpret_cast<const char *>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
         std::size_t consumed = 0;
+        extraBytes_ += size;
         const auto outcome = parser_.parse({ bytes, size }, consumed);
         if (state_ != State::Open) {
             return;
         }
+        extraBytes_ -= std::min(extraBytes_, size - consumed);
         evbuffer_drain(input, consumed);
-        if (outcome == ParseOutcome::Complete) {
+        if (extraBytes_ > MaxExtraBytes) {
+            fail(ConnectionFailure::TooLong);
+        } else if (outcome == ParseOutcome::Complete) {
             handleMessageComplete();
         } else if (outcome == ParseOutcome::Malformed) {
             fail(ConnectionFailure::Malformed);
@@ -202,6 +212,7 @@
 bool ClientConnection::handleBody(std::string_view data)
 {
     if (!isInterim_ && answerHandling_ == AnswerHandling::Accept) {
+        extraBytes_ -= std::min(extraBytes_, data.size());
         const auto events = events_;
         events->onData_(data);
     }
--- a/src/http1/clientconnection.h
+++ b/src/http1/clientconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <string_view>
 
@@ -69,6 +70,9 @@
     Timer connectTimer_;
     State state_ = State::New;
     AnswerHandling answerHandling_ = AnswerHandling::Accept;
+
+    /// Bytes of the present request that were received and are not part of its answer's body.
+    std::size_t extraBytes_ = 0;
     bool isAwaitingAnswer_ = false;
     bool isRequestWritten_ = false;
     bool isInterim_ = false;
--- a/src/http1/connectionfailure.h
+++ b/src/http1/connectionfailure.h
@@ -9,6 +9,7 @@
     Closed, ///< The server closed or reset it.
     TimedOut, ///< The timeout of the call expired.
     Malformed, ///< The bytes received are not a response.
+    TooLong, ///< More bytes were received than any response has.
 };
 
 /// Returns the name used in logs. Thread safety: any thread.
@@ -21,6 +22,8 @@
         return "closed";
     case ConnectionFailure::TimedOut:
         return "timed_out";
+    case ConnectionFailure::TooLong:
+        return "too_long";
     case ConnectionFailure::Malformed:
         break;
     }
--- a/tests/gateway/gatewaytest.cpp
+++ b/tests/gateway/gatewaytest.cpp
@@ -23,6 +23,15 @@
         + data + "\r\n";
 }
 
+/// An endpoint that sends the first bytes and then the others without end.
+RawEndpoint::Script endless(const std::string &first, const std::string &others)
+{
+    RawEndpoint::Script script;
+    script.bytes_ = first.empty() ? others : first;
+    script.endlessBytes_ = others;
+    return script;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(a_gateway)
@@ -154,6 +163,78 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// A faulty endpoint may send bytes that are no answer without end, until the gateway closes the connection.
+BOOST_AUTO_TEST_SUITE(with_an_endpoint_whose_bytes_never_end)
+
+BOOST_AUTO_TEST_SUITE(in_the_head)
+
+BOOST_AUTO_TEST_CASE(closes_the_connection_and_runs_an_idempotent_request_elsewhere)
+{
+    GatewayFixture fixture;
+    auto &first = fixture.addEndpoint({ endless("HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Filler: ", std::string(4096, 'a')) });
+    fixture.addEndpoint({ { CompleteResponse } });
+    BOOST_TEST(fixture.sendRequest("/safe/x").status_ == 200);
+    BOOST_TEST(first.closedConnections() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(says_that_the_outcome_of_another_is_unknown)
+{
+    GatewayFixture fixture;
+    auto &first = fixture.addEndpoint({ endless("", std::string(4096, 'a')) });
+    BOOST_TEST(fixture.sendRequest("/once/x").status_ == 502);
+    BOOST_TEST(first.closedConnections() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(does_not_read_interim_responses_for_ever)
+{
+    GatewayFixture fixture;
+    std::string interim;
+    for (int number = 0; number < 200; ++number) {
+        interim += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    auto &first = fixture.addEndpoint({ endless("", interim) });
+    BOOST_TEST(fixture.sendRequest("/once/x").status_ == 502);
+    BOOST_TEST(first.closedConnections() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(does_not_skip_the_answer_of_another_request_for_ever)
+{
+    GatewayFixture fixture;
+    auto &first = fixture.addEndpoint({ endless("HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\n\r\n", std::string(4096, 'a')) });
+    BOOST_TEST(fixture.sendRequest("/once/x").status_ == 502);
+    BOOST_TEST(first.closedConnections() == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(in_the_body)
+
+BOOST_AUTO_TEST_CASE(closes_the_connection_and_runs_an_idempotent_request_elsewhere)
+{
+    GatewayFixture fixture;
+    auto &first = fixture.addEndpoint({ endless("HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Response-Stamp: s\r\n\r\n", std::string(65536, 'a')) });
+    fixture.addEndpoint({ { CompleteResponse } });
+    BOOST_TEST(fixture.sendRequest("/safe/x").status_ == 200);
+    BOOST_TEST(first.closedConnections() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(continues_a_stream_elsewhere_whose_event_never_ends)
+{
+    GatewayFixture fixture;
+    auto &first =
+        fixture.addEndpoint({ endless("HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Response-Stamp: s\r\n\r\nid: 1\n\ndata: ", std::string(65536, 'a')) });
+    auto &second = fixture.addEndpoint({ { "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Response-Stamp: s\r\nContent-Length: 7\r\n\r\nid: 2\n\n" } });
+    const auto answer = fixture.sendRequest("/stream/x");
+    BOOST_TEST(answer.isComplete_);
+    BOOST_TEST(answer.body_ == "id: 1\n\nid: 2\n\n");
+    BOOST_TEST(first.closedConnections() == 1);
+    BOOST_TEST(second.requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(with_an_endpoint_that_answers_too_much)
 
 BOOST_AUTO_TEST_CASE(skips_the_answer_of_another_request)
--- a/tests/gateway/rawendpoint.cpp
+++ b/tests/gateway/rawendpoint.cpp
@@ -40,10 +40,17 @@
     endpoint.loop_.defer([&endpoint, events] { endpoint.connections_.erase(events); });
 }
 
+void RawEndpoint::onDrained(bufferevent *events, void *self)
+{
+    const auto &bytes = static_cast<RawEndpoint *>(self)->endlessBytes_[events];
+    bufferevent_write(events, bytes.data(), bytes.size());
+}
+
 void RawEndpoint::onEvent(bufferevent *events, short /*what*/, void *self)
 {
     auto &endpoint = *static_cast<RawEndpoint *>(self);
     ++endpoint.closedConnections_;
+    endpoint.endlessBytes_.erase(events);
     endpoint.connections_.erase(events);
 }
 
@@ -64,6 +71,10 @@
         script.bytes_.replace(place, 2, id);
     }
     bufferevent_write(events, script.bytes_.data(), script.bytes_.size());
+    if (!script.endlessBytes_.empty()) {
+        endlessBytes_[events] = script.endlessBytes_;
+        bufferevent_setcb(events, &RawEndpoint::onReadable, &RawEndpoint::onDrained, &RawEndpoint::onEvent, this);
+    }
     if (!script.laterBytes_.empty()) {
         pendingWrites_.push_back(std::make_unique<Timer>(loop_, [this, events, bytes = script.laterBytes_] {
             if (connections_.contains(events)) {
--- a/tests/gateway/rawendpoint.h
+++ b/tests/gateway/rawendpoint.h
@@ -25,6 +25,9 @@
         /// Sent after a pause.
         std::string laterBytes_ = {};
         std::chrono::milliseconds pause_{ 0 };
+
+        /// Sent again and again after the other bytes, until the gateway closes the connection.
+        std::string endlessBytes_ = {};
     };
 
     RawEndpoint(cowsliphead::EventLoop &loop, std::vector<Script> scripts);
@@ -52,6 +55,7 @@
 private:
     static void onReadable(bufferevent *events, void *self);
     static void onWritten(bufferevent *events, void *self);
+    static void onDrained(bufferevent *events, void *self);
     static void onEvent(bufferevent *events, short what, void *self);
 
     void accept(int socket);
@@ -61,6 +65,7 @@
     std::vector<Script> scripts_;
     std::vector<std::string> requests_;
     std::map<bufferevent *, std::unique_ptr<bufferevent, cowsliphead::BufferEventDeleter>> connections_;
+    std::map<bufferevent *, std::string> endlessBytes_;
     std::vector<std::unique_ptr<cowsliphead::Timer>> pendingWrites_;
     cowsliphead::Listener listener_;
     std::uint16_t port_ = 0;
--- a/tests/http/httpcalltest.cpp
+++ b/tests/http/httpcalltest.cpp
@@ -1,3 +1,4 @@
+#include <chrono>
 #include <csignal>
 #include <memory>
 #include <optional>
@@ -140,6 +141,27 @@
 
 BOOST_AUTO_TEST_SUITE(an_answer)
 
+// A faulty server may send bytes without end, until the client closes the connection.
+BOOST_FIXTURE_TEST_SUITE(that_never_ends, Fixture)
+
+BOOST_AUTO_TEST_CASE(fails_at_once_if_its_head_is_too_long)
+{
+    const auto startedAt = std::chrono::steady_clock::now();
+    startServer("HTTP/1.1 200 OK\r\nX-Filler: " + std::string(256 * 1024, 'a'), false);
+    BOOST_TEST(!receivesCompleteAnswer());
+    BOOST_TEST((std::chrono::steady_clock::now() - startedAt < std::chrono::seconds(5)));
+}
+
+BOOST_AUTO_TEST_CASE(fails_at_once_if_its_body_is_too_long)
+{
+    const auto startedAt = std::chrono::steady_clock::now();
+    startServer("HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\n" + std::string(1024, 'a'), false);
+    BOOST_TEST(!receivesCompleteAnswer());
+    BOOST_TEST((std::chrono::steady_clock::now() - startedAt < std::chrono::seconds(5)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(that_ends_when_the_connection_closes, Fixture)
 
 BOOST_AUTO_TEST_CASE(is_incomplete_if_it_has_no_length)
