A gateway agrees with the relay that it follows on the list of endpoints

Cause: two relays can give one revision to different lists, since an entry that expired in an outage is kept for two seconds by a relay that saw it. Ruled out: the relays' own reading (endpoint_leaves 10 ms after the store's answer), silence, the choice of relays. Now a version is revision and digest, an update names the digest of its result, and a text is added only if it fits. Tests fail without either.

--- a/src/relay/relaybehaviour.h
+++ b/src/relay/relaybehaviour.h
@@ -369,8 +369,8 @@
         query.from_ = self_;
         query.isLeaving_ = selection_->status(now).isLeaving_;
         query.unusableRelay_ = selection_->unusableRelay();
-        query.configuration_ = needsWholeTexts_ ? 0 : state_.configurations().revision();
-        query.endpoints_ = needsWholeTexts_ ? 0 : state_.endpoints().revision();
+        query.configuration_ = needsWholeTexts_ ? TextVersion{} : state_.configurations().version();
+        query.endpoints_ = needsWholeTexts_ ? TextVersion{} : state_.endpoints().version();
         query.membersOf_ = membersOf_;
         query.members_ = membersVersion_;
         query.loads_ = local_;
--- a/src/relay/relaymessagecodec.cpp
+++ b/src/relay/relaymessagecodec.cpp
@@ -39,9 +39,17 @@
 struct WireUpdate {
     std::uint64_t revision_ = 0;
     std::uint64_t baseRevision_ = 0;
+    std::uint64_t digest_ = 0;
     std::string bytes_;
 
-    MSGPACK_DEFINE_ARRAY(revision_, baseRevision_, bytes_)
+    MSGPACK_DEFINE_ARRAY(revision_, baseRevision_, digest_, bytes_)
+};
+
+struct WireVersion {
+    std::uint64_t revision_ = 0;
+    std::uint64_t digest_ = 0;
+
+    MSGPACK_DEFINE_ARRAY(revision_, digest_)
 };
 
 /// The gateway is the sender of the query.
@@ -68,8 +76,8 @@
     bool isFromRelay_ = false;
     bool isLeaving_ = false;
     std::vector<WireAddress> unusableRelay_;
-    std::uint64_t configuration_ = 0;
-    std::uint64_t endpoints_ = 0;
+    WireVersion configuration_;
+    WireVersion endpoints_;
     std::string membersOf_;
     std::uint64_t members_ = 0;
     std::vector<WireLoad> loads_;
@@ -155,12 +163,22 @@
 
 WireUpdate toWire(const TextUpdate &update)
 {
-    return { update.revision_, update.baseRevision_, update.bytes_ };
+    return { update.revision_, update.baseRevision_, update.digest_, update.bytes_ };
 }
 
 TextUpdate fromWire(const WireUpdate &wire)
 {
-    return { wire.revision_, wire.baseRevision_, wire.bytes_ };
+    return { wire.revision_, wire.baseRevision_, wire.digest_, wire.bytes_ };
+}
+
+WireVersion toWire(const TextVersion &version)
+{
+    return { version.revision_, version.digest_ };
+}
+
+TextVersion fromWire(const WireVersion &wire)
+{
+    return { wire.revision_, wire.digest_ };
 }
 
 WireCounts toWire(const MemberCounts &counts)
@@ -238,8 +256,8 @@
                                         query.isFromRelay_,
                                         query.isLeaving_,
                                         optionalToWire<WireAddress>(query.unusableRelay_),
-                                        query.configuration_,
-                                        query.endpoints_,
+                                        toWire(query.configuration_),
+                                        toWire(query.endpoints_),
                                         query.membersOf_.value(),
                                         query.members_,
                                         allToWire<WireLoad>(query.loads_),
@@ -264,8 +282,8 @@
                        wire->isFromRelay_,
                        wire->isLeaving_,
                        optionalFromWire<PeerAddress>(wire->unusableRelay_),
-                       wire->configuration_,
-                       wire->endpoints_,
+                       fromWire(wire->configuration_),
+                       fromWire(wire->endpoints_),
                        InstanceId(wire->membersOf_),
                        wire->members_,
                        std::move(*loads),
--- a/src/relay/relayquery.h
+++ b/src/relay/relayquery.h
@@ -6,6 +6,7 @@
 
 #include "relay/endpointload.h"
 #include "relay/gatewaymember.h"
+#include "relay/textversion.h"
 #include "usage/membercounts.h"
 
 namespace cowsliphead
@@ -24,9 +25,9 @@
     /// The relay that the sender cannot use.
     std::optional<PeerAddress> unusableRelay_;
 
-    /// The revisions that the sender has of the configuration and of the list of endpoints; 0 if it has none.
-    std::uint64_t configuration_ = 0;
-    std::uint64_t endpoints_ = 0;
+    /// The versions that the sender has of the configuration and of the list of endpoints.
+    TextVersion configuration_;
+    TextVersion endpoints_;
 
     /// The relay whose list of members the sender has, and its version.
     InstanceId membersOf_;
--- a/src/relay/texthistory.cpp
+++ b/src/relay/texthistory.cpp
@@ -1,19 +1,33 @@
 #include "relay/texthistory.h"
 
+#include <string_view>
 #include <utility>
 
+#include <xxhash.h>
+
 #include "core/errorcode.h"
 #include "relay/textdelta.h"
 
 namespace cowsliphead
 {
 
+namespace
+{
+
+std::uint64_t digestOf(const std::string &text)
+{
+    return XXH3_64bits(text.data(), text.size());
+}
+
+} // namespace
+
 bool TextHistory::add(std::uint64_t revision, std::string text)
 {
     if (revision <= this->revision()) {
         return false;
     }
-    versions_.emplace(revision, std::move(text));
+    const auto digest = digestOf(text);
+    versions_.emplace(revision, Version{ digest, std::move(text) });
     if (versions_.size() > RetainedVersions) {
         versions_.erase(versions_.begin());
     }
@@ -23,44 +37,52 @@
 
 Result<bool> TextHistory::apply(const TextUpdate &update)
 {
-    if (update.revision_ <= revision()) {
+    const bool isKnown = version() == TextVersion{ update.revision_, update.digest_ };
+    if (update.revision_ < revision() || isKnown) {
         return false;
     }
     const auto base = versions_.find(update.baseRevision_);
     if (update.baseRevision_ != 0 && base == versions_.end()) {
         return failure(ErrorCode::CodecMalformed);
     }
-    auto text = textdelta::expand(update.bytes_, update.baseRevision_ == 0 ? std::string_view() : std::string_view(base->second));
-    if (!text) {
+    auto text = textdelta::expand(update.bytes_, update.baseRevision_ == 0 ? std::string_view() : std::string_view(base->second.text_));
+    if (!text || digestOf(*text) != update.digest_) {
         return failure(ErrorCode::CodecMalformed);
     }
+    versions_.erase(update.revision_);
     return add(update.revision_, std::move(*text));
 }
 
-std::optional<TextUpdate> TextHistory::updateFor(std::uint64_t revision)
+std::optional<TextUpdate> TextHistory::updateFor(const TextVersion &known)
 {
-    if (versions_.empty() || revision >= this->revision()) {
+    if (versions_.empty() || known.revision_ > revision() || known == version()) {
         return std::nullopt;
     }
-    const auto base = versions_.find(revision);
-    const auto baseRevision = base == versions_.end() ? 0 : revision;
+    const auto base = versions_.find(known.revision_);
+    const bool hasBase = base != versions_.end() && base->second.digest_ == known.digest_;
+    const auto baseRevision = hasBase ? known.revision_ : 0;
     const auto [found, isNew] = updates_.try_emplace(baseRevision);
     if (isNew) {
-        const auto baseText = baseRevision == 0 ? std::string_view() : std::string_view(base->second);
-        found->second = TextUpdate{ this->revision(), baseRevision, textdelta::compress(text(), baseText) };
+        const auto baseText = hasBase ? std::string_view(base->second.text_) : std::string_view();
+        found->second = TextUpdate{ revision(), baseRevision, version().digest_, textdelta::compress(text(), baseText) };
     }
     return found->second;
 }
 
+TextVersion TextHistory::version() const
+{
+    return versions_.empty() ? TextVersion{} : TextVersion{ versions_.rbegin()->first, versions_.rbegin()->second.digest_ };
+}
+
 std::uint64_t TextHistory::revision() const
 {
-    return versions_.empty() ? 0 : versions_.rbegin()->first;
+    return version().revision_;
 }
 
 const std::string &TextHistory::text() const
 {
     static const std::string None;
-    return versions_.empty() ? None : versions_.rbegin()->second;
+    return versions_.empty() ? None : versions_.rbegin()->second.text_;
 }
 
 } // namespace cowsliphead
--- a/src/relay/textupdate.h
+++ b/src/relay/textupdate.h
@@ -13,6 +13,9 @@
     /// The revision that the receiver must have; 0 if it needs none.
     std::uint64_t baseRevision_ = 0;
 
+    /// Digest of the text that the update leads to, so that a wrong base is found.
+    std::uint64_t digest_ = 0;
+
     /// The text, compressed against the base.
     std::string bytes_;
 };
--- a/tests/relay/fleetstatetest.cpp
+++ b/tests/relay/fleetstatetest.cpp
@@ -42,7 +42,7 @@
 
     Result<bool> update()
     {
-        const auto update = relay_.configurations().updateFor(member_.configurations().revision());
+        const auto update = relay_.configurations().updateFor(member_.configurations().version());
         return update ? member_.applyConfiguration(*update) : Result<bool>(false);
     }
 
@@ -72,9 +72,9 @@
     BOOST_REQUIRE(*pair.update());
     Pair behind;
     behind.configure(5, 1);
-    const auto older = behind.relay_.configurations().updateFor(0);
+    const auto older = behind.relay_.configurations().updateFor({});
     BOOST_TEST(!*pair.member_.applyConfiguration(*older));
-    BOOST_TEST(!behind.relay_.configurations().updateFor(6).has_value());
+    BOOST_TEST(!behind.relay_.configurations().updateFor(pair.member_.configurations().version()).has_value());
     BOOST_TEST(pair.member_.snapshot().configuration_->version_ == 2U);
 }
 
@@ -82,11 +82,12 @@
 {
     Pair pair;
     pair.configure(5, 1);
+    const auto first = pair.relay_.configurations().version();
     pair.configure(6, 2);
-    const auto update = pair.relay_.configurations().updateFor(5);
+    const auto update = pair.relay_.configurations().updateFor(first);
     BOOST_TEST(update->baseRevision_ == 5U);
     BOOST_TEST(!pair.member_.applyConfiguration(*update).has_value());
-    BOOST_TEST(*pair.member_.applyConfiguration(*pair.relay_.configurations().updateFor(0)));
+    BOOST_TEST(*pair.member_.applyConfiguration(*pair.relay_.configurations().updateFor({})));
 }
 
 BOOST_AUTO_TEST_CASE(takes_the_endpoints_without_their_sequence_numbers)
@@ -96,16 +97,47 @@
     BOOST_TEST(pair.relay_.setEndpoints(listed, 7));
     listed[3].sequence_ = 8;
     BOOST_TEST(!pair.relay_.setEndpoints(listed, 8));
-    BOOST_TEST(*pair.member_.applyEndpoints(*pair.relay_.endpoints().updateFor(0)));
+    BOOST_TEST(*pair.member_.applyEndpoints(*pair.relay_.endpoints().updateFor({})));
     BOOST_TEST((*pair.member_.snapshot().endpoints_ == endpoints(9)));
 }
 
+BOOST_AUTO_TEST_CASE(agrees_with_the_relay_that_it_follows_after_another_gave_the_same_revision_to_another_list)
+{
+    // Guards against a gateway that applies a difference to a list which its new relay never had, and then keeps the old one: requests went to
+    // endpoints that had left three seconds before (granite-lantern-grown, hunt-09e8-3).
+    Pair former;
+    former.relay_.setEndpoints(endpoints(9), 7);
+    Pair pair;
+    pair.relay_.setEndpoints(endpoints(8), 7);
+    auto &member = pair.member_;
+    BOOST_REQUIRE(*member.applyEndpoints(*former.relay_.endpoints().updateFor({})));
+    BOOST_TEST(*member.applyEndpoints(*pair.relay_.endpoints().updateFor(member.endpoints().version())));
+    BOOST_TEST(member.snapshot().endpoints_->size() == 8U);
+    BOOST_REQUIRE(*member.applyEndpoints(*former.relay_.endpoints().updateFor({})));
+    pair.relay_.setEndpoints(endpoints(7), 8);
+    BOOST_TEST(*member.applyEndpoints(*pair.relay_.endpoints().updateFor(member.endpoints().version())));
+    BOOST_TEST(member.snapshot().endpoints_->size() == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(refuses_an_update_against_another_base)
+{
+    Pair former;
+    former.relay_.setEndpoints(endpoints(9), 7);
+    Pair pair;
+    pair.relay_.setEndpoints(endpoints(8), 7);
+    const auto known = pair.relay_.endpoints().version();
+    pair.relay_.setEndpoints(endpoints(7), 8);
+    BOOST_REQUIRE(*pair.member_.applyEndpoints(*former.relay_.endpoints().updateFor({})));
+    BOOST_TEST(!pair.member_.applyEndpoints(*pair.relay_.endpoints().updateFor(known)).has_value());
+    BOOST_TEST(pair.member_.endpoints().revision() == 7U);
+}
+
 BOOST_AUTO_TEST_CASE(takes_a_change_of_endpoints_that_the_store_did_not_change)
 {
     Pair pair;
     pair.relay_.setEndpoints(endpoints(9), 7);
     BOOST_TEST(pair.relay_.setEndpoints(endpoints(8), 7));
-    BOOST_TEST(*pair.member_.applyEndpoints(*pair.relay_.endpoints().updateFor(0)));
+    BOOST_TEST(*pair.member_.applyEndpoints(*pair.relay_.endpoints().updateFor({})));
     BOOST_TEST(pair.member_.snapshot().endpoints_->size() == 8U);
 }
 
@@ -124,7 +156,7 @@
             member.add(revision, text);
         }
     }
-    const auto update = relay.updateFor(member.revision());
+    const auto update = relay.updateFor(member.version());
     if (update) {
         RC_ASSERT(member.apply(*update).value_or(false));
     }
@@ -155,16 +187,17 @@
 BOOST_AUTO_TEST_CASE(keep_all_their_fields)
 {
     const GatewayMember member{ InstanceId("g-1"), FailureDomain("a"), { "10.0.0.1", 9 } };
-    const RelayQuery query{ member,
-                            true,
-                            true,
-                            PeerAddress{ "10.0.0.2", 8 },
-                            3,
-                            4,
-                            InstanceId("g-2"),
-                            5,
-                            { { 1, 2, 3 }, { 2, 0, 7 } },
-                            { { InstanceId("g-1"), 2, { 9, { { AccountId("press"), 4 } }, true } } } };
+    RelayQuery query;
+    query.from_ = member;
+    query.isFromRelay_ = true;
+    query.isLeaving_ = true;
+    query.unusableRelay_ = PeerAddress{ "10.0.0.2", 8 };
+    query.configuration_ = { 3, 33 };
+    query.endpoints_ = { 4, 44 };
+    query.membersOf_ = InstanceId("g-2");
+    query.members_ = 5;
+    query.loads_ = { { 1, 2, 3 }, { 2, 0, 7 } };
+    query.counts_ = { { InstanceId("g-1"), 2, { 9, { { AccountId("press"), 4 } }, true } } };
     const auto decodedQuery = relaymessagecodec::decodeQuery(relaymessagecodec::encode(query));
     BOOST_REQUIRE(decodedQuery.has_value());
     BOOST_TEST(relaymessagecodec::encode(*decodedQuery) == relaymessagecodec::encode(query));
@@ -174,7 +207,7 @@
     answer.from_ = member;
     answer.status_ = { true, true, false, true, PeerAddress{ "10.0.0.3", 7 } };
     answer.configurationAge_ = std::chrono::milliseconds(12);
-    answer.endpointUpdate_ = TextUpdate{ 4, 3, "bytes" };
+    answer.endpointUpdate_ = TextUpdate{ 4, 3, 2, "bytes" };
     answer.members_ = { member };
     answer.gateways_ = 340;
     answer.stored_ = { { {}, 9, 2 } };
