--- a/src/http/httpconnection.cpp
+++ b/src/http/httpconnection.cpp
@@ -12,8 +12,8 @@
 {
 
 /// Limits on an answer, since a faulty server may send bytes without end: its head, and all of its body, streamed or not.
-constexpr ev_ssize_t MaxHeadBytes = 64 * 1024;
-constexpr ev_ssize_t MaxBodyBytes = 64 * 1024 * 1024;
+constexpr ev_ssize_t MaxHeadBytes = 64L << 10;
+constexpr ev_ssize_t MaxBodyBytes = 64L << 20;
 
 } // namespace
 
--- a/tests/gateway/parsegatewaysettingstest.cpp
+++ b/tests/gateway/parsegatewaysettingstest.cpp
@@ -47,6 +47,14 @@
     BOOST_TEST(broken.error().describe().find("/keyWithdrawalMs") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(name_a_malformed_address_for_other_gateways)
+{
+    const auto broken = parseGatewaySettings(settingsWith(R"(, "peer": "10.0.0.1")"));
+    BOOST_REQUIRE(!broken);
+    BOOST_TEST(broken.error().describe().find("/peer") != std::string::npos);
+    BOOST_TEST(!parseGatewaySettings(settingsWith(""))->relay_.address_.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(are_rejected_without_a_store_or_with_its_port_missing)
 {
     BOOST_TEST(!parseGatewaySettings(R"({ "instance": "front-1" })").has_value());
