--- a/src/relay/texthistory.cpp
+++ b/src/relay/texthistory.cpp
@@ -81,8 +81,8 @@
 
 const std::string &TextHistory::text() const
 {
-    static const std::string None;
-    return versions_.empty() ? None : versions_.rbegin()->second.text_;
+    static const std::string none;
+    return versions_.empty() ? none : versions_.rbegin()->second.text_;
 }
 
 } // namespace cowsliphead
