--- a/src/relay/relaybehaviour.h
+++ b/src/relay/relaybehaviour.h
@@ -21,12 +21,12 @@
 #include "relay/fleetstate.h"
 #include "relay/loadboard.h"
 #include "relay/relayconnections.h"
-#include "relay/relayentrycodec.h"
+#include "relay/relayentrystore.h"
 #include "relay/relaylinks.h"
 #include "relay/relaymessagecodec.h"
 #include "relay/relayselection.h"
 #include "relay/relaysettings.h"
-#include "relay/usageoutbox.h"
+#include "relay/usagerelay.h"
 #include "serve/drainrequest.h"
 #include "task/timer.h"
 
@@ -52,6 +52,7 @@
         , self_{ incarnation, settings_.domain_, settings_.address_.value_or(PeerAddress{}) }
         , openStore_(std::move(openStore))
         , links_(std::move(links))
+        , usage_(incarnation, links_.memberCounts_, links_.countsStored_)
         , server_(loop, [this](std::string_view bytes) { return answer(bytes); })
         , connections_(loop, [this](const PeerAddress &peer, const std::string &bytes, MonotonicTime askedAt) { answered(peer, bytes, askedAt); })
         , tick_(loop, [this] { tick(); })
@@ -75,7 +76,7 @@
         const auto silenceTimeout =
             std::clamp(settings_.endpointLeaveBound_ / SilenceDivisor, RelaySelection::MinSilenceTimeout, RelaySelection::MaxSilenceTimeout);
         selection_.emplace(self_, silenceTimeout, std::random_device()());
-        entryStore_ = openStore_();
+        entries_.emplace(openStore_());
         tick();
         return port;
     }
@@ -97,9 +98,6 @@
     /// Interval at which relays ask each other; their bytes cross failure domains.
     static constexpr std::chrono::milliseconds DomainInterval{ 300 };
 
-    /// Windows for which a relay remembers whose counts are stored.
-    static constexpr std::size_t RememberedWindows = 4;
-
     /// A client of the store and what reads from it; the client is destroyed first, after which no answer follows.
     struct Reading {
         std::unique_ptr<Registry<S, Codec, C>> registry_;
@@ -111,9 +109,6 @@
         const auto now = clock_.now();
         members_.heard(self_, now);
         members_.expire(now);
-        if (selection_->role() != RelayRole::Relay) {
-            storedVersions_.clear();
-        }
         selection_->update(now);
         connections_.closeIdle(now);
         applyRole();
@@ -145,34 +140,14 @@
         askTarget(now);
     }
 
-    /// This gateway has counted requests. As a relay, it hands them back to the duty task to be written.
     void handle(const MemberCounts &counts)
     {
-        if (!selection_ || selection_->role() == RelayRole::Relay) {
-            links_.memberCounts_.send(counts);
-        } else {
-            outbox_.put(counts);
-        }
+        usage_.counted(counts, !selection_ || selection_->role() == RelayRole::Relay);
     }
 
     void handle(const CountsStored &counts)
     {
-        if (counts.gateway_ == self_.incarnation_) {
-            ownCountsStored(counts);
-            return;
-        }
-        auto &versions = storedVersions_[counts.gateway_];
-        versions[counts.window_] = counts.version_;
-        if (versions.size() > RememberedWindows) {
-            versions.erase(versions.begin());
-        }
-    }
-
-    void ownCountsStored(CountsStored counts)
-    {
-        counts.gateway_ = self_.incarnation_;
-        outbox_.stored(counts);
-        links_.countsStored_.send(counts);
+        usage_.stored(counts);
     }
 
     void handle(const DrainRequest & /*request*/)
@@ -192,22 +167,14 @@
                  { { "unusable", textOf(selection_->unusableRelay()) }, { "relay", textOf(selection_->target()) } });
         if (isRelay) {
             fleetSize_.restart(clock_.now());
-            passOutboxToDuty();
+            usage_.becameRelay();
             startReading();
         } else {
+            usage_.ceasedToBeRelay();
             reading_ = {};
         }
     }
 
-    /// What no relay has is written by this one.
-    void passOutboxToDuty()
-    {
-        outbox_.relayChanged();
-        for (const auto &counts : outbox_.toSend()) {
-            links_.memberCounts_.send(counts);
-        }
-    }
-
     static std::string textOf(const std::optional<PeerAddress> &address)
     {
         return address ? address->host_ + ":" + std::to_string(address->port_) : std::string();
@@ -293,33 +260,20 @@
 
     void readEntries()
     {
-        entryStore_->range(relayentrycodec::Prefix, {}, [this](const Result<StoreRange> &answer) {
-            const auto now = clock_.now();
-            if (!answer) {
-                selection_->storeUnavailable(now);
-                return;
-            }
-            std::vector<RelayEntry> entries;
-            for (const auto &entry : answer->entries_) {
-                if (auto decoded = relayentrycodec::fromEntry(entry)) {
-                    entries.push_back(std::move(*decoded));
-                } else {
-                    logEvent(LogEvent::RelayEntryMalformed, { { "key", entry.key_ }, { "revision", entry.revision_ } });
-                }
+        entries_->read([this](const Result<std::vector<RelayEntry>> &entries) {
+            if (entries) {
+                setDomainRelays(*entries);
+                selection_->entriesRead(*entries, clock_.now());
+            } else {
+                selection_->storeUnavailable(clock_.now());
             }
-            setDomainRelays(entries);
-            selection_->entriesRead(entries, now);
             applyRole();
         });
     }
 
     void writeEntry(StoreRevision expectedRevision)
     {
-        StoreWrite write;
-        write.key_ = relayentrycodec::keyOf(self_.domain_);
-        write.value_ = relayentrycodec::toText(self_);
-        write.expectedRevision_ = expectedRevision;
-        entryStore_->compareAndSwap(write, [this](const Result<StoreRevision> &answer) {
+        entries_->write(self_, expectedRevision, [this](const Result<StoreRevision> &answer) {
             const auto now = clock_.now();
             if (answer) {
                 selection_->entryWritten(now);
@@ -374,9 +328,8 @@
         query.membersOf_ = membersOf_;
         query.members_ = membersVersion_;
         query.loads_ = local_;
-        query.counts_ = outbox_.toSend();
+        query.counts_ = usage_.takeForQuery();
         sentLoads_ = local_;
-        sentCounts_ = query.counts_;
         connections_.ask(*target, relaymessagecodec::encode(query), now);
     }
 
@@ -413,14 +366,8 @@
             members_.heard(query.from_, now);
         }
         board_.reportGateway(query.from_.incarnation_, query.loads_, now);
-        for (const auto &counts : query.counts_) {
-            links_.memberCounts_.send(counts);
-        }
-        if (const auto stored = storedVersions_.find(query.from_.incarnation_); stored != storedVersions_.end()) {
-            for (const auto &[window, version] : stored->second) {
-                answer.stored_.push_back({ query.from_.incarnation_, window, version });
-            }
-        }
+        usage_.received(query.counts_);
+        answer.stored_ = usage_.storedOf(query.from_.incarnation_);
         answer.configuration_ = state_.configurations().revision();
         if (confirmedAt_) {
             answer.configurationAge_ = std::chrono::ceil<std::chrono::milliseconds>(now - *confirmedAt_);
@@ -473,7 +420,7 @@
             domainSize_ = answer.members_->size();
             selection_->setMembers(*answer.members_);
         }
-        receiveStored(answer);
+        usage_.answered(answer);
         selection_->answered(peer, answer.status_, now);
         if (answer.status_.isFit_) {
             publishFleet(answer.loads_, sentLoads_, answer.gateways_);
@@ -481,19 +428,6 @@
         applyRole();
     }
 
-    void receiveStored(const RelayAnswer &answer)
-    {
-        if (std::exchange(countsSentTo_, answer.from_.incarnation_) != answer.from_.incarnation_) {
-            outbox_.relayChanged();
-        }
-        if (answer.status_.isRelay_) {
-            outbox_.delivered(sentCounts_);
-        }
-        for (const auto &counts : answer.stored_) {
-            ownCountsStored(counts);
-        }
-    }
-
     void applyUpdates(const RelayAnswer &answer)
     {
         bool isChanged = false;
@@ -519,6 +453,7 @@
     RelayLinks links_;
     std::optional<RelaySelection> selection_;
     FleetState<Codec> state_;
+    UsageRelay usage_;
     LoadBoard board_;
     DomainMembers members_;
     FleetSize fleetSize_;
@@ -537,21 +472,13 @@
     EndpointLoads local_;
     EndpointLoads sentLoads_;
 
-    /// This gateway's counts, what the last query carried of them, and the relay that answered last.
-    UsageOutbox outbox_;
-    std::vector<MemberCounts> sentCounts_;
-    InstanceId countsSentTo_;
-
-    /// As a relay: the versions of each gateway's counts that the store holds, by window.
-    std::map<InstanceId, std::map<UsageWindow, std::uint64_t>> storedVersions_;
-
     /// The newest configuration was confirmed by a read sent at this time.
     std::optional<MonotonicTime> confirmedAt_;
 
     /// An update could not be applied.
     bool needsWholeTexts_ = false;
 
-    std::unique_ptr<S> entryStore_;
+    std::optional<RelayEntryStore<S>> entries_;
     Reading reading_;
     PeerServer server_;
     RelayConnections connections_;
