--- a/tests/decide/candidatescheduletest.cpp
+++ b/tests/decide/candidatescheduletest.cpp
@@ -20,6 +20,7 @@
 std::chrono::milliseconds longestGap(int candidates, std::chrono::minutes duration)
 {
     std::vector<CandidateSchedule> schedules;
+    schedules.reserve(static_cast<std::size_t>(candidates));
     for (int number = 0; number < candidates; ++number) {
         schedules.emplace_back(IntervalBeforeCount, static_cast<std::uint32_t>(number) * 7919U + 1U);
     }
