--- a/tests/http/httpcalltest.cpp
+++ b/tests/http/httpcalltest.cpp
@@ -1,5 +1,6 @@
 #include <chrono>
 #include <csignal>
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -147,7 +148,7 @@
 BOOST_AUTO_TEST_CASE(fails_at_once_if_its_head_is_too_long)
 {
     const auto startedAt = std::chrono::steady_clock::now();
-    startServer("HTTP/1.1 200 OK\r\nX-Filler: " + std::string(256 * 1024, 'a'), false);
+    startServer("HTTP/1.1 200 OK\r\nX-Filler: " + std::string(std::size_t{ 256 } << 10U, 'a'), false);
     BOOST_TEST(!receivesCompleteAnswer());
     BOOST_TEST((std::chrono::steady_clock::now() - startedAt < std::chrono::seconds(5)));
 }
--- a/tests/relay/loadboardtest.cpp
+++ b/tests/relay/loadboardtest.cpp
@@ -21,7 +21,7 @@
 {
     EndpointLoads loads;
     for (const auto &[key, count] : counts) {
-        loads.push_back({ key, count, count * 100U });
+        loads.push_back({ key, count, count * std::uint64_t{ 100 } });
     }
     return loads;
 }
