--- a/src/fleet/retrybackoff.h
+++ b/src/fleet/retrybackoff.h
@@ -21,7 +21,7 @@
     static constexpr std::chrono::milliseconds MinPause{ 150 };
 
     /// Within this time after its return the store is read again.
-    static constexpr std::chrono::milliseconds MaxPause{ 600 };
+    static constexpr std::chrono::milliseconds MaxPause{ 250 };
 
     std::chrono::milliseconds pause_ = MinPause;
     std::minstd_rand random_{ std::random_device()() };
