A relay counts its members without copying them; a comment that was no longer true

Found on the read of the whole change: the list of members was built twice a tick for its size alone, and the comment of the longest pause promised a time that a call under way exceeds.

--- a/src/fleet/retrybackoff.h
+++ b/src/fleet/retrybackoff.h
@@ -20,7 +20,7 @@
 private:
     static constexpr std::chrono::milliseconds MinPause{ 150 };
 
-    /// Within this time after its return the store is read again.
+    /// After its return the store is read again within this time, or once a call under way has timed out.
     static constexpr std::chrono::milliseconds MaxPause{ 250 };
 
     std::chrono::milliseconds pause_ = MinPause;
--- a/src/relay/domainmembers.h
+++ b/src/relay/domainmembers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <vector>
@@ -28,6 +29,11 @@
     /// In order of their incarnations.
     std::vector<GatewayMember> members() const;
 
+    std::size_t size() const
+    {
+        return members_.size();
+    }
+
     std::uint64_t version() const
     {
         return version_;
--- a/src/relay/relaybehaviour.h
+++ b/src/relay/relaybehaviour.h
@@ -132,7 +132,7 @@
         if (selection_->role() == RelayRole::Relay) {
             board_.reportGateway(self_.incarnation_, local_, now);
             selection_->mergeMembers(members_.members());
-            domainSize_ = members_.members().size();
+            domainSize_ = members_.size();
             recordFleetSize(now);
             publishFleet(board_.fleetTotal(now), local_, fleetSize_.value(now));
             askDomains(now);
@@ -346,7 +346,7 @@
         if (query->isFromRelay_) {
             answer.status_ = selection_->status(now);
             answer.loads_ = board_.domainTotal(now);
-            answer.gateways_ = members_.members().size();
+            answer.gateways_ = members_.size();
         } else if (query->from_.domain_ == self_.domain_) {
             selection_->queried(query->unusableRelay_, now);
             applyRole();
