Lost connections are logged with a digest that all submissions of a request share

'cowsliphead explain DIGEST' joins the submissions of a request.

No decision changes. test_logs covers the join.

--- a/src/gateway/attemptresult.h
+++ b/src/gateway/attemptresult.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "gateway/attemptend.h"
+#include "http1/connectionfailure.h"
 #include "http1/responsehead.h"
 
 namespace cowsliphead
@@ -16,6 +18,15 @@
 
     /// For logs: why there is no complete response.
     const char *reason_ = "";
+
+    /// Set if the connection failed.
+    std::optional<ConnectionFailure> failure_{};
+
+    /// True if the endpoint closed the connection with the request in hand, as it does when it crashes.
+    bool isClosedByEndpoint() const
+    {
+        return end_ == AttemptEnd::Lost && failure_ == ConnectionFailure::Closed;
+    }
 };
 
 } // namespace cowsliphead
--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -57,7 +58,7 @@
                                .onHead_ = [this](const ResponseHead &head) { return onHead(head); },
                                .onData_ = [this](std::string_view data) { onData(data); },
                                .onComplete_ = [this] { complete(); },
-                               .onFailed_ = [this](ConnectionFailure failure) { fail(failureName(failure)); },
+                               .onFailed_ = [this](ConnectionFailure failure) { fail(failureName(failure), failure); },
                            },
                            ConnectTimeout);
     }
@@ -211,10 +212,10 @@
         fail(reason);
     }
 
-    void fail(const char *reason)
+    void fail(const char *reason, std::optional<ConnectionFailure> failure = std::nullopt)
     {
         connection_.reset();
-        end({ isWritten_ ? AttemptEnd::Lost : AttemptEnd::NotOffered, {}, {}, reason });
+        end({ isWritten_ ? AttemptEnd::Lost : AttemptEnd::NotOffered, {}, {}, reason, failure });
     }
 
     void end(AttemptResult result)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -16,6 +16,7 @@
 #include "gateway/refusalof.h"
 #include "gateway/releasecache.h"
 #include "gateway/requestattempts.h"
+#include "gateway/requestdigestof.h"
 #include "gateway/requestlog.h"
 #include "gateway/requestrouter.h"
 #include "gateway/requesttrace.h"
@@ -363,7 +364,12 @@
     void logDispatch(const AttemptResult &result)
     {
         context_.metrics_.attempts_.increment({ { "end", attemptEndName(result.end_) } });
-        requestlog::dispatchEnded(dispatch_->plan(), result, elapsed());
+        RequestDigest digest;
+        if (result.isClosedByEndpoint()) {
+            context_.metrics_.crashes_.increment({ { "service", service_.value() } });
+            digest = requestDigestOf(request_, metadata_, admitted_.account_ == nullptr ? AccountId() : admitted_.account_->id_);
+        }
+        requestlog::dispatchEnded(dispatch_->plan(), result, elapsed(), digest);
     }
 
     std::chrono::milliseconds elapsed() const
@@ -400,6 +406,7 @@
         requestlog::Summary summary{ .request_ = metadata_.attemptId_, .service_ = service_.value(), .endpoint_ = lastEndpoint_ };
         if (admitted_.route_ != nullptr) {
             summary.route_ = route().name_;
+            summary.maxRuns_ = route().maxAttempts_;
         }
         if (admitted_.account_ != nullptr) {
             summary.account_ = admitted_.account_->id_.value();
@@ -408,6 +415,7 @@
         summary.reason_ = reason;
         summary.dispatches_ = attempts_.dispatches();
         summary.arrivals_ = attempts_.arrivals();
+        summary.runs_ = attempts_.runs();
         summary.mayHaveRun_ = mayHaveStarted();
         summary.timeLeft_ = timeLeft();
         summary.elapsed_ = elapsed();
--- a/src/gateway/requestattempts.h
+++ b/src/gateway/requestattempts.h
@@ -53,6 +53,12 @@
         return arrivals_;
     }
 
+    /// Number of endpoints that may have run the request.
+    std::uint32_t runs() const
+    {
+        return runs_;
+    }
+
 private:
     /// Failed connection attempts after which a request that has reached no endpoint needs the retry budget.
     static constexpr std::uint32_t MaxFailedConnects = 4;
--- /dev/null
+++ b/src/gateway/requestdigestof.cpp
@@ -0,0 +1,17 @@
+#include "gateway/requestdigestof.h"
+
+#include "core/sha256.h"
+#include "gateway/requestmetadata.h"
+#include "http1/callerrequest.h"
+
+namespace cowsliphead
+{
+
+RequestDigest requestDigestOf(const CallerRequest &request, const RequestMetadata &metadata, const AccountId &account)
+{
+    // A header field contains no line feed, so the parts cannot run into each other.
+    const auto &head = request.head_;
+    return RequestDigest(sha256Hex(account.value() + "\n" + head.method_ + " " + metadata.host_ + head.target_ + "\n" + request.body_));
+}
+
+} // namespace cowsliphead
--- a/src/gateway/requestlog.cpp
+++ b/src/gateway/requestlog.cpp
@@ -31,6 +31,8 @@
             { "endpoint", summary.endpoint_ },
             { "dispatches", std::uint64_t(summary.dispatches_) },
             { "arrivals", std::uint64_t(summary.arrivals_) },
+            { "runs", std::uint64_t(summary.runs_) },
+            { "maxRuns", std::uint64_t(summary.maxRuns_) },
             { "mayHaveRun", summary.mayHaveRun_ ? "yes" : "no" },
             { "timeLeftMs", countOf(summary.timeLeft_) },
             { "afterMs", countOf(summary.elapsed_) },
@@ -38,7 +40,7 @@
             { "configurationAgeMs", countOf(summary.configurationAge_) } });
 }
 
-void dispatchEnded(const DispatchPlan &plan, const AttemptResult &result, std::chrono::milliseconds elapsed)
+void dispatchEnded(const DispatchPlan &plan, const AttemptResult &result, std::chrono::milliseconds elapsed, const RequestDigest &digest)
 {
     logEvent(LogEvent::DispatchEnded,
              { { "request", plan.attemptId_ },
@@ -47,6 +49,7 @@
                { "end", attemptEndName(result.end_) },
                { "reason", result.reason_ },
                { "status", std::uint64_t(result.head_.status_) },
+               { "digest", digest.value() },
                { "afterMs", countOf(elapsed) } });
 }
 
--- a/src/gateway/requestlog.h
+++ b/src/gateway/requestlog.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 
+#include "core/requestdigest.h"
 #include "gateway/attemptresult.h"
 #include "gateway/dispatchplan.h"
 
@@ -21,6 +22,8 @@
     const char *reason_ = "";
     std::uint32_t dispatches_ = 0;
     std::uint32_t arrivals_ = 0;
+    std::uint32_t runs_ = 0;
+    std::uint32_t maxRuns_ = 0;
     bool mayHaveRun_ = false;
     std::chrono::milliseconds timeLeft_{ 0 };
     std::chrono::milliseconds elapsed_{ 0 };
@@ -31,8 +34,9 @@
 /// Logs the end of a request.
 void ended(const Summary &summary);
 
-/// Logs a dispatch that gave no response to forward.
-void dispatchEnded(const DispatchPlan &plan, const AttemptResult &result, std::chrono::milliseconds elapsed);
+/// Logs a dispatch that gave no response to forward. digest: of the request, if the endpoint closed the connection; it links the attempts
+/// of a request that crashes endpoints.
+void dispatchEnded(const DispatchPlan &plan, const AttemptResult &result, std::chrono::milliseconds elapsed, const RequestDigest &digest);
 
 /// Logs that an engine has read a prompt. sharedParts: identifies the prompt's shared parts.
 void promptRead(const DispatchPlan &plan, const std::string &sharedParts, std::uint64_t sharedTokens, std::chrono::milliseconds duration);
--- a/src/logs/requesttimeline.cpp
+++ b/src/logs/requesttimeline.cpp
@@ -23,11 +23,17 @@
 constexpr double MicrosecondsPerSecond = 1000000.0;
 constexpr std::size_t MaxTimeLength = 32;
 
-std::string fieldsToText(const nlohmann::json &document)
+bool isIdentifier(const std::string &field)
+{
+    return field == "request" || field == "digest";
+}
+
+std::string fieldsToText(const nlohmann::json &document, const std::string &request)
 {
     std::string text;
     for (const auto &[field, value] : document.items()) {
-        if (field != "timeUs" && field != "level" && field != "event" && field != "name" && field != "instance" && field != "request") {
+        const bool isRepeated = isIdentifier(field) && (value == request || value == "");
+        if (field != "timeUs" && field != "level" && field != "event" && field != "name" && field != "instance" && !isRepeated) {
             text += " " + field + "=" + (value.is_string() ? value.get<std::string>() : value.dump());
         }
     }
@@ -62,10 +68,10 @@
     parsed.time_ = document.value("timeUs", std::int64_t(0));
     parsed.instance_ = document.value("instance", std::string());
     parsed.name_ = document.value("name", std::string());
-    parsed.isOfRequest_ = document.value("request", std::string()) == request_;
+    parsed.isOfRequest_ = document.value("request", std::string()) == request_ || document.value("digest", std::string()) == request_;
     const bool isContext = std::find(ContextEvents.begin(), ContextEvents.end(), parsed.name_) != ContextEvents.end() || parsed.name_ == "lines_omitted";
     if (parsed.isOfRequest_ || isContext) {
-        parsed.text_ = fieldsToText(document);
+        parsed.text_ = fieldsToText(document, request_);
         lines_.push_back(std::move(parsed));
     }
 }
--- a/src/logs/requesttimeline.h
+++ b/src/logs/requesttimeline.h
@@ -11,7 +11,7 @@
 class RequestTimeline
 {
 public:
-    /// request is the request's identifier.
+    /// request is the identifier of a request, or the digest that the submissions of a request share.
     explicit RequestTimeline(std::string request);
 
     /// Adds a line of a log. Text before the JSON object is ignored, and so is a line that is not a log event.
--- a/src/operate/explaincommand.cpp
+++ b/src/operate/explaincommand.cpp
@@ -35,7 +35,7 @@
     cxxopts::Options options("cowsliphead explain",
                              "Shows what the logs of one or more processes contain about a request. Exit codes: 0 found, 1 no line names it, 2 wrong input.");
     auto add = options.add_options();
-    add("request", "The request's identifier", cxxopts::value<std::string>());
+    add("request", "The request's identifier, or the digest that its submissions share", cxxopts::value<std::string>());
     add("files", "Log files in JSON lines format; standard input for - or if none is given", cxxopts::value<std::vector<std::string>>());
     add("h,help", "Show this help");
     options.parse_positional({ "request", "files" });
--- a/tests/logs/requesttimelinetest.cpp
+++ b/tests/logs/requesttimelinetest.cpp
@@ -39,6 +39,17 @@
     BOOST_TEST(text.find("b store_lost") == std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(joins_the_submissions_of_a_request_by_their_digest)
+{
+    const auto text = timelineOf({ R"({"timeUs":1000000,"name":"dispatch_ended","instance":"a","request":"x","digest":"r1"})",
+                                   R"({"timeUs":2000000,"name":"dispatch_ended","instance":"b","request":"y","digest":"r1"})",
+                                   R"({"timeUs":3000000,"name":"dispatch_ended","instance":"b","request":"z","digest":"r2"})" })
+                          .toText();
+    BOOST_TEST(text.find("a dispatch_ended request=x\n") != std::string::npos);
+    BOOST_TEST(text.find("b dispatch_ended request=y\n") != std::string::npos);
+    BOOST_TEST(text.find("request=z") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE(with_lines_missing)
 
 BOOST_AUTO_TEST_CASE(says_that_the_end_is_missing)
