--- a/tests/soak/endpointserver.cpp
+++ b/tests/soak/endpointserver.cpp
@@ -30,6 +30,12 @@
 
 EndpointServer::~EndpointServer() = default;
 
+void EndpointServer::crashOn(std::string path, std::function<void()> onCrash)
+{
+    crashingPath_ = std::move(path);
+    onCrash_ = std::move(onCrash);
+}
+
 void EndpointServer::accept(int socket)
 {
     const auto number = ++lastSessionNumber_;
@@ -61,6 +67,10 @@
         return;
     }
     ledger_.recordRun(attempt, id_, headerValue(headers, "X-Tenant"), !headerValue(headers, "X-Api-Key").empty());
+    if (request.head_.target_ == crashingPath_) {
+        loop_.defer(onCrash_);
+        return;
+    }
     ++running_;
     session.runTimer_ = std::make_unique<Timer>(loop_, [this, &session, attempt] { answerRequest(session, attempt); });
     session.runTimer_->startOnce(RunDuration);
--- a/tests/soak/endpointserver.h
+++ b/tests/soak/endpointserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -31,6 +32,9 @@
         return id_;
     }
 
+    /// From now on a request for this path makes the endpoint crash while it runs it: onCrash is called, which has to cut all connections.
+    void crashOn(std::string path, std::function<void()> onCrash);
+
 private:
     struct Session {
         std::unique_ptr<cowsliphead::CallerConnection> connection_;
@@ -44,6 +48,8 @@
     cowsliphead::EventLoop &loop_;
     SoakLedger &ledger_;
     std::string id_;
+    std::string crashingPath_;
+    std::function<void()> onCrash_;
     std::map<std::uint64_t, Session> sessions_;
     std::uint64_t lastSessionNumber_ = 0;
     int running_ = 0;
