A request that crashes endpoints is quarantined by all gateways

Cause: what a gateway knows of a request ended with the attempt. A submission of the caller is a new request, so neither the route's limit nor the retry allowance stops it, and no gateway hears of crashes at another. The class: a promise about the fleet kept by state of one attempt in one process.

Fix: CrashRegister counts, by the request's digest, crashes that followed one another: a crash counts one more than what was known when the request was dispatched. So endpoints that fail at the same moment count once, an answer makes earlier crashes irrelevant, and registers are merged by taking the greater count, in any order. Three such crashes without an answer quarantine the request for ten minutes: it is refused at once with 503 and the time left, or ends with 502 if that submission may have run. Counts travel to the relay of the failure domain and between relays in the queries that they send anyway, as differences; quarantined requests are kept in the store under a lease, for gateways that start and domains that are cut off from each other. The digest is computed only after a crash, or while any count is kept.

New: properties of the register and the exchange (lost answers, restarts), the store's entries, the messages.

--- a/src/gateway/callerresponse.h
+++ b/src/gateway/callerresponse.h
@@ -5,7 +5,7 @@
 #include "gateway/attemptresult.h"
 #include "gateway/dialect.h"
 #include "gateway/gatewaycontext.h"
-#include "gateway/refusalof.h"
+#include "gateway/refusal.h"
 #include "gateway/streamrelay.h"
 #include "http1/callerconnection.h"
 #include "http1/connectionheaders.h"
@@ -67,14 +67,13 @@
     }
 
     /// Sends an error response of the gateway. Returns its status. Precondition: no stream has begun.
-    int refuse(ErrorCode code, const std::string &attemptId)
+    int refuse(const Refusal &refusal, const std::string &attemptId)
     {
-        const auto refusal = refusalOf(code);
         HttpHeaders headers = D::gatewayResponseHeaders(attemptId);
         if (refusal.retryAfter_) {
             headers.emplace_back("Retry-After", std::to_string(std::chrono::duration<double>(*refusal.retryAfter_).count()));
         }
-        connection_.respond(refusal.status_, reasonPhrase(refusal.status_), std::move(headers), errorName(code));
+        connection_.respond(refusal.status_, reasonPhrase(refusal.status_), std::move(headers), errorName(refusal.code_));
         return refusal.status_;
     }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -8,6 +8,7 @@
 
 #include "gateway/admitrequest.h"
 #include "gateway/callerresponse.h"
+#include "gateway/crashtracker.h"
 #include "gateway/dispatch.h"
 #include "gateway/dispatchplanner.h"
 #include "gateway/endpointoutcome.h"
@@ -16,7 +17,6 @@
 #include "gateway/refusalof.h"
 #include "gateway/releasecache.h"
 #include "gateway/requestattempts.h"
-#include "gateway/requestdigestof.h"
 #include "gateway/requestlog.h"
 #include "gateway/requestrouter.h"
 #include "gateway/requesttrace.h"
@@ -38,6 +38,7 @@
         , onDone_(std::move(onDone))
         , configuration_(context.configuration_)
         , deadline_(context.loop_, [this] { deadlineReached(); })
+        , crashes_(context, request_, metadata_, admitted_)
         , response_(context, connection, request_.arrivedAt_)
         , trace_(context, headerValue(request_.head_.headers_, "traceparent"))
     {
@@ -124,7 +125,9 @@
 
     void dispatchNext()
     {
-        if (!cache_ && router_->shouldPrefill()) {
+        if (crashes_.quarantineLeft()) {
+            endWithError(ErrorCode::RequestQuarantined);
+        } else if (!cache_ && router_->shouldPrefill()) {
             prefill();
         } else {
             run();
@@ -236,6 +239,12 @@
     bool mayWrite()
     {
         withholdReason_ = keyCheck_->rejection();
+        if (!withholdReason_ && crashes_.quarantineLeft()) {
+            withholdReason_ = ErrorCode::RequestQuarantined;
+        }
+        if (!withholdReason_) {
+            crashes_.dispatched();
+        }
         return !withholdReason_;
     }
 
@@ -260,6 +269,7 @@
         }
         if (result.end_ == AttemptEnd::Answered) {
             recordResponse();
+            crashes_.answered();
         } else {
             endpointoutcome::failed(context_, dispatch_->plan(), result.end_, withholdReason_.has_value());
             logDispatch(result);
@@ -328,7 +338,11 @@
 
     void refuse(ErrorCode code)
     {
-        const int status = response_.refuse(code, metadata_.attemptId_);
+        auto refusal = refusalOf(code);
+        if (code == ErrorCode::RequestQuarantined) {
+            refusal.retryAfter_ = crashes_.quarantineLeft();
+        }
+        const int status = response_.refuse(refusal, metadata_.attemptId_);
         ended(status, errorName(code));
     }
 
@@ -364,12 +378,11 @@
     void logDispatch(const AttemptResult &result)
     {
         context_.metrics_.attempts_.increment({ { "end", attemptEndName(result.end_) } });
-        RequestDigest digest;
         if (result.isClosedByEndpoint()) {
             context_.metrics_.crashes_.increment({ { "service", service_.value() } });
-            digest = requestDigestOf(request_, metadata_, admitted_.account_ == nullptr ? AccountId() : admitted_.account_->id_);
+            crashes_.endpointCrashed();
         }
-        requestlog::dispatchEnded(dispatch_->plan(), result, elapsed(), digest);
+        requestlog::dispatchEnded(dispatch_->plan(), result, elapsed(), crashes_.knownDigest());
     }
 
     std::chrono::milliseconds elapsed() const
@@ -419,6 +432,7 @@
         summary.mayHaveRun_ = mayHaveStarted();
         summary.timeLeft_ = timeLeft();
         summary.elapsed_ = elapsed();
+        summary.digest_ = crashes_.knownDigest();
         summary.configuration_ = configuration_ ? configuration_->version_ : 0;
         summary.configurationAge_ = context_.age_.age(context_.clock_.now());
         requestlog::ended(summary);
@@ -440,6 +454,7 @@
     std::optional<RequestRouter> router_;
     std::optional<DispatchPlanner> planner_;
     std::optional<KeyCheck> keyCheck_;
+    CrashTracker crashes_;
     CallerResponse<D> response_;
     RequestTrace trace_;
     std::string lastEndpoint_;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -27,11 +27,17 @@
 class Gateway
 {
 public:
-    using Message = std::variant<FleetSnapshot, ConfigurationConfirmed, GatewayCount, FleetLoad, LoadQuery, GatewayBounds, DrainRequest, MetricsQuery>;
-
-    /// usage and spans receive a message for each request. Precondition: the loop outlives the gateway.
-    Gateway(EventLoop &loop, GatewaySettings settings, Address<RequestStarted> usage, Address<Span> spans)
-        : context_{ .loop_ = loop, .settings_ = std::move(settings), .usage_ = std::move(usage), .spans_ = std::move(spans) }
+    using Message =
+        std::variant<FleetSnapshot, ConfigurationConfirmed, GatewayCount, FleetLoad, LoadQuery, GatewayBounds, DrainRequest, MetricsQuery, CrashReports>;
+
+    /// usage and spans receive a message for each request, crashes one for each change of what this gateway knows of requests that crash
+    /// endpoints. Precondition: the loop outlives the gateway.
+    Gateway(EventLoop &loop, GatewaySettings settings, Address<RequestStarted> usage, Address<Span> spans, Address<CrashReports> crashes)
+        : context_{ .loop_ = loop,
+                    .settings_ = std::move(settings),
+                    .usage_ = std::move(usage),
+                    .spans_ = std::move(spans),
+                    .crashReports_ = std::move(crashes) }
         , listener_(loop, [this](int socket) { accept(socket); })
         , readiness_(loop, [this] { return isReady(); })
         , drain_(loop, [this] { continueDrain(); })
@@ -84,6 +90,11 @@
         context_.endpoints_.setLoadOfOthers(load.loads_, context_.clock_.now());
     }
 
+    void handle(const CrashReports &reports)
+    {
+        context_.mergeCrashes(reports);
+    }
+
     void handle(const LoadQuery &query)
     {
         query.answerTo_.send({ context_.endpoints_.localLoads() });
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -6,6 +6,7 @@
 #include <random>
 
 #include "core/systemclock.h"
+#include "decide/crashregister.h"
 #include "fleet/configuration.h"
 #include "gateway/configurationage.h"
 #include "gateway/drainschedule.h"
@@ -13,6 +14,7 @@
 #include "gateway/gatewaymetrics.h"
 #include "gateway/gatewaysettings.h"
 #include "gateway/retryallowance.h"
+#include "relay/crashreports.h"
 #include "task/address.h"
 #include "task/eventloop.h"
 #include "traces/span.h"
@@ -27,12 +29,19 @@
     GatewaySettings settings_;
     Address<RequestStarted> usage_;
     Address<Span> spans_;
+
+    /// Leads to the other gateways.
+    Address<CrashReports> crashReports_;
     SystemClock clock_{};
     std::shared_ptr<const Configuration> configuration_{};
     ConfigurationAge age_{};
     EndpointTable endpoints_{ loop_ };
     std::map<ServiceName, RetryAllowance> retryBudgets_{};
     std::size_t gatewayCount_ = 0;
+    CrashRegister crashes_{};
+
+    /// The version of crashes_ that the other gateways are told.
+    std::uint64_t publishedCrashes_ = 0;
 
     /// Set once the process is stopping.
     std::optional<DrainSchedule> drain_{};
@@ -46,6 +55,22 @@
         return found->second;
     }
 
+    /// Tells the other gateways what has changed.
+    void publishCrashes()
+    {
+        if (crashes_.version() != publishedCrashes_) {
+            crashReports_.send({ crashes_.changesAfter(publishedCrashes_, clock_.now()) });
+            publishedCrashes_ = crashes_.version();
+        }
+    }
+
+    /// Takes what other gateways know. Precondition: publishCrashes() was called after each change of this gateway's own.
+    void mergeCrashes(const CrashReports &reports)
+    {
+        crashes_.merge(reports.reports_, clock_.now());
+        publishedCrashes_ = crashes_.version();
+    }
+
     /// Share of the decode engines' slots that all gateways occupy.
     double decodeOccupancy(const ServiceName &service) const
     {
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -91,9 +91,8 @@
     {
         return startListening(
             gateway_,
-            [settings, usage = duty_.template address<RequestStarted>(), spans = traces_.address<Span>()](EventLoop &loop) {
-                return std::make_unique<GatewayTask>(loop, settings, usage, spans);
-            },
+            [settings, usage = duty_.template address<RequestStarted>(), spans = traces_.address<Span>(), crashes = relay_.template address<CrashReports>()](
+                EventLoop &loop) { return std::make_unique<GatewayTask>(loop, settings, usage, spans, crashes); },
             [](GatewayTask &gateway) { return gateway.listen(); });
     }
 
@@ -116,6 +115,7 @@
             .localLoads_ = relay_.template address<LocalLoad>(),
             .memberCounts_ = duty_.template address<MemberCounts>(),
             .countsStored_ = duty_.template address<CountsStored>(),
+            .crashReports_ = gateway_.template address<CrashReports>(),
         };
         return startListening(
             relay_,
--- a/src/gateway/requestlog.cpp
+++ b/src/gateway/requestlog.cpp
@@ -36,6 +36,7 @@
             { "mayHaveRun", summary.mayHaveRun_ ? "yes" : "no" },
             { "timeLeftMs", countOf(summary.timeLeft_) },
             { "afterMs", countOf(summary.elapsed_) },
+            { "digest", summary.digest_.value() },
             { "configuration", summary.configuration_ },
             { "configurationAgeMs", countOf(summary.configurationAge_) } });
 }
--- a/src/gateway/requestlog.h
+++ b/src/gateway/requestlog.h
@@ -28,6 +28,9 @@
     std::chrono::milliseconds timeLeft_{ 0 };
     std::chrono::milliseconds elapsed_{ 0 };
     std::uint64_t configuration_ = 0;
+
+    /// Empty if it was not needed.
+    RequestDigest digest_{};
     std::chrono::milliseconds configurationAge_{ 0 };
 };
 
--- a/src/logs/eventcatalogue.cpp
+++ b/src/logs/eventcatalogue.cpp
@@ -32,7 +32,7 @@
     { LogEvent::RequestQuarantined,
       LogLevel::Error,
       "request_quarantined",
-      "A request crashed an endpoint on which it was tried alone and is refused for a while." },
+      "Endpoints crashed under a request one after the other; it is refused for a while." },
     { LogEvent::RequestEnded, LogLevel::Info, "request_ended", "A request got its final answer or was abandoned." },
     { LogEvent::DispatchEnded, LogLevel::Info, "dispatch_ended", "A dispatch to an endpoint ended without an answer to forward." },
     { LogEvent::RequestMalformed, LogLevel::Info, "request_malformed", "A caller's request is malformed and is sent to no endpoint." },
@@ -69,6 +69,7 @@
       "Counts of a window were lost: the store did not accept them in time, or they cannot be decoded." },
     { LogEvent::PeerMessageMalformed, LogLevel::Warning, "peer_message_malformed", "A message of another gateway cannot be decoded and is ignored." },
     { LogEvent::RelayEntryMalformed, LogLevel::Warning, "relay_entry_malformed", "The entry that names a failure domain's relay cannot be decoded." },
+    { LogEvent::QuarantineEntryMalformed, LogLevel::Warning, "quarantine_entry_malformed", "The stored entry of a quarantined request cannot be decoded." },
 });
 
 }
--- a/src/logs/logevent.h
+++ b/src/logs/logevent.h
@@ -67,6 +67,7 @@
     // 800 to 899: peers and membership
     PeerMessageMalformed = 800,
     RelayEntryMalformed = 801,
+    QuarantineEntryMalformed = 802,
 };
 
 } // namespace cowsliphead
--- /dev/null
+++ b/src/relay/quarantinestore.h
@@ -0,0 +1,183 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/errorcode.h"
+#include "core/systemclock.h"
+#include "decide/crashregister.h"
+#include "fleet/retrybackoff.h"
+#include "logs/log.h"
+#include "relay/quarantinecodec.h"
+#include "store/rangedstore.h"
+#include "task/timer.h"
+
+namespace cowsliphead
+{
+
+/// Keeps the quarantined requests in the store and follows what other gateways put there. Entries end with a lease. Thread safety: all
+/// members, on the store's task only.
+template <RangedStore S>
+class QuarantineStore
+{
+public:
+    using OnReports = std::function<void(const std::vector<CrashReport> &)>;
+
+    /// onReports receives the entries of the store. Precondition: the loop outlives the object. No reply follows once it is destroyed.
+    QuarantineStore(EventLoop &loop, std::unique_ptr<S> store, OnReports onReports)
+        : store_(std::move(store))
+        , onReports_(std::move(onReports))
+        , nextCall_(loop, [this] { proceed(); })
+        , nextWrite_(loop, [this] { write(); })
+    {
+    }
+
+    /// Reads the entries and watches them from then on. Precondition: called once.
+    void start()
+    {
+        read({});
+        nextWrite_.startRepeating(WriteInterval);
+    }
+
+    /// Puts the request into the store from this time on, unless it is there by then. Repeated calls change nothing.
+    void put(const RequestDigest &digest, const CrashCount &count, MonotonicTime from)
+    {
+        if (!stored_.contains(digest)) {
+            pending_.try_emplace(digest, Pending{ count, from });
+        }
+    }
+
+private:
+    /// A watch without changes ends after this time, so that a connection that has gone silent is noticed.
+    static constexpr std::chrono::milliseconds WatchWait{ 5000 };
+
+    /// Interval between attempts to write.
+    static constexpr std::chrono::milliseconds WriteInterval{ 500 };
+
+    struct Pending {
+        CrashCount count_;
+        MonotonicTime from_;
+    };
+
+    void proceed()
+    {
+        if (isReadDue_) {
+            read({});
+        } else {
+            watch();
+        }
+    }
+
+    void read(const std::string &after)
+    {
+        store_->range(quarantinecodec::Prefix, after, [this, isFirst = after.empty()](const Result<StoreRange> &answer) {
+            if (!answer) {
+                failed();
+                return;
+            }
+            if (isFirst) {
+                // Pages are not read from one snapshot, so the watch starts from the first page's revision.
+                cursor_ = answer->revision_;
+                stored_.clear();
+            }
+            apply(answer->entries_);
+            if (answer->hasMore_ && !answer->entries_.empty()) {
+                read(answer->entries_.back().key_);
+                return;
+            }
+            isReadDue_ = false;
+            backoff_.reset();
+            watch();
+        });
+    }
+
+    void watch()
+    {
+        store_->watch(quarantinecodec::Prefix, cursor_, WatchWait, [this](const Result<WatchAnswer> &answer) {
+            if (!answer) {
+                failed();
+                return;
+            }
+            backoff_.reset();
+            cursor_ = std::max(cursor_, answer->revision_);
+            apply(answer->entries_);
+            nextCall_.startOnce(std::chrono::milliseconds(0));
+        });
+    }
+
+    /// Outages of the store are logged by the readers of the configuration and the endpoints.
+    void failed()
+    {
+        isReadDue_ = true;
+        nextCall_.startOnce(backoff_.next());
+    }
+
+    void apply(const std::vector<StoreEntry> &entries)
+    {
+        std::vector<CrashReport> reports;
+        for (const auto &entry : entries) {
+            if (entry.isErased_) {
+                stored_.erase(RequestDigest(entry.key_.substr(std::min(entry.key_.size(), std::string_view(quarantinecodec::Prefix).size()))));
+            } else if (auto report = quarantinecodec::fromEntry(entry)) {
+                stored_.insert(report->digest_);
+                pending_.erase(report->digest_);
+                reports.push_back(std::move(*report));
+            } else {
+                logEvent(LogEvent::QuarantineEntryMalformed, { { "key", entry.key_ }, { "revision", entry.revision_ } });
+            }
+        }
+        if (!reports.empty()) {
+            onReports_(reports);
+        }
+    }
+
+    /// Writes a pending entry under a lease of its own; what fails stays pending.
+    void write()
+    {
+        const auto now = SystemClock().now();
+        const auto due = std::find_if(pending_.begin(), pending_.end(), [now](const auto &item) { return now >= item.second.from_; });
+        if (due == pending_.end() || isWriting_) {
+            return;
+        }
+        isWriting_ = true;
+        const auto digest = due->first;
+        const auto count = due->second.count_;
+        store_->grantLease(CrashRegister::CountLifetime, [this, digest, count](const Result<LeaseId> &lease) {
+            if (!lease) {
+                isWriting_ = false;
+                return;
+            }
+            StoreWrite write;
+            write.key_ = quarantinecodec::keyOf(digest);
+            write.value_ = quarantinecodec::toText(count);
+            write.lease_ = *lease;
+            store_->compareAndSwap(write, [this, digest](const Result<StoreRevision> &answer) {
+                isWriting_ = false;
+                if (answer || answer.error() == ErrorCode::StoreConflict) {
+                    pending_.erase(digest);
+                    stored_.insert(digest);
+                }
+            });
+        });
+    }
+
+    std::unique_ptr<S> store_;
+    OnReports onReports_;
+    RetryBackoff backoff_;
+    Timer nextCall_;
+    Timer nextWrite_;
+    std::set<RequestDigest> stored_;
+    std::map<RequestDigest, Pending> pending_;
+    StoreRevision cursor_ = 0;
+    bool isReadDue_ = true;
+    bool isWriting_ = false;
+};
+
+} // namespace cowsliphead
--- a/src/relay/relayanswer.h
+++ b/src/relay/relayanswer.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <vector>
 
+#include "relay/crashanswer.h"
 #include "relay/endpointload.h"
 #include "relay/gatewaymember.h"
 #include "relay/relaystatus.h"
@@ -41,6 +42,8 @@
 
     /// The counts of the asking gateway that the store holds.
     std::vector<CountsStored> stored_;
+
+    CrashAnswer crashes_;
 };
 
 } // namespace cowsliphead
--- a/src/relay/relaybehaviour.h
+++ b/src/relay/relaybehaviour.h
@@ -20,6 +20,7 @@
 #include "relay/fleetsize.h"
 #include "relay/fleetstate.h"
 #include "relay/loadboard.h"
+#include "relay/quarantinerelay.h"
 #include "relay/relayconnections.h"
 #include "relay/relayentrystore.h"
 #include "relay/relaylinks.h"
@@ -40,7 +41,7 @@
 class RelayBehaviour
 {
 public:
-    using Message = std::variant<LocalLoad, MemberCounts, CountsStored, DrainRequest>;
+    using Message = std::variant<LocalLoad, MemberCounts, CountsStored, DrainRequest, CrashReports>;
     using OpenStore = std::function<std::unique_ptr<S>()>;
 
     /// incarnation identifies this run of the process and is never reused; openStore creates a client of the store. Precondition: loop and
@@ -53,6 +54,7 @@
         , openStore_(std::move(openStore))
         , links_(std::move(links))
         , usage_(incarnation, links_.memberCounts_, links_.countsStored_)
+        , quarantine_(loop, clock, incarnation, links_.crashReports_)
         , server_(loop, [this](std::string_view bytes) { return answer(bytes); })
         , connections_(loop, [this](const PeerAddress &peer, const std::string &bytes, MonotonicTime askedAt) { answered(peer, bytes, askedAt); })
         , tick_(loop, [this] { tick(); })
@@ -150,6 +152,11 @@
         usage_.stored(counts);
     }
 
+    void handle(const CrashReports &crashes)
+    {
+        quarantine_.received(crashes);
+    }
+
     void handle(const DrainRequest & /*request*/)
     {
         if (selection_) {
@@ -171,6 +178,7 @@
             startReading();
         } else {
             usage_.ceasedToBeRelay();
+            quarantine_.stopReading();
             reading_ = {};
         }
     }
@@ -200,6 +208,7 @@
             reading_.registry_->seed(*state_.snapshot().endpoints_, selection_->storeAwaySince());
         }
         reading_.registry_->start();
+        quarantine_.startReading(openStore_());
     }
 
     void storeReachable(bool isReachable)
@@ -305,10 +314,10 @@
         RelayQuery query;
         query.from_ = self_;
         query.isFromRelay_ = true;
-        const auto bytes = relaymessagecodec::encode(query);
         for (const auto &[domain, address] : domainRelays_) {
             if (connections_.mayAsk(address, now)) {
-                connections_.ask(address, bytes, now);
+                query.crashes_ = quarantine_.queryFor(address);
+                connections_.ask(address, relaymessagecodec::encode(query), now);
             }
         }
     }
@@ -329,6 +338,7 @@
         query.members_ = membersVersion_;
         query.loads_ = local_;
         query.counts_ = usage_.takeForQuery();
+        query.crashes_ = quarantine_.queryFor(*target);
         sentLoads_ = local_;
         connections_.ask(*target, relaymessagecodec::encode(query), now);
     }
@@ -347,6 +357,7 @@
             answer.status_ = selection_->status(now);
             answer.loads_ = board_.domainTotal(now);
             answer.gateways_ = members_.size();
+            answer.crashes_ = quarantine_.answer(query->crashes_);
         } else if (query->from_.domain_ == self_.domain_) {
             selection_->queried(query->unusableRelay_, now);
             applyRole();
@@ -368,6 +379,7 @@
         board_.reportGateway(query.from_.incarnation_, query.loads_, now);
         usage_.received(query.counts_);
         answer.stored_ = usage_.storedOf(query.from_.incarnation_);
+        answer.crashes_ = quarantine_.answer(query.crashes_);
         answer.configuration_ = state_.configurations().revision();
         if (confirmedAt_) {
             answer.configurationAge_ = std::chrono::ceil<std::chrono::milliseconds>(now - *confirmedAt_);
@@ -391,15 +403,16 @@
         }
         const auto now = clock_.now();
         if (answer->from_.domain_ != self_.domain_) {
-            domainAnswered(*answer, now);
+            domainAnswered(peer, *answer, now);
         } else if (peer == selection_->target()) {
             targetAnswered(peer, *answer, askedAt, now);
         }
     }
 
-    void domainAnswered(const RelayAnswer &answer, MonotonicTime now)
+    void domainAnswered(const PeerAddress &peer, const RelayAnswer &answer, MonotonicTime now)
     {
         const auto &domain = answer.from_.domain_;
+        quarantine_.answered(peer, answer.from_.incarnation_, answer.crashes_);
         if (answer.status_.isRelay_) {
             board_.reportDomain(domain, answer.loads_, answer.gateways_, now);
         } else if (answer.status_.redirect_) {
@@ -421,6 +434,9 @@
             selection_->setMembers(*answer.members_);
         }
         usage_.answered(answer);
+        if (answer.status_.isRelay_) {
+            quarantine_.answered(peer, answer.from_.incarnation_, answer.crashes_);
+        }
         selection_->answered(peer, answer.status_, now);
         if (answer.status_.isFit_) {
             publishFleet(answer.loads_, sentLoads_, answer.gateways_);
@@ -454,6 +470,7 @@
     std::optional<RelaySelection> selection_;
     FleetState<Codec> state_;
     UsageRelay usage_;
+    QuarantineRelay<S, C> quarantine_;
     LoadBoard board_;
     DomainMembers members_;
     FleetSize fleetSize_;
--- a/src/relay/relaylinks.h
+++ b/src/relay/relaylinks.h
@@ -3,6 +3,7 @@
 #include "fleet/configurationconfirmed.h"
 #include "fleet/fleetsnapshot.h"
 #include "fleet/gatewaycount.h"
+#include "relay/crashreports.h"
 #include "relay/fleetload.h"
 #include "relay/loadquery.h"
 #include "relay/localload.h"
@@ -30,6 +31,9 @@
     /// The duty task: as that of a relay it writes the counts of the failure domain's gateways, and learns which of its own are stored.
     Address<MemberCounts> memberCounts_;
     Address<CountsStored> countsStored_;
+
+    /// The task that dispatches requests: requests that crash endpoints.
+    Address<CrashReports> crashReports_;
 };
 
 } // namespace cowsliphead
--- a/src/relay/relaymessagecodec.cpp
+++ b/src/relay/relaymessagecodec.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <utility>
 
+#include "decide/crashregister.h"
 #include "peer/messagepack.h"
 
 namespace cowsliphead::relaymessagecodec
@@ -70,6 +71,15 @@
     MSGPACK_DEFINE_ARRAY(window_, version_)
 };
 
+struct WireCrash {
+    std::string digest_;
+    std::uint32_t generation_ = 0;
+    std::uint32_t crashes_ = 0;
+    std::uint64_t remainingMilliseconds_ = 0;
+
+    MSGPACK_DEFINE_ARRAY(digest_, generation_, crashes_, remainingMilliseconds_)
+};
+
 /// Optional parts are arrays of at most one element.
 struct WireQuery {
     WireMember from_;
@@ -82,6 +92,9 @@
     std::uint64_t members_ = 0;
     std::vector<WireLoad> loads_;
     std::vector<WireCounts> counts_;
+    std::string crashesOf_;
+    std::uint64_t crashesVersion_ = 0;
+    std::vector<WireCrash> crashes_;
 
     MSGPACK_DEFINE_MAP(MSGPACK_NVP("f", from_),
                        MSGPACK_NVP("r", isFromRelay_),
@@ -92,7 +105,10 @@
                        MSGPACK_NVP("o", membersOf_),
                        MSGPACK_NVP("m", members_),
                        MSGPACK_NVP("l", loads_),
-                       MSGPACK_NVP("w", counts_))
+                       MSGPACK_NVP("w", counts_),
+                       MSGPACK_NVP("k", crashesOf_),
+                       MSGPACK_NVP("n", crashesVersion_),
+                       MSGPACK_NVP("q", crashes_))
 };
 
 struct WireAnswer {
@@ -113,6 +129,8 @@
     std::uint64_t gateways_ = 0;
     std::vector<WireLoad> loads_;
     std::vector<WireStored> stored_;
+    std::uint64_t crashesVersion_ = 0;
+    std::vector<WireCrash> crashes_;
 
     MSGPACK_DEFINE_MAP(MSGPACK_NVP("f", from_),
                        MSGPACK_NVP("r", isRelay_),
@@ -128,7 +146,9 @@
                        MSGPACK_NVP("m", members_),
                        MSGPACK_NVP("g", gateways_),
                        MSGPACK_NVP("l", loads_),
-                       MSGPACK_NVP("w", stored_))
+                       MSGPACK_NVP("w", stored_),
+                       MSGPACK_NVP("n", crashesVersion_),
+                       MSGPACK_NVP("q", crashes_))
 };
 
 WireAddress toWire(const PeerAddress &address)
@@ -209,6 +229,17 @@
     return { {}, wire.window_, wire.version_ };
 }
 
+WireCrash toWire(const CrashReport &report)
+{
+    return { report.digest_.value(), report.count_.generation_, report.count_.crashes_, static_cast<std::uint64_t>(report.remaining_.count()) };
+}
+
+CrashReport fromWire(const WireCrash &wire)
+{
+    const auto remaining = std::min<std::uint64_t>(wire.remainingMilliseconds_, std::chrono::milliseconds(CrashRegister::CountLifetime).count());
+    return { RequestDigest(wire.digest_), { wire.generation_, wire.crashes_ }, std::chrono::milliseconds(remaining) };
+}
+
 template <typename Wire, typename Items>
 std::vector<Wire> allToWire(const Items &items)
 {
@@ -261,7 +292,10 @@
                                         query.membersOf_.value(),
                                         query.members_,
                                         allToWire<WireLoad>(query.loads_),
-                                        allToWire<WireCounts>(query.counts_) });
+                                        allToWire<WireCounts>(query.counts_),
+                                        query.crashes_.knownOf_.value(),
+                                        query.crashes_.knownVersion_,
+                                        allToWire<WireCrash>(query.crashes_.reports_) });
 }
 
 Result<RelayQuery> decodeQuery(std::string_view bytes)
@@ -287,7 +321,8 @@
                        InstanceId(wire->membersOf_),
                        wire->members_,
                        std::move(*loads),
-                       std::move(counts) };
+                       std::move(counts),
+                       { InstanceId(wire->crashesOf_), wire->crashesVersion_, allFromWire<CrashReport>(wire->crashes_) } };
 }
 
 std::string encode(const RelayAnswer &answer)
@@ -310,6 +345,8 @@
     wire.gateways_ = answer.gateways_;
     wire.loads_ = allToWire<WireLoad>(answer.loads_);
     wire.stored_ = allToWire<WireStored>(answer.stored_);
+    wire.crashesVersion_ = answer.crashes_.version_;
+    wire.crashes_ = allToWire<WireCrash>(answer.crashes_.reports_);
     return messagepack::pack(wire);
 }
 
@@ -339,6 +376,7 @@
     answer.gateways_ = wire->gateways_;
     answer.loads_ = std::move(*loads);
     answer.stored_ = allFromWire<CountsStored>(wire->stored_);
+    answer.crashes_ = { wire->crashesVersion_, allFromWire<CrashReport>(wire->crashes_) };
     return answer;
 }
 
--- a/src/relay/relayquery.h
+++ b/src/relay/relayquery.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <vector>
 
+#include "relay/crashquery.h"
 #include "relay/endpointload.h"
 #include "relay/gatewaymember.h"
 #include "relay/textversion.h"
@@ -38,6 +39,8 @@
 
     /// Requests that the sender has counted and that the relay does not have yet.
     std::vector<MemberCounts> counts_{};
+
+    CrashQuery crashes_{};
 };
 
 } // namespace cowsliphead
--- /dev/null
+++ b/tests/decide/crashregistertest.cpp
@@ -0,0 +1,261 @@
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include "core/virtualclock.h"
+#include "decide/crashregister.h"
+
+using namespace cowsliphead;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const RequestDigest Request("r");
+
+struct Fixture {
+    VirtualClock clock_;
+    CrashRegister crashes_;
+
+    bool isQuarantined() const
+    {
+        return crashes_.quarantineLeft(Request, clock_.now()).has_value();
+    }
+
+    void crashOnce()
+    {
+        crashes_.crashed(Request, crashes_.countOf(Request, clock_.now()), clock_.now());
+    }
+};
+
+/// Gateways that each have a register and tell each other about it now and then.
+struct Gateways {
+    static constexpr std::size_t Count = 4;
+
+    VirtualClock clock_;
+    std::array<CrashRegister, Count> registers_;
+    int crashes_ = 0;
+
+    void send(std::size_t gateway, bool crashes)
+    {
+        auto &own = registers_[gateway];
+        if (own.quarantineLeft(Request, clock_.now())) {
+            return;
+        }
+        const auto atDispatch = own.countOf(Request, clock_.now());
+        clock_.advance(10ms);
+        if (crashes) {
+            ++crashes_;
+            own.crashed(Request, atDispatch, clock_.now());
+        } else {
+            own.answered(Request, clock_.now());
+        }
+    }
+
+    void tell(std::size_t from, std::size_t to)
+    {
+        registers_[to].merge(registers_[from].changesAfter(0, clock_.now()), clock_.now());
+    }
+
+    void tellAll()
+    {
+        for (std::size_t from = 0; from < Count; ++from) {
+            for (std::size_t to = 0; to < Count; ++to) {
+                tell(from, to);
+            }
+        }
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(a_request_that_crashes_endpoints)
+
+BOOST_FIXTURE_TEST_SUITE(at_one_gateway, Fixture)
+
+BOOST_AUTO_TEST_CASE(is_quarantined_after_the_third_crash)
+{
+    crashOnce();
+    crashOnce();
+    BOOST_TEST(!isQuarantined());
+    crashOnce();
+    BOOST_TEST(isQuarantined());
+    BOOST_TEST((crashes_.quarantineLeft(Request, clock_.now()) == std::optional<std::chrono::milliseconds>(10min)));
+}
+
+BOOST_AUTO_TEST_CASE(is_dispatched_again_once_the_quarantine_has_expired)
+{
+    for (int crash = 0; crash < 3; ++crash) {
+        crashOnce();
+    }
+    clock_.advance(10min);
+    BOOST_TEST(!isQuarantined());
+    crashOnce();
+    BOOST_TEST(!isQuarantined());
+}
+
+BOOST_AUTO_TEST_CASE(does_not_affect_other_requests)
+{
+    for (int crash = 0; crash < 3; ++crash) {
+        crashOnce();
+    }
+    BOOST_TEST(!crashes_.quarantineLeft(RequestDigest("other"), clock_.now()).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// A zone that fails, or a restart of all endpoints, ends many runs of innocent requests.
+BOOST_FIXTURE_TEST_SUITE(that_only_ran_there, Fixture)
+
+BOOST_AUTO_TEST_CASE(is_not_quarantined_if_its_endpoints_fail_at_the_same_moment)
+{
+    const auto atDispatch = crashes_.countOf(Request, clock_.now());
+    for (int endpoint = 0; endpoint < 20; ++endpoint) {
+        crashes_.crashed(Request, atDispatch, clock_.now());
+    }
+    BOOST_TEST(!isQuarantined());
+}
+
+BOOST_AUTO_TEST_CASE(is_not_quarantined_if_it_was_answered_in_between)
+{
+    for (int crash = 0; crash < 20; ++crash) {
+        crashOnce();
+        crashOnce();
+        crashes_.answered(Request, clock_.now());
+    }
+    BOOST_TEST(!isQuarantined());
+}
+
+BOOST_AUTO_TEST_CASE(is_released_by_an_answer_that_was_on_its_way)
+{
+    for (int crash = 0; crash < 3; ++crash) {
+        crashOnce();
+    }
+    crashes_.answered(Request, clock_.now());
+    BOOST_TEST(!isQuarantined());
+}
+
+BOOST_AUTO_TEST_CASE(is_not_blamed_for_a_dispatch_from_before_the_answer)
+{
+    crashOnce();
+    crashOnce();
+    const auto atDispatch = crashes_.countOf(Request, clock_.now());
+    crashes_.answered(Request, clock_.now());
+    crashes_.crashed(Request, atDispatch, clock_.now());
+    BOOST_TEST(crashes_.countOf(Request, clock_.now()).crashes_ == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(at_several_gateways)
+
+BOOST_AUTO_TEST_CASE(is_quarantined_everywhere_after_three_crashes_at_three_gateways)
+{
+    Gateways gateways;
+    for (std::size_t gateway = 0; gateway < 3; ++gateway) {
+        gateways.send(gateway, true);
+        gateways.tellAll();
+    }
+    gateways.send(3, true);
+    gateways.send(0, true);
+    BOOST_TEST(gateways.crashes_ == 3);
+}
+
+RC_BOOST_PROP(is_quarantined_after_three_rounds_of_exchange_however_it_is_sent, (const std::vector<std::uint8_t> &sends))
+{
+    // Between two exchanges, each gateway sends the request at most as often as it did not know of its own crashes.
+    Gateways gateways;
+    int rounds = 0;
+    for (int round = 0; round < 3; ++round) {
+        gateways.send(static_cast<std::size_t>(round) % Gateways::Count, true);
+        for (const auto gateway : sends) {
+            gateways.send(gateway % Gateways::Count, true);
+        }
+        gateways.tellAll();
+        ++rounds;
+    }
+    const int crashes = gateways.crashes_;
+    for (std::size_t gateway = 0; gateway < Gateways::Count; ++gateway) {
+        gateways.send(gateway, true);
+    }
+    RC_ASSERT(gateways.crashes_ == crashes);
+}
+
+RC_BOOST_PROP(is_not_quarantined_while_each_second_run_is_answered, (const std::vector<std::pair<std::uint8_t, std::uint8_t>> &steps))
+{
+    Gateways gateways;
+    for (const auto &[gateway, other] : steps) {
+        gateways.send(gateway % Gateways::Count, true);
+        gateways.tellAll();
+        gateways.send(gateway % Gateways::Count, false);
+        gateways.tell(gateway % Gateways::Count, other % Gateways::Count);
+        gateways.tellAll();
+    }
+    for (const auto &crashes : gateways.registers_) {
+        RC_ASSERT(!crashes.quarantineLeft(Request, gateways.clock_.now()));
+    }
+}
+
+RC_BOOST_PROP(has_the_same_count_everywhere_whatever_the_order_of_the_reports, (const std::vector<std::tuple<std::uint8_t, std::uint8_t, std::uint8_t>> &steps))
+{
+    Gateways gateways;
+    for (const auto &[kind, first, second] : steps) {
+        const auto gateway = first % Gateways::Count;
+        if (kind % 3 == 0) {
+            gateways.tell(gateway, second % Gateways::Count);
+        } else {
+            gateways.send(gateway, kind % 3 == 1);
+        }
+    }
+    gateways.tellAll();
+    gateways.tellAll();
+    const auto now = gateways.clock_.now();
+    for (const auto &crashes : gateways.registers_) {
+        RC_ASSERT(crashes.countOf(Request, now) == gateways.registers_[0].countOf(Request, now));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(a_register_of_crashes, Fixture)
+
+BOOST_AUTO_TEST_CASE(reports_only_what_changed_after_a_version)
+{
+    crashOnce();
+    const auto version = crashes_.version();
+    BOOST_TEST(crashes_.changesAfter(version, clock_.now()).empty());
+    crashes_.crashed(RequestDigest("other"), {}, clock_.now());
+    const auto changes = crashes_.changesAfter(version, clock_.now());
+    BOOST_REQUIRE(changes.size() == 1U);
+    BOOST_TEST((changes[0].digest_ == RequestDigest("other")));
+}
+
+BOOST_AUTO_TEST_CASE(does_not_change_when_it_is_told_what_it_knows)
+{
+    crashOnce();
+    const auto version = crashes_.version();
+    crashes_.merge(crashes_.changesAfter(0, clock_.now()), clock_.now());
+    BOOST_TEST(crashes_.version() == version);
+}
+
+BOOST_AUTO_TEST_CASE(keeps_quarantined_requests_when_it_is_full)
+{
+    for (int crash = 0; crash < 3; ++crash) {
+        crashOnce();
+    }
+    for (std::size_t number = 0; number < 2 * CrashRegister::MaxCounts; ++number) {
+        crashes_.crashed(RequestDigest(std::to_string(number)), {}, clock_.now());
+    }
+    BOOST_TEST(isQuarantined());
+    BOOST_TEST(crashes_.changesAfter(0, clock_.now()).size() == CrashRegister::MaxCounts);
+}
+
+BOOST_AUTO_TEST_CASE(takes_no_longer_lifetime_from_a_report_than_it_gives_itself)
+{
+    crashes_.merge({ CrashReport{ Request, { 0, 3 }, 24h } }, clock_.now());
+    clock_.advance(10min);
+    BOOST_TEST(!isQuarantined());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fleet/fakestore.h
+++ b/tests/fleet/fakestore.h
@@ -30,8 +30,10 @@
         watches_[prefix] = std::move(reply);
     }
 
-    void compareAndSwap(const cowsliphead::StoreWrite & /*write*/, const cowsliphead::StoreReply<cowsliphead::StoreRevision> & /*reply*/)
+    void compareAndSwap(const cowsliphead::StoreWrite &write, const cowsliphead::StoreReply<cowsliphead::StoreRevision> &reply)
     {
+        writes_.push_back(write);
+        writeReplies_.push_back(reply);
     }
 
     void read(const std::string & /*key*/, const cowsliphead::StoreReply<std::optional<cowsliphead::StoreEntry>> & /*reply*/)
@@ -49,8 +51,9 @@
     {
     }
 
-    void grantLease(std::chrono::milliseconds /*duration*/, const cowsliphead::StoreReply<cowsliphead::LeaseId> & /*reply*/)
+    void grantLease(std::chrono::milliseconds /*duration*/, const cowsliphead::StoreReply<cowsliphead::LeaseId> &reply)
     {
+        leaseReplies_.push_back(reply);
     }
 
     void renewLease(const cowsliphead::LeaseId & /*lease*/, const cowsliphead::StoreReply<cowsliphead::LeaseId> & /*reply*/)
@@ -66,4 +69,9 @@
     std::map<std::string, Watch> watches_;
     std::map<std::string, cowsliphead::StoreRevision> watchedAfter_;
     std::map<std::string, std::chrono::milliseconds> watchWaits_;
+
+    /// All writes and lease grants, in order.
+    std::vector<cowsliphead::StoreWrite> writes_;
+    std::vector<cowsliphead::StoreReply<cowsliphead::StoreRevision>> writeReplies_;
+    std::vector<cowsliphead::StoreReply<cowsliphead::LeaseId>> leaseReplies_;
 };
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -32,7 +32,8 @@
     , gateway_(loop_,
                settings(stopGrace),
                Address<RequestStarted>([this](const RequestStarted & /*request*/) { ++startedRequests_; }),
-               Address<Span>([this](Span span) { spans_.push_back(std::move(span)); }))
+               Address<Span>([this](Span span) { spans_.push_back(std::move(span)); }),
+               Address<CrashReports>())
 {
     port_ = *gateway_.listen();
     gateway_.receive(GatewayCount{ 1 });
--- /dev/null
+++ b/tests/relay/quarantinestoretest.cpp
@@ -0,0 +1,179 @@
+#include <deque>
+
+#include <boost/test/unit_test.hpp>
+
+#include "core/systemclock.h"
+#include "fleet/fakestore.h"
+#include "relay/quarantinestore.h"
+#include "task/eventloop.h"
+
+using namespace cowsliphead;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const RequestDigest Request("r");
+const std::string Value = R"({"crashes":3,"generation":0})";
+
+/// Passes each call on to a store that outlives the client.
+class StoreClient
+{
+public:
+    explicit StoreClient(FakeStore &store)
+        : store_(store)
+    {
+    }
+
+    void range(const std::string &prefix, const std::string &after, FakeStore::Range reply)
+    {
+        store_.range(prefix, after, std::move(reply));
+    }
+
+    void watch(const std::string &prefix, StoreRevision after, std::chrono::milliseconds wait, FakeStore::Watch reply)
+    {
+        store_.watch(prefix, after, wait, std::move(reply));
+    }
+
+    void compareAndSwap(const StoreWrite &write, const StoreReply<StoreRevision> &reply)
+    {
+        store_.compareAndSwap(write, reply);
+    }
+
+    void read(const std::string & /*key*/, const StoreReply<std::optional<StoreEntry>> & /*reply*/)
+    {
+    }
+
+    void list(const std::string & /*prefix*/, const std::string & /*after*/, std::size_t /*limit*/, const StoreReply<std::vector<StoreEntry>> & /*reply*/)
+    {
+    }
+
+    void erase(const std::vector<std::string> & /*keys*/, const StoreReply<StoreRevision> & /*reply*/)
+    {
+    }
+
+    void grantLease(std::chrono::milliseconds duration, const StoreReply<LeaseId> &reply)
+    {
+        store_.grantLease(duration, reply);
+    }
+
+    void renewLease(const LeaseId & /*lease*/, const StoreReply<LeaseId> & /*reply*/)
+    {
+    }
+
+    void revokeLease(const LeaseId & /*lease*/, const StoreReply<LeaseId> & /*reply*/)
+    {
+    }
+
+private:
+    FakeStore &store_;
+};
+
+struct Fixture {
+    EventLoop loop_;
+    FakeStore store_;
+    std::vector<CrashReport> reports_;
+    QuarantineStore<StoreClient> quarantine_{ loop_, std::make_unique<StoreClient>(store_), [this](const std::vector<CrashReport> &reports) {
+                                                 reports_.insert(reports_.end(), reports.begin(), reports.end());
+                                             } };
+
+    Fixture()
+    {
+        quarantine_.start();
+    }
+
+    void answerRead(std::vector<StoreEntry> entries)
+    {
+        store_.ranges_["quarantine/"](StoreRange{ std::move(entries), false, 10 });
+    }
+
+    void run(std::chrono::milliseconds time = 1200ms)
+    {
+        Timer end(loop_, [this] { loop_.stop(); });
+        end.startOnce(time);
+        loop_.run();
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(the_quarantined_requests_in_the_store, Fixture)
+
+BOOST_AUTO_TEST_CASE(are_read_at_the_start_and_watched_from_then_on)
+{
+    answerRead({ { "quarantine/r", Value, 9, false } });
+    BOOST_TEST(store_.watchedAfter_["quarantine/"] == 10U);
+    store_.watches_["quarantine/"](WatchAnswer{ { { "quarantine/s", Value, 11, false } }, 11 });
+    BOOST_REQUIRE(reports_.size() == 2U);
+    BOOST_TEST((reports_[0].digest_ == Request));
+    BOOST_TEST((reports_[0].count_ == CrashCount{ 0, 3 }));
+    BOOST_TEST((reports_[1].digest_ == RequestDigest("s")));
+}
+
+BOOST_AUTO_TEST_CASE(that_cannot_be_decoded_are_left_out)
+{
+    answerRead({ { "quarantine/a", "", 1, false },
+                 { "quarantine/b", "[]", 2, false },
+                 { "quarantine/c", R"({"crashes":-3,"generation":0})", 3, false },
+                 { "quarantine/d", R"({"crashes":3,"generation":4294967296})", 4, false },
+                 { "quarantine/", Value, 5, false },
+                 { "quarantine/r", Value, 6, false } });
+    BOOST_REQUIRE(reports_.size() == 1U);
+    BOOST_TEST((reports_[0].digest_ == Request));
+}
+
+BOOST_AUTO_TEST_CASE(are_written_under_a_lease_unless_they_are_there)
+{
+    answerRead({});
+    quarantine_.put(Request, { 0, 3 }, SystemClock().now());
+    run(600ms);
+    BOOST_REQUIRE(store_.leaseReplies_.size() == 1U);
+    store_.leaseReplies_[0](LeaseId("7"));
+    BOOST_REQUIRE(store_.writes_.size() == 1U);
+    BOOST_TEST(store_.writes_[0].key_ == "quarantine/r");
+    BOOST_TEST(store_.writes_[0].value_ == Value);
+    BOOST_TEST(store_.writes_[0].expectedRevision_ == 0U);
+    BOOST_TEST((store_.writes_[0].lease_ == LeaseId("7")));
+    store_.writeReplies_[0](failure(ErrorCode::StoreConflict));
+    quarantine_.put(Request, { 0, 3 }, SystemClock().now());
+    run();
+    BOOST_TEST(store_.leaseReplies_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(are_written_again_after_an_answer_that_was_lost)
+{
+    answerRead({});
+    quarantine_.put(Request, { 0, 3 }, SystemClock().now());
+    run(600ms);
+    store_.leaseReplies_[0](failure(ErrorCode::StoreUnavailable));
+    run(600ms);
+    BOOST_REQUIRE(store_.leaseReplies_.size() == 2U);
+    store_.leaseReplies_[1](LeaseId("7"));
+    store_.writeReplies_[0](failure(ErrorCode::StoreUnavailable));
+    run(600ms);
+    BOOST_TEST(store_.leaseReplies_.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(are_left_to_the_relay_that_found_them_for_a_while)
+{
+    answerRead({});
+    quarantine_.put(Request, { 0, 3 }, SystemClock().now() + 900ms);
+    run(600ms);
+    BOOST_TEST(store_.leaseReplies_.empty());
+    store_.watches_["quarantine/"](WatchAnswer{ { { "quarantine/r", Value, 11, false } }, 11 });
+    run();
+    BOOST_TEST(store_.leaseReplies_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(are_read_again_once_the_store_has_forgotten_its_history)
+{
+    answerRead({});
+    store_.ranges_.clear();
+    store_.watches_["quarantine/"](failure(ErrorCode::StoreHistoryGone));
+    run(600ms);
+    BOOST_REQUIRE(store_.ranges_.contains("quarantine/"));
+    answerRead({ { "quarantine/r", Value, 9, false } });
+    BOOST_TEST(reports_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/soak/crashfleet.cpp
+++ b/tests/soak/crashfleet.cpp
@@ -27,8 +27,15 @@
 
 Json routeEntry(const std::string &name, const char *kind, int maxAttempts)
 {
-    return { { "name", name },        { "hostname", "soak.example" }, { "prefix", "/" + name + "/" }, { "kind", kind },   { "service", "service" },
-             { "timeoutMs", 1200 }, { "targetLatencyMs", 150 },     { "priority", 1 },              { "maxAttempts", maxAttempts } };
+    return { { "name", name },
+             { "hostname", "soak.example" },
+             { "prefix", "/" + name + "/" },
+             { "kind", kind },
+             { "service", "service" },
+             { "timeoutMs", 1200 },
+             { "targetLatencyMs", 150 },
+             { "priority", 1 },
+             { "maxAttempts", maxAttempts } };
 }
 
 } // namespace
@@ -40,7 +47,7 @@
     int status_ = 0;
 };
 
-CrashFleet::CrashFleet(const std::string &folder)
+CrashFleet::CrashFleet(const std::string &folder, Links links)
     : sendTimer_(loop_, [this] { sendCrashingRequest(); })
     , restartTimer_(loop_, [this] {
         for (const auto &gateway : gateways_) {
@@ -54,7 +61,7 @@
     }
     std::vector<std::uint16_t> ports;
     for (int number = 0; number < GatewayCount; ++number) {
-        const char *domain = number % 2 == 0 ? "a" : "b";
+        const std::string domain = links == Links::StoreOnly ? "" : number % 2 == 0 ? "a" : "b";
         gateways_.push_back(std::make_unique<SoakGateway>(loop_, number, store_.port(), usageReports_.port(), folder, domain));
         ports.push_back(gateways_.back()->port());
     }
@@ -139,7 +146,10 @@
     request.key_ = "key-1";
     const HttpHeaders headers{ { "Host", "soak.example" }, { "X-Attempt-Id", call->id_ }, { "X-Api-Key", request.key_ }, { "X-Deadline-Ms", "1000" } };
     call->connection_->begin({
-                                 .onOpen_ = [call, headers] { call->connection_->write(requestBytes({ "GET", CrashingPath, headers })); },
+                                 .onOpen_ =
+                                     [call, headers] {
+                                         call->connection_->write(requestBytes({ "GET", CrashingPath, headers }));
+                                     },
                                  .onHead_ =
                                      [call](const ResponseHead &head) {
                                          call->status_ = head.status_;
--- a/tests/soak/crashfleet.h
+++ b/tests/soak/crashfleet.h
@@ -24,8 +24,14 @@
 public:
     using Time = std::chrono::steady_clock::time_point;
 
+    /// Whether the gateways know each other.
+    enum class Links {
+        Relays,
+        StoreOnly,
+    };
+
     /// folder: receives the settings and logs of the processes.
-    explicit CrashFleet(const std::string &folder);
+    CrashFleet(const std::string &folder, Links links);
     ~CrashFleet();
     CrashFleet(const CrashFleet &) = delete;
     CrashFleet &operator=(const CrashFleet &) = delete;
--- a/tests/soak/crashingrequesttest.cpp
+++ b/tests/soak/crashingrequesttest.cpp
@@ -25,10 +25,10 @@
     std::filesystem::path folder_ = std::filesystem::temp_directory_path() / ("cowsliphead-crashes-" + std::to_string(getpid()));
     std::unique_ptr<CrashFleet> fleet_;
 
-    Fixture()
+    explicit Fixture(CrashFleet::Links links = CrashFleet::Links::Relays)
     {
         std::filesystem::create_directories(folder_);
-        fleet_ = std::make_unique<CrashFleet>(folder_.string());
+        fleet_ = std::make_unique<CrashFleet>(folder_.string(), links);
         fleet_->runFor(StartTime);
     }
 
@@ -46,6 +46,14 @@
     Fixture &operator=(const Fixture &) = delete;
 };
 
+/// Gateways that are cut off from each other and reach only the store.
+struct CutOffFixture : Fixture {
+    CutOffFixture()
+        : Fixture(CrashFleet::Links::StoreOnly)
+    {
+    }
+};
+
 } // namespace
 
 // Regression test (incident BUDGET, namib-verse): gateways knew nothing of a request beyond one attempt, so that a request that crashes
@@ -74,4 +82,13 @@
     BOOST_TEST(fleet_->crashesAfter(killedAt) <= MaxLateSendings);
 }
 
+BOOST_FIXTURE_TEST_CASE(becomes_known_through_the_store_to_gateways_that_are_cut_off_from_each_other, CutOffFixture)
+{
+    fleet_->sendCrashingRequests(150ms);
+    fleet_->runFor(6000ms);
+    BOOST_REQUIRE(fleet_->crashes().size() >= Threshold);
+    BOOST_TEST_MESSAGE(fleet_->crashes().size() << " crashes");
+    BOOST_TEST(fleet_->crashesAfter(fleet_->crashes()[Threshold - 1] + SpreadTime) <= MaxLateSendings);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/soak/soakgateway.cpp
+++ b/tests/soak/soakgateway.cpp
@@ -41,12 +41,7 @@
 
 } // namespace
 
-SoakGateway::SoakGateway(EventLoop &loop,
-                         int number,
-                         std::uint16_t store,
-                         std::uint16_t platform,
-                         const std::string &folder,
-                         const std::string &domain)
+SoakGateway::SoakGateway(EventLoop &loop, int number, std::uint16_t store, std::uint16_t platform, const std::string &folder, const std::string &domain)
     : storeProxy_(loop, store)
     , port_(freePort())
     , settingsPath_(folder + "/gateway-" + std::to_string(number) + ".json")
@@ -54,8 +49,8 @@
 {
     const auto peer = domain.empty() ? std::string() : R"(, "peer": )" + addressOf(freePort());
     std::ofstream(settingsPath_) << R"({ "instance": "gateway-)" << number << R"(", "failureDomain": ")" << (domain.empty() ? "a" : domain)
-                                 << R"(", "callers": )" << addressOf(port_) << peer
-                                 << R"(, "readiness": "127.0.0.1:0", "store": )" << addressOf(storeProxy_.port()) << R"(, "platform": )" << addressOf(platform)
+                                 << R"(", "callers": )" << addressOf(port_) << peer << R"(, "readiness": "127.0.0.1:0", "store": )"
+                                 << addressOf(storeProxy_.port()) << R"(, "platform": )" << addressOf(platform)
                                  << R"(, "stopGraceMs": 4000, "retryReserve": 54, "usageWindowMs": 2000, "usageReportMs": 6000 })";
     start();
 }
--- a/tests/soak/soakgateway.h
+++ b/tests/soak/soakgateway.h
@@ -14,12 +14,8 @@
 public:
     /// Starts the process. store, platform: their ports. folder: receives the settings and the log of the process. domain: its failure domain;
     /// without one the process takes no part in the exchange between gateways.
-    SoakGateway(cowsliphead::EventLoop &loop,
-                int number,
-                std::uint16_t store,
-                std::uint16_t platform,
-                const std::string &folder,
-                const std::string &domain = {});
+    SoakGateway(
+        cowsliphead::EventLoop &loop, int number, std::uint16_t store, std::uint16_t platform, const std::string &folder, const std::string &domain = {});
 
     /// Starts the process again if it has ended.
     void restartIfExited();
