A refusal that names no request is not believed

Here: a refusal with the identifier of another request was skipped already (does_not_take_the_refusal_of_an_earlier_request_for_its_own passed before). One without any identifier was taken for the request's own. test_gateway, does_not_believe_a_refusal_that_names_no_request, failed: a non-idempotent request was sent to a second endpoint after each of three such heads.

Cause: onHead() treats an absent identifier as a matching one, which is right only where nothing depends on whose answer it is. Now a response counts as 'not executed' only if it repeats the request's identifier; otherwise the outcome is unknown. The connection is closed, since the request's own answer may follow.

--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -174,19 +174,22 @@
     void complete()
     {
         auto connection = std::exchange(connection_, nullptr);
-        if (plan_.needsNewConnection_) {
-            // A request that needs a new connection would not reuse it, and the endpoint limits its connections.
+        if (plan_.needsNewConnection_ || response_.attemptId_ != plan_.attemptId_) {
+            // A request that needs a new connection would not reuse it, and the endpoint limits its connections. After a response that names
+            // no request, the request's own may follow.
             connection->close();
         } else {
             context_.endpoints_.releaseConnection(*endpoint_, std::move(connection), context_.clock_.now());
         }
-        end({ endOfResponse(), std::move(head_), std::move(body_), "" });
+        const auto result = endOfResponse();
+        end({ result, std::move(head_), std::move(body_), result == AttemptEnd::Lost ? "not_genuine" : "" });
     }
 
     AttemptEnd endOfResponse() const
     {
         if (response_.isNotExecuted_) {
-            return AttemptEnd::NotExecuted;
+            // Without the request's identifier it may be the refusal of an earlier request, sent once more.
+            return response_.attemptId_ == plan_.attemptId_ ? AttemptEnd::NotExecuted : AttemptEnd::Lost;
         }
         if (head_.status_ >= FirstServerError) {
             return AttemptEnd::Failed;
--- a/tests/gateway/gatewaytest.cpp
+++ b/tests/gateway/gatewaytest.cpp
@@ -246,6 +246,31 @@
     BOOST_TEST(answer.body_ == "body");
 }
 
+// A faulty endpoint may send an earlier refusal once more on a connection that is used again.
+BOOST_AUTO_TEST_CASE(does_not_take_the_refusal_of_an_earlier_request_for_its_own)
+{
+    GatewayFixture fixture;
+    fixture.addEndpoint({ { "HTTP/1.1 503 Busy\r\nX-Attempt-Id: earlier\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n" + CompleteResponse } });
+    auto &second = fixture.addEndpoint({ { CompleteResponse } });
+    BOOST_TEST(fixture.sendRequest("/once/x").status_ == 200);
+    BOOST_TEST(second.requests().empty());
+}
+
+BOOST_AUTO_TEST_CASE(does_not_believe_a_refusal_that_names_no_request)
+{
+    for (const auto *head : { "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+                              "HTTP/1.1 429 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+                              "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n" }) {
+        GatewayFixture fixture;
+        fixture.addEndpoint({ { head } });
+        auto &second = fixture.addEndpoint({ { CompleteResponse } });
+        const auto answer = fixture.sendRequest("/once/x");
+        BOOST_TEST(answer.status_ == 502);
+        BOOST_TEST(headerValue(answer.headers_, "Retry-After").empty());
+        BOOST_TEST(second.requests().empty());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(does_not_use_the_connection_again)
 {
     GatewayFixture fixture;
