A stream that the next endpoint does not continue is not ended as complete

Cause: 'answered' meant 'a response to forward', and for a stream that has begun forwarding is ending it, whatever the response was. Only 5xx had a special case.

Fix: once a stream has begun, only the end of a streamed response completes it; any other response counts as a failed dispatch, which may be tried elsewhere within the limits, and else aborts the stream.

--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -69,6 +69,12 @@
         return isWritten_;
     }
 
+    /// True once a successful streamed response has begun.
+    bool isStreaming() const
+    {
+        return isStreaming_;
+    }
+
     const DispatchPlan &plan() const
     {
         return plan_;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -263,6 +263,10 @@
             // The stream ended in the middle of an event.
             result.end_ = AttemptEnd::Lost;
             result.reason_ = "partial_event";
+        } else if (response_.relay().hasBegun() && result.end_ == AttemptEnd::Answered && !dispatch_->isStreaming()) {
+            // The endpoint has not continued the stream of the one before.
+            result.end_ = AttemptEnd::Failed;
+            result.reason_ = "not_continued";
         }
         if (isWritten && result.end_ != AttemptEnd::NotExecuted) {
             countUsage(dispatch_->writtenAt());
--- a/tests/gateway/gatewaytest.cpp
+++ b/tests/gateway/gatewaytest.cpp
@@ -327,6 +327,36 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// The next endpoint answers the continuation with an error instead of the rest of the stream.
+BOOST_AUTO_TEST_SUITE(with_a_stream_whose_next_endpoint_does_not_continue_it)
+
+BOOST_AUTO_TEST_CASE(neither_forwards_the_other_answer_nor_ends_the_stream_as_complete)
+{
+    const std::string fields = "\r\nX-Attempt-Id: ID\r\nX-Response-Stamp: s\r\n";
+    for (const auto &other : { "HTTP/1.1 400 Bad Request" + fields + "Content-Length: 7\r\n\r\nfailed\n",
+                               "HTTP/1.1 404 Not Found" + fields + "Content-Length: 7\r\n\r\nfailed\n",
+                               "HTTP/1.1 404 Not Found" + fields + "\r\nfailed\n\n",
+                               "HTTP/1.1 302 Found" + fields + "Content-Length: 0\r\n\r\n",
+                               "HTTP/1.1 500 Failed" + fields + "Content-Length: 8\r\n\r\nfailed\n\n",
+                               "HTTP/1.1 503 Busy" + fields + "Content-Length: 7\r\n\r\nfailed\n",
+                               "HTTP/1.1 503 Busy" + fields + "X-Not-Executed: 1\r\nContent-Length: 7\r\n\r\nfailed\n",
+                               "HTTP/1.1 202 Accepted" + fields + "Content-Length: 7\r\n\r\nfailed\n",
+                               "HTTP/1.1 204 No Content" + fields + "\r\n",
+                               std::string("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nfailed\n") }) {
+        BOOST_TEST_CONTEXT(other)
+        {
+            GatewayFixture fixture;
+            fixture.addEndpoint({ { StreamHead + chunk("id: 1\ndata: a\n\n"), true } });
+            fixture.addEndpoint({ { other, true } });
+            const auto answer = fixture.sendRequest("/stream/x");
+            BOOST_TEST(answer.body_ == "id: 1\ndata: a\n\n");
+            BOOST_TEST(!answer.isComplete_);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(that_is_ordered_to_stop)
 
 BOOST_AUTO_TEST_CASE(rejects_a_request_that_it_could_not_finish)
