A request is not blamed for endpoints that only close its connection

Cause: a closed connection was taken for a crash. Now, from the second loss in a row on, the gateway opens another connection to the endpoint; if that stays open for 100 ms, the endpoint is alive and the crash is taken back. The count is raised at once and lowered later, so that a dispatch in between knows of it, and no retry waits for the check. A single loss has no consequences and costs no connection. request_released is logged.

Evidence: a_request_whose_answer_is_lost_again_and_again failed with the check off (3 of 6 submissions sent); the quarantine's own tests pass with endpoints that really go away.

--- a/src/decide/crashcount.h
+++ b/src/decide/crashcount.h
@@ -10,7 +10,7 @@
 /// crashes known, so that endpoints that fail at the same moment count once. Counts of different gateways are merged by taking the
 /// greater one.
 struct CrashCount {
-    /// Increases when the request is answered, which makes earlier crashes irrelevant.
+    /// Increases when crashes are taken back: the request was answered, or an endpoint turned out to be alive.
     std::uint32_t generation_ = 0;
     std::uint32_t crashes_ = 0;
 
--- a/src/decide/crashregister.cpp
+++ b/src/decide/crashregister.cpp
@@ -33,6 +33,14 @@
     raise(digest, { known.generation_, crashes }, CountLifetime, now);
 }
 
+void CrashRegister::survived(const RequestDigest &digest, MonotonicTime now)
+{
+    const auto known = countOf(digest, now);
+    if (known.crashes_ > 0) {
+        raise(digest, { known.generation_ + 1, known.crashes_ - 1 }, CountLifetime, now);
+    }
+}
+
 void CrashRegister::answered(const RequestDigest &digest, MonotonicTime now)
 {
     const auto known = countOf(digest, now);
--- a/src/decide/crashregister.h
+++ b/src/decide/crashregister.h
@@ -42,7 +42,10 @@
     /// An endpoint crashed with the request in hand. atDispatch: the count when the request was dispatched.
     void crashed(const RequestDigest &digest, CrashCount atDispatch, MonotonicTime now);
 
-    /// An endpoint ran the request and survived.
+    /// An endpoint that was taken to have crashed under the request is alive: it only lost the answer.
+    void survived(const RequestDigest &digest, MonotonicTime now);
+
+    /// An endpoint answered the request.
     void answered(const RequestDigest &digest, MonotonicTime now);
 
     /// Takes the counts that are greater than the known ones.
--- a/src/gateway/crashtracker.h
+++ b/src/gateway/crashtracker.h
@@ -4,15 +4,18 @@
 #include <optional>
 
 #include "core/requestdigest.h"
+#include "core/time.h"
 #include "decide/crashcount.h"
 
 namespace cowsliphead
 {
 
+class CrashRegister;
 struct AdmittedRequest;
 struct CallerRequest;
 struct GatewayContext;
 struct RequestMetadata;
+struct SocketAddress;
 
 /// Connects one request to the gateway's register of requests that crash endpoints. Thread safety: the context's task only.
 class CrashTracker
@@ -27,10 +30,10 @@
     /// The request is written to an endpoint.
     void dispatched();
 
-    /// The endpoint closed the connection with the request in hand. Precondition: dispatched() was called.
-    void endpointCrashed();
+    /// The endpoint at this address closed the connection with the request in hand. Precondition: dispatched() was called.
+    void endpointClosed(const SocketAddress &endpoint);
 
-    /// The endpoint ran the request to its end. Precondition: dispatched() was called.
+    /// The endpoint answered the request. Precondition: dispatched() was called.
     void answered();
 
     /// The request's digest if it was needed so far, else an empty one.
@@ -42,6 +45,10 @@
 private:
     const RequestDigest &digest();
 
+    /// The request may have ended by then.
+    static void endpointSurvived(GatewayContext &context, const RequestDigest &digest);
+    static void takeBack(GatewayContext &context, const RequestDigest &digest, void (CrashRegister::*change)(const RequestDigest &, MonotonicTime));
+
     GatewayContext &context_;
     const CallerRequest &request_;
     const RequestMetadata &metadata_;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -384,7 +384,7 @@
         context_.metrics_.attempts_.increment({ { "end", attemptEndName(result.end_) } });
         if (result.isClosedByEndpoint()) {
             context_.metrics_.crashes_.increment({ { "service", service_.value() } });
-            crashes_.endpointCrashed();
+            crashes_.endpointClosed(dispatch_->endpoint().entry_.address_);
         }
         requestlog::dispatchEnded(dispatch_->plan(), result, elapsed(), crashes_.knownDigest());
     }
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -9,6 +9,7 @@
 #include "decide/crashregister.h"
 #include "fleet/configuration.h"
 #include "gateway/configurationage.h"
+#include "gateway/crashverifier.h"
 #include "gateway/drainschedule.h"
 #include "gateway/endpointtable.h"
 #include "gateway/gatewaymetrics.h"
@@ -39,6 +40,7 @@
     std::map<ServiceName, RetryAllowance> retryBudgets_{};
     std::size_t gatewayCount_ = 0;
     CrashRegister crashes_{};
+    CrashVerifier crashVerifier_{ loop_ };
 
     /// The version of crashes_ that the other gateways are told.
     std::uint64_t publishedCrashes_ = 0;
--- a/src/logs/logevent.h
+++ b/src/logs/logevent.h
@@ -25,6 +25,7 @@
     DispatchEnded = 205,
     RequestMalformed = 206,
     PromptRead = 207,
+    RequestReleased = 208,
 
     // 300 to 399: endpoints
     EndpointLost = 300,
--- a/tests/decide/crashregistertest.cpp
+++ b/tests/decide/crashregistertest.cpp
@@ -134,6 +134,17 @@
     BOOST_TEST(!isQuarantined());
 }
 
+BOOST_AUTO_TEST_CASE(is_released_when_an_endpoint_turns_out_to_be_alive_and_quarantined_by_the_next_crash)
+{
+    for (int crash = 0; crash < 3; ++crash) {
+        crashOnce();
+    }
+    crashes_.survived(Request, clock_.now());
+    BOOST_TEST(!isQuarantined());
+    crashOnce();
+    BOOST_TEST(isQuarantined());
+}
+
 BOOST_AUTO_TEST_CASE(is_not_blamed_for_a_dispatch_from_before_the_answer)
 {
     crashOnce();
--- a/tests/gateway/crashingrequesttest.cpp
+++ b/tests/gateway/crashingrequesttest.cpp
@@ -7,8 +7,13 @@
 namespace
 {
 
+const std::string PartOfResponse = "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Response-Stamp: s\r\nContent-Length: 9\r\n\r\nbody";
+
 /// The endpoint crashes in the middle of its answer.
-const RawEndpoint::Script Crash{ "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Response-Stamp: s\r\nContent-Length: 9\r\n\r\nbody", true };
+const RawEndpoint::Script Crash{ .bytes_ = PartOfResponse, .crashes_ = true };
+
+/// The endpoint closes the connection in the middle of its answer and goes on.
+const RawEndpoint::Script LostAnswer{ .bytes_ = PartOfResponse, .closesConnection_ = true };
 
 std::size_t requestsAt(const std::vector<RawEndpoint *> &endpoints)
 {
@@ -81,3 +86,18 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_request_whose_answer_is_lost_again_and_again)
+
+BOOST_AUTO_TEST_CASE(is_not_quarantined_as_the_endpoints_are_alive)
+{
+    GatewayFixture fixture;
+    const auto endpoints = addEndpoints(fixture, { LostAnswer });
+    for (int submission = 0; submission < 6; ++submission) {
+        fixture.sendRequest("/once/x");
+        fixture.run(std::chrono::milliseconds(200));
+    }
+    BOOST_TEST(requestsAt(endpoints) == 6U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -86,7 +86,7 @@
     gateway_.receive(FleetSnapshot{ configuration_, entries });
 }
 
-void GatewayFixture::runFor(std::chrono::milliseconds time)
+void GatewayFixture::run(std::chrono::milliseconds time)
 {
     Timer end(loop_, [this] { loop_.stop(); });
     end.startOnce(time);
@@ -96,7 +96,7 @@
 void GatewayFixture::drainFor(std::chrono::milliseconds time)
 {
     gateway_.receive(DrainRequest{});
-    runFor(time);
+    run(time);
 }
 
 GatewayFixture::Answer GatewayFixture::sendRequest(const std::string &path, HttpHeaders headers, const std::string &method)
@@ -134,7 +134,7 @@
                       1000ms);
     // A gateway that has finished draining stops the loop too.
     while (!hasEnded && SystemClock().now() < deadline) {
-        runFor(MaxResponseTime);
+        run(MaxResponseTime);
     }
     connection->close();
     return answer;
@@ -155,7 +155,7 @@
                           .onFailed_ = [](ConnectionFailure /*failure*/) {},
                       },
                       1000ms);
-    runFor(100ms);
+    run(100ms);
     connection->close();
-    runFor(100ms);
+    run(100ms);
 }
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -36,6 +36,8 @@
     /// Sends a request, closes the connection after an endpoint has received it, and runs the loop for a short time.
     void sendRequestAndDisconnect(const std::string &path);
 
+    void run(std::chrono::milliseconds time);
+
     /// Starts the drain and runs the loop for this time.
     void drainFor(std::chrono::milliseconds time);
 
@@ -48,7 +50,6 @@
     static cowsliphead::GatewaySettings settings(std::chrono::milliseconds stopGrace);
     static std::shared_ptr<cowsliphead::Configuration> configuration();
     void publish();
-    void runFor(std::chrono::milliseconds time);
 
     cowsliphead::EventLoop loop_;
     std::shared_ptr<cowsliphead::Configuration> configuration_;
--- a/tests/gateway/rawendpoint.cpp
+++ b/tests/gateway/rawendpoint.cpp
@@ -11,9 +11,9 @@
 RawEndpoint::RawEndpoint(EventLoop &loop, std::vector<Script> scripts)
     : loop_(loop)
     , scripts_(std::move(scripts))
-    , listener_(loop, [this](int socket) { accept(socket); })
 {
-    port_ = *listener_.listen(SocketAddress{ "127.0.0.1", 0 });
+    listener_.emplace(loop, [this](int socket) { accept(socket); });
+    port_ = *listener_->listen(SocketAddress{ "127.0.0.1", 0 });
 }
 
 RawEndpoint::~RawEndpoint() = default;
@@ -26,6 +26,12 @@
     bufferevent_enable(events, EV_READ | EV_WRITE);
 }
 
+void RawEndpoint::crash()
+{
+    listener_.reset();
+    connections_.clear();
+}
+
 void RawEndpoint::onReadable(bufferevent *events, void *self)
 {
     evbuffer *input = bufferevent_get_input(events);
@@ -83,6 +89,10 @@
         }));
         pendingWrites_.back()->startOnce(script.pause_);
     }
+    if (script.crashes_) {
+        loop_.defer([this] { crash(); });
+        return;
+    }
     if (script.closesConnection_) {
         bufferevent_setcb(events, nullptr, &RawEndpoint::onWritten, &RawEndpoint::onEvent, this);
     }
--- a/tests/gateway/rawendpoint.h
+++ b/tests/gateway/rawendpoint.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,9 @@
         std::string laterBytes_ = {};
         std::chrono::milliseconds pause_{ 0 };
 
+        /// Closes all connections and refuses new ones after the bytes.
+        bool crashes_ = false;
+
         /// Sent again and again after the other bytes, until the gateway closes the connection.
         std::string endlessBytes_ = {};
     };
@@ -59,6 +63,7 @@
     static void onEvent(bufferevent *events, short what, void *self);
 
     void accept(int socket);
+    void crash();
     void answer(bufferevent *events, const std::string &request);
 
     cowsliphead::EventLoop &loop_;
@@ -67,7 +72,7 @@
     std::map<bufferevent *, std::unique_ptr<bufferevent, cowsliphead::BufferEventDeleter>> connections_;
     std::map<bufferevent *, std::string> endlessBytes_;
     std::vector<std::unique_ptr<cowsliphead::Timer>> pendingWrites_;
-    cowsliphead::Listener listener_;
+    std::optional<cowsliphead::Listener> listener_;
     std::uint16_t port_ = 0;
     int closedConnections_ = 0;
 };
