Endpoints that say in an answer that they leave, or ask for a pause, get no requests

What callers would see: requests refused or cut by an endpoint that had said it leaves, since leaving was learned from the store's list alone; and endpoints overrun that had asked, with 503 and Retry-After, to be left alone.

Now the gateway evaluates both in the head of each answer, whatever its status and whomever it belongs to. Leaving holds for the incarnation, whatever lists say, also if the entry was missing from one meanwhile; a new incarnation is not leaving. A pause (EndpointPause, pure, in virtual time) keeps all dispatches away, prefill calls too and those already waiting for a connection; after it the endpoint gets one request at a time until it answers. If all endpoints of a service leave or pause, callers are refused at once, with the soonest return spread over half the time, 0.5 s at least. A date, a negative, contradictory or malformed pause is logged and ignored; one above an hour is cut to that.

--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -103,7 +103,8 @@
 
     void write()
     {
-        if (!endpoint_->isListed_ || !events_.mayWrite_()) {
+        const bool isUsable = endpoint_->isListed_ && !endpoint_->isLeaving_ && !endpoint_->pause_.remaining(context_.clock_.now());
+        if (!isUsable || !events_.mayWrite_()) {
             end({ AttemptEnd::NotOffered, {}, {}, "withheld" });
             return;
         }
@@ -132,6 +133,7 @@
     AnswerHandling onHead(const ResponseHead &head)
     {
         const auto metadata = D::readResponse(head);
+        EndpointTable::answered(*endpoint_, metadata, context_.clock_.now());
         if (!metadata.attemptId_.empty() && metadata.attemptId_ != plan_.attemptId_) {
             logEvent(LogEvent::AnswerCrossed,
                      { { "request", plan_.attemptId_ }, { "endpoint", endpoint_->entry_.id_.value() }, { "answerTo", metadata.attemptId_ } });
--- a/src/gateway/endpointstate.h
+++ b/src/gateway/endpointstate.h
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "core/time.h"
+#include "decide/endpointpause.h"
 #include "fleet/endpointentry.h"
 #include "gateway/latencyratio.h"
 #include "gateway/prefillqueue.h"
@@ -42,6 +43,16 @@
     /// Idle connections; the most recently used one is at the back.
     std::deque<std::shared_ptr<ClientConnection>> idle_;
 
+    /// The endpoint has said in an answer that it leaves.
+    bool isLeaving_ = false;
+    EndpointPause pause_;
+
+    /// True if the endpoint may get another request. Thread safety: owner task only.
+    bool mayDispatch(MonotonicTime now) const
+    {
+        return isListed_ && !isLeaving_ && pause_.mayDispatch(running_, now);
+    }
+
     /// False once the endpoint was removed; running dispatches keep the state alive.
     bool isListed_ = true;
 
--- a/src/gateway/endpointtable.cpp
+++ b/src/gateway/endpointtable.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/responsemetadata.h"
+#include "logs/log.h"
+
 namespace cowsliphead
 {
 
@@ -12,6 +15,9 @@
 /// Idle connections kept for each endpoint, so that all gateways together stay below the endpoint's connection limit.
 constexpr std::size_t MaxIdleConnections = 6;
 
+/// Endpoints that are no longer listed and whose state is kept.
+constexpr std::size_t MaxFormerStates = 1024;
+
 void closeIdle(EndpointState &state)
 {
     for (const auto &connection : std::exchange(state.idle_, {})) {
@@ -35,10 +41,7 @@
         if (entry.isLeaving_) {
             continue;
         }
-        const auto known = states_.find(entry.id_);
-        const bool isSame =
-            known != states_.end() && known->second->entry_.incarnation_ == entry.incarnation_ && known->second->entry_.address_ == entry.address_;
-        auto state = isSame ? known->second : std::make_shared<EndpointState>();
+        auto state = known(entry);
         state->entry_ = entry;
         state->key_ = endpointKeyOf(entry.id_);
         states.emplace(entry.id_, std::move(state));
@@ -48,23 +51,80 @@
         if (kept == states.end() || kept->second != state) {
             state->isListed_ = false;
             closeIdle(*state);
+            remember(state);
         }
     }
     states_ = std::move(states);
 }
 
+std::shared_ptr<EndpointState> EndpointTable::known(const EndpointEntry &entry) const
+{
+    for (const auto *states : { &states_, &former_ }) {
+        const auto found = states->find(entry.id_);
+        const bool isSame =
+            found != states->end() && found->second->entry_.incarnation_ == entry.incarnation_ && found->second->entry_.address_ == entry.address_;
+        if (isSame) {
+            found->second->isListed_ = true;
+            return found->second;
+        }
+    }
+    return std::make_shared<EndpointState>();
+}
+
+/// A list that is older, or that lacked an entry for a while, may name the endpoint again.
+void EndpointTable::remember(const std::shared_ptr<EndpointState> &state)
+{
+    if (former_.size() >= MaxFormerStates) {
+        former_.erase(former_.begin());
+    }
+    former_[state->entry_.id_] = state;
+}
+
 placement::Candidates EndpointTable::candidates(const ServiceName &service, EngineStage stage, const std::set<EndpointId> &excluded, MonotonicTime now)
 {
     placement::Candidates healthy;
     placement::Candidates avoided;
     for (const auto &[id, state] : states_) {
-        if (state->entry_.service_ == service && state->entry_.stage_ == stage && !excluded.contains(id)) {
+        if (state->entry_.service_ == service && state->entry_.stage_ == stage && !excluded.contains(id) && state->mayDispatch(now)) {
             (health_.isAvoided(id, now) ? avoided : healthy).push_back(state.get());
         }
     }
     return healthy.empty() ? avoided : healthy;
 }
 
+std::optional<std::chrono::milliseconds> EndpointTable::timeUntilReturn(const ServiceName &service, MonotonicTime now) const
+{
+    std::optional<std::chrono::milliseconds> soonest;
+    for (const auto &[id, state] : states_) {
+        if (state->entry_.service_ != service || state->isLeaving_) {
+            continue;
+        }
+        const auto remaining = state->pause_.remaining(now);
+        if (!remaining) {
+            return std::nullopt;
+        }
+        soonest = std::min(soonest.value_or(*remaining), *remaining);
+    }
+    return soonest;
+}
+
+void EndpointTable::answered(EndpointState &state, const ResponseMetadata &answer, MonotonicTime now)
+{
+    if (answer.isLeaving_ && !std::exchange(state.isLeaving_, true)) {
+        logEvent(LogEvent::EndpointLeaves, { { "endpoint", state.entry_.id_.value() }, { "source", "answer" } });
+        closeIdle(state);
+    }
+    if (answer.isPauseMalformed_) {
+        logEvent(LogEvent::EndpointPauseMalformed, { { "endpoint", state.entry_.id_.value() } });
+    }
+    if (answer.pause_) {
+        logEvent(LogEvent::EndpointPaused, { { "endpoint", state.entry_.id_.value() }, { "pauseMs", std::uint64_t(answer.pause_->count()) } });
+        state.pause_.begin(*answer.pause_, now);
+    } else {
+        state.pause_.answered(now);
+    }
+}
+
 std::shared_ptr<EndpointState> EndpointTable::find(const EndpointId &id) const
 {
     const auto found = states_.find(id);
@@ -130,7 +190,7 @@
 
 void EndpointTable::releaseConnection(EndpointState &state, std::shared_ptr<ClientConnection> connection, MonotonicTime now)
 {
-    if (!state.isListed_ || !connection->isReusable(now)) {
+    if (!state.isListed_ || state.isLeaving_ || !connection->isReusable(now)) {
         connection->close();
         return;
     }
--- a/src/gateway/endpointtable.h
+++ b/src/gateway/endpointtable.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -16,6 +18,7 @@
 {
 
 class EventLoop;
+struct ResponseMetadata;
 
 /// The available endpoints and the connections to them. Thread safety: the loop's task only.
 class EndpointTable
@@ -30,13 +33,19 @@
     /// Replaces the list of endpoints; idle connections to removed endpoints are closed.
     void update(const std::vector<EndpointEntry> &entries);
 
-    /// Returns the endpoints of the service and stage that are not excluded. Endpoints that failed recently are returned only if there is
+    /// Returns the endpoints of the service and stage that are not excluded and may get a request. Endpoints that failed recently are returned only if there is
     /// no other.
     placement::Candidates candidates(const ServiceName &service, EngineStage stage, const std::set<EndpointId> &excluded, MonotonicTime now);
 
     /// Returns shared ownership, since a running dispatch may outlive the endpoint's entry. Null if the endpoint is not listed.
     std::shared_ptr<EndpointState> find(const EndpointId &id) const;
 
+    /// How long until one of the service's endpoints may get requests again; nothing unless all of them have asked for a pause or leave.
+    std::optional<std::chrono::milliseconds> timeUntilReturn(const ServiceName &service, MonotonicTime now) const;
+
+    /// Takes what an endpoint says of itself in the head of an answer to any request.
+    static void answered(EndpointState &state, const ResponseMetadata &answer, MonotonicTime now);
+
     /// True if an engine of this stage is listed.
     bool hasStage(const ServiceName &service, EngineStage stage) const;
 
@@ -65,8 +74,15 @@
     bool isEmpty() const;
 
 private:
+    /// The state of this incarnation of the endpoint, or a new one.
+    std::shared_ptr<EndpointState> known(const EndpointEntry &entry) const;
+    void remember(const std::shared_ptr<EndpointState> &state);
+
     EventLoop &loop_;
     std::map<EndpointId, std::shared_ptr<EndpointState>> states_;
+
+    /// The last states of endpoints that are no longer listed.
+    std::map<EndpointId, std::shared_ptr<EndpointState>> former_;
     EndpointHealth health_;
 };
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -85,6 +85,9 @@
     /// store read in progress and the one before it.
     static constexpr int RecentBoundFactor = 2;
 
+    /// Callers that are told to come back do so within at least this time.
+    static constexpr std::chrono::milliseconds MinReturnSpread{ 500 };
+
     const Route &route() const
     {
         return *admitted_.route_;
@@ -345,11 +348,24 @@
         auto refusal = refusalOf(code);
         if (code == ErrorCode::RequestQuarantined) {
             refusal.retryAfter_ = crashes_.quarantineLeft();
+        } else if (code == ErrorCode::EndpointUnavailable || code == ErrorCode::EndpointRefused) {
+            refusal.retryAfter_ = retryAfterPause().value_or(*refusal.retryAfter_);
         }
         const int status = response_.refuse(refusal, metadata_.attemptId_);
         ended(status, errorName(code));
     }
 
+    /// If all endpoints want no requests for now: the time until the first of them does, spread so that callers do not return together.
+    std::optional<std::chrono::milliseconds> retryAfterPause()
+    {
+        const auto pause = context_.endpoints_.timeUntilReturn(service_, context_.clock_.now());
+        if (!pause) {
+            return std::nullopt;
+        }
+        std::uniform_int_distribution<std::int64_t> spread(0, std::max<std::int64_t>(MinReturnSpread.count(), pause->count() / 2));
+        return *pause + std::chrono::milliseconds(spread(context_.random_));
+    }
+
     void deadlineReached()
     {
         endWithError(mayHaveStarted() ? ErrorCode::EndpointTimedOut : ErrorCode::DeadlineUnreachable);
--- a/src/gateway/responsemetadata.h
+++ b/src/gateway/responsemetadata.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chrono>
+#include <optional>
 #include <string>
 
 namespace cowsliphead
@@ -15,6 +17,15 @@
 
     /// The response is signed by the endpoint and has no content encoding, which a success requires.
     bool isGenuine_ = false;
+
+    /// The endpoint is leaving: it is to get no new requests.
+    bool isLeaving_ = false;
+
+    /// For how long the endpoint wants no requests from this gateway; absent if it does not say so.
+    std::optional<std::chrono::milliseconds> pause_{};
+
+    /// The response names a pause that is not a valid one and is ignored.
+    bool isPauseMalformed_ = false;
 };
 
 } // namespace cowsliphead
--- a/src/logs/eventcatalogue.cpp
+++ b/src/logs/eventcatalogue.cpp
@@ -45,6 +45,8 @@
     { LogEvent::EndpointSilent, LogLevel::Info, "endpoint_silent", "An endpoint sent nothing within the timeout; its idle connections are replaced." },
     { LogEvent::AnswerCrossed, LogLevel::Error, "answer_crossed", "An endpoint answered with the identifier of another attempt; the answer is discarded." },
     { LogEvent::EndpointsUpdated, LogLevel::Info, "endpoints_updated", "The endpoints in use have changed." },
+    { LogEvent::EndpointPaused, LogLevel::Info, "endpoint_paused", "An endpoint asked for no requests for a while and gets none." },
+    { LogEvent::EndpointPauseMalformed, LogLevel::Warning, "endpoint_pause_malformed", "An endpoint asked for a pause of no valid length; it is ignored." },
     { LogEvent::RecordsAdvanced, LogLevel::Debug, "records_advanced", "The daemon's records are at a newer revision." },
     { LogEvent::StoreNotAnswering, LogLevel::Warning, "store_not_answering", "The platform's store did not answer; the daemon tries again." },
     { LogEvent::RelayTaken, LogLevel::Info, "relay_taken", "The daemon became a relay, which reads the store for its failure domain." },
--- a/src/logs/logevent.h
+++ b/src/logs/logevent.h
@@ -33,6 +33,8 @@
     AnswerCrossed = 302,
 
     EndpointsUpdated = 303,
+    EndpointPaused = 304,
+    EndpointPauseMalformed = 305,
 
     // 400 to 499: records and their distribution
     RecordsAdvanced = 400,
--- a/src/logs/requesttimeline.cpp
+++ b/src/logs/requesttimeline.cpp
@@ -32,7 +32,7 @@
 {
     std::string text;
     for (const auto &[field, value] : document.items()) {
-        const bool isRepeated = isIdentifier(field) && (value == request || value == "");
+        const bool isRepeated = isIdentifier(field) && (value == request || (value.is_string() && value.get_ref<const std::string &>().empty()));
         if (field != "timeUs" && field != "level" && field != "event" && field != "name" && field != "instance" && !isRepeated) {
             text += " " + field + "=" + (value.is_string() ? value.get<std::string>() : value.dump());
         }
--- a/tests/gateway/crashingrequesttest.cpp
+++ b/tests/gateway/crashingrequesttest.cpp
@@ -26,8 +26,10 @@
 
 std::vector<RawEndpoint *> addEndpoints(GatewayFixture &fixture, const std::vector<RawEndpoint::Script> &scripts)
 {
+    constexpr int Count = 8;
     std::vector<RawEndpoint *> endpoints;
-    for (int number = 0; number < 8; ++number) {
+    endpoints.reserve(Count);
+    for (int number = 0; number < Count; ++number) {
         endpoints.push_back(&fixture.addEndpoint(scripts));
     }
     return endpoints;
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -76,6 +76,7 @@
     for (const auto &endpoint : endpoints_) {
         EndpointEntry entry;
         entry.id_ = EndpointId("endpoint-" + std::to_string(entries->size()));
+        entry.incarnation_ = incarnation_;
         entry.service_ = ServiceName("service");
         entry.address_ = { "127.0.0.1", endpoint->port() };
         // The first endpoint is in the gateway's failure domain, so that it is chosen first.
@@ -86,6 +87,17 @@
     gateway_.receive(FleetSnapshot{ configuration_, entries });
 }
 
+void GatewayFixture::publishNothing()
+{
+    gateway_.receive(FleetSnapshot{ configuration_, std::make_shared<const std::vector<EndpointEntry>>() });
+}
+
+void GatewayFixture::restartEndpoints()
+{
+    ++incarnation_;
+    publish();
+}
+
 void GatewayFixture::run(std::chrono::milliseconds time)
 {
     Timer end(loop_, [this] { loop_.stop(); });
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -36,6 +36,15 @@
     /// Sends a request, closes the connection after an endpoint has received it, and runs the loop for a short time.
     void sendRequestAndDisconnect(const std::string &path);
 
+    /// Publishes the list of endpoints once more, as it was.
+    void publish();
+
+    /// Removes all endpoints from the list.
+    void publishNothing();
+
+    /// From now on the list names new incarnations of all endpoints.
+    void restartEndpoints();
+
     void run(std::chrono::milliseconds time);
 
     /// Starts the drain and runs the loop for this time.
@@ -49,7 +58,6 @@
 
     static cowsliphead::GatewaySettings settings(std::chrono::milliseconds stopGrace);
     static std::shared_ptr<cowsliphead::Configuration> configuration();
-    void publish();
 
     cowsliphead::EventLoop loop_;
     std::shared_ptr<cowsliphead::Configuration> configuration_;
@@ -57,4 +65,5 @@
     Gateway gateway_;
     std::uint16_t port_ = 0;
     int requestCount_ = 0;
+    std::uint64_t incarnation_ = 1;
 };
--- a/tests/platform/platformdialecttest.cpp
+++ b/tests/platform/platformdialecttest.cpp
@@ -118,6 +118,40 @@
     BOOST_TEST(!PlatformDialect::readResponse({ 200, "", { { "X-Attempt-Id", "a" } }, {} }).isGenuine_);
 }
 
+BOOST_AUTO_TEST_CASE(tells_that_the_endpoint_leaves)
+{
+    BOOST_TEST(PlatformDialect::readResponse({ 200, "", { { "Server-Leaving", "1" } }, {} }).isLeaving_);
+    BOOST_TEST(PlatformDialect::readResponse({ 500, "", { { "server-leaving", "1" } }, {} }).isLeaving_);
+    BOOST_TEST(!PlatformDialect::readResponse({ 200, "", { { "Server-Leaving", "0" } }, {} }).isLeaving_);
+    BOOST_TEST(!PlatformDialect::readResponse({ 200, "", {}, {} }).isLeaving_);
+}
+
+BOOST_AUTO_TEST_CASE(names_the_pause_that_the_endpoint_asks_for)
+{
+    const auto pauseOf = [](int status, const HttpHeaders &headers) { return PlatformDialect::readResponse({ status, "", headers, {} }).pause_; };
+    using Pause = std::optional<std::chrono::milliseconds>;
+    BOOST_TEST((pauseOf(503, { { "Retry-After", "3" } }) == Pause(3000)));
+    BOOST_TEST((pauseOf(503, { { "Retry-After", "0" } }) == Pause(0)));
+    BOOST_TEST((pauseOf(503, { { "Retry-After", "0.25" } }) == Pause(250)));
+    BOOST_TEST((pauseOf(503, { { "Retry-After", "3" }, { "Retry-After", "3" } }) == Pause(3000)));
+    BOOST_TEST((pauseOf(503, { { "Retry-After", "99999999999999999999" } }) == Pause(std::chrono::hours(1))));
+    BOOST_TEST((pauseOf(200, { { "Retry-After", "3" } }) == Pause()));
+    BOOST_TEST((pauseOf(503, {}) == Pause()));
+}
+
+BOOST_AUTO_TEST_CASE(with_a_malformed_pause_is_marked_as_such)
+{
+    for (const auto *value : { "-1", "soon", "3s", " 3", "nan", "-nan", "1e999", "Sat, 05 Dec 2026 05:00:00 GMT" }) {
+        BOOST_TEST_CONTEXT(value)
+        {
+            const auto metadata = PlatformDialect::readResponse({ 503, "", { { "Retry-After", value } }, {} });
+            BOOST_TEST(!metadata.pause_.has_value());
+            BOOST_TEST(metadata.isPauseMalformed_);
+        }
+    }
+    BOOST_TEST(PlatformDialect::readResponse({ 503, "", { { "Retry-After", "3" }, { "Retry-After", "4" } }, {} }).isPauseMalformed_);
+}
+
 BOOST_AUTO_TEST_CASE(with_a_handle_returns_it)
 {
     BOOST_TEST(*PlatformDialect::readHandle(R"({"handle":"3f","tokens":1,"version":1})") == "3f");
