Log which list of endpoints a gateway takes from which relay

endpoints_updated tells how many endpoints are listed, neither the revision of the list nor where it comes from, so a gateway that takes back an endpoint after a change of relay looked like one that follows an ordinary change (hypotheses 2 and 3 of the incident). endpoints_taken names relay and revision. No decision changes.

--- a/src/logs/eventcatalogue.cpp
+++ b/src/logs/eventcatalogue.cpp
@@ -58,6 +58,7 @@
     { LogEvent::StoreRegained, LogLevel::Info, "store_regained", "The store answers again." },
     { LogEvent::EndpointEntryOutdated, LogLevel::Info, "endpoint_entry_outdated", "An entry older than the known one of the same endpoint is ignored." },
     { LogEvent::EndpointLeaves, LogLevel::Info, "endpoint_leaves", "An endpoint announced that it is leaving; it gets no new requests." },
+    { LogEvent::EndpointsTaken, LogLevel::Info, "endpoints_taken", "A relay's list of the endpoints was taken; its revision and relay follow." },
     { LogEvent::ClaimStoreNotAnswering, LogLevel::Warning, "claim_store_not_answering", "The store did not answer a read of claims; the daemon tries again." },
     { LogEvent::ClaimsMalformed, LogLevel::Error, "claims_malformed", "A claims value cannot be decoded; no claim of its shard is granted." },
     { LogEvent::ClaimWriteUnsettled, LogLevel::Warning, "claim_write_unsettled", "The outcome of a claims write is unknown; the daemon reads the value back." },
--- a/src/logs/logevent.h
+++ b/src/logs/logevent.h
@@ -48,6 +48,7 @@
     StoreRegained = 408,
     EndpointEntryOutdated = 409,
     EndpointLeaves = 410,
+    EndpointsTaken = 411,
 
     // 500 to 599: claims
     ClaimStoreNotAnswering = 500,
--- a/src/relay/relaybehaviour.h
+++ b/src/relay/relaybehaviour.h
@@ -422,7 +422,7 @@
 
     void targetAnswered(const PeerAddress &peer, const RelayAnswer &answer, MonotonicTime askedAt, MonotonicTime now)
     {
-        applyUpdates(answer);
+        applyUpdates(peer, answer);
         // The answering gateway counts the age until it answers, which is not before it was asked.
         if (answer.configurationAge_ && answer.configuration_ != 0 && answer.configuration_ == state_.configurations().revision()) {
             confirmed(askedAt - *answer.configurationAge_);
@@ -444,7 +444,7 @@
         applyRole();
     }
 
-    void applyUpdates(const RelayAnswer &answer)
+    void applyUpdates(const PeerAddress &peer, const RelayAnswer &answer)
     {
         bool isChanged = false;
         needsWholeTexts_ = false;
@@ -457,6 +457,12 @@
             const auto isNew = state_.applyEndpoints(*answer.endpointUpdate_);
             needsWholeTexts_ = needsWholeTexts_ || !isNew;
             isChanged = isChanged || isNew.value_or(false);
+            if (isNew.value_or(false)) {
+                logEvent(LogEvent::EndpointsTaken,
+                         { { "relay", textOf(peer) },
+                           { "revision", state_.endpoints().revision() },
+                           { "listed", std::uint64_t(state_.snapshot().endpoints_->size()) } });
+            }
         }
         publishIf(isChanged);
     }
