--- a/src/fleet/endpointdirectory.cpp
+++ b/src/fleet/endpointdirectory.cpp
@@ -1,14 +1,37 @@
 #include "fleet/endpointdirectory.h"
 
+#include <algorithm>
+#include <iterator>
 #include <set>
+#include <tuple>
 
 namespace cowsliphead
 {
 
+namespace
+{
+
+std::set<EndpointId> idsOf(const EndpointList &list)
+{
+    std::set<EndpointId> ids;
+    for (const auto &registration : list.registrations_) {
+        ids.insert(registration.entry_.id_);
+    }
+    return ids;
+}
+
+} // namespace
+
+bool EndpointDirectory::hasLeft(const EndpointEntry &entry) const
+{
+    const auto leaving = leaving_.find(entry.id_);
+    return leaving != leaving_.end() && entry.incarnation_ <= leaving->second.incarnation_;
+}
+
+/// A late write is older than the known entry, or calls an incarnation ready that has announced its leaving.
 bool EndpointDirectory::isOutdated(const EndpointEntry &entry) const
 {
-    const auto leaving = leavingIncarnations_.find(entry.id_);
-    if (leaving != leavingIncarnations_.end() && leaving->second == entry.incarnation_) {
+    if (!entry.isLeaving_ && hasLeft(entry)) {
         return true;
     }
     const auto registration = registrations_.find(entry.id_);
@@ -16,56 +39,165 @@
         return false;
     }
     const auto &known = registration->second.entry_;
-    return entry.incarnation_ < known.incarnation_ || (entry.incarnation_ == known.incarnation_ && entry.sequence_ < known.sequence_);
+    return std::tie(entry.incarnation_, entry.sequence_) < std::tie(known.incarnation_, known.sequence_);
+}
+
+void EndpointDirectory::markLeaving(const EndpointEntry &entry)
+{
+    auto &leaving = leaving_[entry.id_];
+    leaving.incarnation_ = std::max(leaving.incarnation_, entry.incarnation_);
+    markLeft(entry.id_);
+}
+
+void EndpointDirectory::markLeft(const EndpointId &id)
+{
+    const auto registration = registrations_.find(id);
+    if (registration != registrations_.end() && hasLeft(registration->second.entry_)) {
+        registration->second.entry_.isLeaving_ = true;
+    }
 }
 
-bool EndpointDirectory::update(const EndpointEntry &entry)
+bool EndpointDirectory::update(const EndpointEntry &entry, StoreRevision revision)
 {
     if (entry.isLeaving_) {
-        leavingIncarnations_[entry.id_] = entry.incarnation_;
-    } else if (isOutdated(entry)) {
+        markLeaving(entry);
+    }
+    if (isOutdated(entry)) {
         return false;
     }
-    registrations_[entry.id_] = Registration{ entry, std::nullopt };
+    if (revision > revision_) {
+        auto &registration = registrations_[entry.id_];
+        const bool hasStood = registration.since_ != 0 && !registration.keepUntil_;
+        registration = { entry, hasStood ? registration.since_ : revision, std::nullopt };
+    }
     return true;
 }
 
-void EndpointDirectory::remove(const EndpointId &id, std::optional<MonotonicTime> keepUntil)
+void EndpointDirectory::remove(const EndpointId &id, StoreRevision revision, std::optional<MonotonicTime> keepUntil)
 {
     const auto found = registrations_.find(id);
-    if (found == registrations_.end()) {
-        return;
-    }
-    if (!keepUntil || found->second.entry_.isLeaving_) {
+    if (found != registrations_.end() && revision > revision_ && !lapse(found->second, keepUntil)) {
         registrations_.erase(found);
-    } else if (!found->second.keepUntil_) {
-        found->second.keepUntil_ = keepUntil;
     }
 }
 
-void EndpointDirectory::replaceAll(const std::vector<EndpointEntry> &entries, std::optional<MonotonicTime> keepUntil)
+/// Returns false if the entry is not to be kept.
+bool EndpointDirectory::lapse(EndpointRegistration &registration, std::optional<MonotonicTime> keepUntil)
 {
-    std::set<EndpointId> present;
-    for (const auto &entry : entries) {
-        present.insert(entry.id_);
-        update(entry);
+    if (!keepUntil || registration.entry_.isLeaving_) {
+        return false;
     }
-    std::vector<EndpointId> missing;
-    for (const auto &[id, registration] : registrations_) {
-        if (!present.contains(id)) {
-            missing.push_back(id);
+    if (!registration.keepUntil_) {
+        registration.keepUntil_ = keepUntil;
+    }
+    return true;
+}
+
+void EndpointDirectory::replaceAll(const EndpointList &list, std::optional<MonotonicTime> keepUntil)
+{
+    const auto listed = idsOf(list);
+    for (auto item = registrations_.begin(); item != registrations_.end();) {
+        const bool isMissing = item->second.since_ <= list.revision_ && !listed.contains(item->first);
+        item = isMissing && !lapse(item->second, keepUntil) ? registrations_.erase(item) : std::next(item);
+    }
+    const bool isNewest = list.revision_ >= revision_;
+    for (const auto &registration : list.registrations_) {
+        const auto &entry = registration.entry_;
+        if (entry.isLeaving_) {
+            markLeaving(entry);
+        }
+        if (!isNewest) {
+            mergeEntry(registration, false);
+        } else if (!isOutdated(entry)) {
+            registrations_[entry.id_] = { entry, registration.since_, std::nullopt };
         }
     }
-    for (const auto &id : missing) {
-        remove(id, keepUntil);
+    readUpTo(list.revision_);
+}
+
+void EndpointDirectory::readUpTo(StoreRevision revision)
+{
+    revision_ = std::max(revision_, revision);
+}
+
+void EndpointDirectory::merge(const EndpointList &list)
+{
+    const auto listed = idsOf(list);
+    std::erase_if(registrations_, [&](const auto &item) { return item.second.since_ <= list.revision_ && !listed.contains(item.first); });
+    for (const auto &registration : list.registrations_) {
+        if (registration.entry_.isLeaving_) {
+            markLeaving(registration.entry_);
+        }
+        mergeEntry(registration, list.revision_ >= revision_);
     }
+    readUpTo(list.revision_);
+}
+
+/// isNewer: the other reader's list is not older than what is known.
+void EndpointDirectory::mergeEntry(const EndpointRegistration &other, bool isNewer)
+{
+    if (other.since_ > revision_) {
+        registrations_[other.entry_.id_] = other;
+        markLeft(other.entry_.id_);
+        return;
+    }
+    const auto found = registrations_.find(other.entry_.id_);
+    if (found == registrations_.end()) {
+        return;
+    }
+    auto &known = found->second;
+    if (known.keepUntil_ && !other.keepUntil_) {
+        // The other reader has not learned of the removal yet.
+        return;
+    }
+    if (isNewer) {
+        known.entry_ = other.entry_;
+    }
+    if (!other.keepUntil_) {
+        known.since_ = std::max(known.since_, other.since_);
+    } else if (isNewer || known.keepUntil_) {
+        known.keepUntil_ = std::min(known.keepUntil_.value_or(*other.keepUntil_), *other.keepUntil_);
+    }
+    markLeft(other.entry_.id_);
 }
 
 bool EndpointDirectory::expire(MonotonicTime now)
 {
+    for (auto &[id, leaving] : leaving_) {
+        if (registrations_.contains(id)) {
+            leaving.forgetAt_.reset();
+        } else if (!leaving.forgetAt_) {
+            leaving.forgetAt_ = now + LeavingLifetime;
+        }
+    }
+    std::erase_if(leaving_, [now](const auto &item) { return item.second.forgetAt_ && now >= *item.second.forgetAt_; });
     return std::erase_if(registrations_, [now](const auto &item) { return item.second.keepUntil_ && now >= *item.second.keepUntil_; }) > 0;
 }
 
+StoreRevision EndpointDirectory::revision() const
+{
+    return revision_;
+}
+
+bool EndpointDirectory::names(const EndpointList &list) const
+{
+    return registrations_.size() == list.registrations_.size()
+        && std::all_of(list.registrations_.begin(), list.registrations_.end(), [this](const EndpointRegistration &other) {
+               const auto known = registrations_.find(other.entry_.id_);
+               return known != registrations_.end() && known->second.keepUntil_.has_value() == other.keepUntil_.has_value();
+           });
+}
+
+EndpointList EndpointDirectory::list() const
+{
+    EndpointList list{ revision_, {} };
+    list.registrations_.reserve(registrations_.size());
+    for (const auto &[id, registration] : registrations_) {
+        list.registrations_.push_back(registration);
+    }
+    return list;
+}
+
 std::vector<EndpointEntry> EndpointDirectory::entries() const
 {
     std::vector<EndpointEntry> entries;
--- a/src/fleet/endpointdirectory.h
+++ b/src/fleet/endpointdirectory.h
@@ -6,44 +6,75 @@
 #include <vector>
 
 #include "core/time.h"
-#include "fleet/endpointentry.h"
+#include "fleet/endpointlist.h"
 
 namespace cowsliphead
 {
 
-/// The endpoints that may be used, built from the entries that they keep in the store. Thread safety: owner task only.
+/// What a gateway knows of the endpoints from the entries that they keep in the store, whichever reader it learned them from.
+///
+/// Facts are joined: the result depends neither on the order in which they arrive nor on how often. An entry is gone if a list of a later
+/// revision lacks it, until one that has stood only since an even later revision is known. An incarnation that announced its leaving stays
+/// leaving. Thread safety: owner task only.
 class EndpointDirectory
 {
 public:
-    /// Applies an entry that was written. Ignores it and returns false if it is older than the known entry, or if its incarnation has
-    /// announced its leaving and the entry does not say so: a late write must not make the endpoint usable again.
-    bool update(const EndpointEntry &entry);
+    /// How long the leaving of an incarnation is remembered after its entry was removed; no write of it arrives later.
+    static constexpr std::chrono::minutes LeavingLifetime{ 10 };
 
-    /// Handles an entry that was removed or cannot be decoded. With keepUntil, the entry may have expired only because the store was
-    /// unavailable, and its endpoint stays usable until that time; without it, the endpoint is removed at once. An endpoint that has
-    /// announced its leaving is always removed at once.
-    void remove(const EndpointId &id, std::optional<MonotonicTime> keepUntil);
+    /// Applies an entry that was written at a revision. Ignores it and returns false if it is older than what is known, or if its
+    /// incarnation has announced its leaving and the entry does not say so: a late write must not make the endpoint usable again.
+    bool update(const EndpointEntry &entry, StoreRevision revision);
 
-    /// Replaces all entries by those of a full read; keepUntil applies to the missing ones, as in remove().
-    void replaceAll(const std::vector<EndpointEntry> &entries, std::optional<MonotonicTime> keepUntil);
+    /// Handles an entry that was removed, or written in a form that cannot be decoded, at a revision. With keepUntil, it may have expired
+    /// only because the store was unavailable, and its endpoint stays usable until that time; without it, the endpoint is removed at once.
+    /// An endpoint that has announced its leaving is always removed at once.
+    void remove(const EndpointId &id, StoreRevision revision, std::optional<MonotonicTime> keepUntil);
 
-    /// Removes the endpoints whose keepUntil has passed. Returns true if there were any.
+    /// Takes a full read of the store; keepUntil applies to the missing entries, as in remove().
+    void replaceAll(const EndpointList &list, std::optional<MonotonicTime> keepUntil);
+
+    /// All changes up to the revision have been applied.
+    void readUpTo(StoreRevision revision);
+
+    /// Joins what another reader of the store knows. Entries that it keeps are kept no longer than both allow.
+    void merge(const EndpointList &list);
+
+    /// Removes the endpoints that are no longer to be kept. Returns true if there were any.
     bool expire(MonotonicTime now);
 
+    /// The revision up to which changes are known.
+    StoreRevision revision() const;
+
+    /// True if exactly the endpoints of the list are known, and the same ones as kept.
+    bool names(const EndpointList &list) const;
+
+    /// All that is known of the entries, in the order of their identifiers.
+    EndpointList list() const;
+
+    /// The entries of the endpoints that may be used.
     std::vector<EndpointEntry> entries() const;
 
 private:
-    struct Registration {
-        EndpointEntry entry_;
-        std::optional<MonotonicTime> keepUntil_;
+    struct Leaving {
+        std::uint64_t incarnation_ = 0;
+
+        /// Set once the endpoint has no entry.
+        std::optional<MonotonicTime> forgetAt_;
     };
 
+    static bool lapse(EndpointRegistration &registration, std::optional<MonotonicTime> keepUntil);
     bool isOutdated(const EndpointEntry &entry) const;
+    bool hasLeft(const EndpointEntry &entry) const;
+    void markLeaving(const EndpointEntry &entry);
+    void markLeft(const EndpointId &id);
+    void mergeEntry(const EndpointRegistration &other, bool isNewer);
 
-    std::map<EndpointId, Registration> registrations_;
+    std::map<EndpointId, EndpointRegistration> registrations_;
 
-    /// For each endpoint, the incarnation that announced its leaving.
-    std::map<EndpointId, std::uint64_t> leavingIncarnations_;
+    /// The newest incarnation of each endpoint that announced its leaving.
+    std::map<EndpointId, Leaving> leaving_;
+    StoreRevision revision_ = 0;
 };
 
 } // namespace cowsliphead
--- a/src/fleet/endpointreader.h
+++ b/src/fleet/endpointreader.h
@@ -20,25 +20,26 @@
 namespace cowsliphead
 {
 
-/// Follows the entries of the endpoints with its own watch on the store. Thread safety: the loop's task only.
+/// Keeps a directory of the endpoints up to date with its own watch on their entries in the store. Thread safety: the loop's task only.
 template <RangedStore S, FleetCodec Codec, Clock C>
 class EndpointReader
 {
 public:
     /// Callbacks for the answers of the store.
     struct Events {
-        /// All endpoints that may be used, as of a revision of the store.
-        std::function<void(std::vector<EndpointEntry>, StoreRevision)> onChanged_;
+        /// The directory may have changed.
+        std::function<void()> onChanged_;
 
         /// Whether the store answered the last call.
         std::function<void(bool)> onAnswered_;
     };
 
-    /// maxUseAfterLeaving: how long an endpoint may still be used after it has announced its leaving. Precondition: loop, store and clock
-    /// outlive the reader.
-    EndpointReader(EventLoop &loop, S &store, const C &clock, std::chrono::milliseconds maxUseAfterLeaving, Events events)
+    /// maxUseAfterLeaving: how long an endpoint may still be used after it has announced its leaving. Precondition: loop, store, clock and
+    /// directory outlive the reader.
+    EndpointReader(EventLoop &loop, S &store, const C &clock, EndpointDirectory &directory, std::chrono::milliseconds maxUseAfterLeaving, Events events)
         : store_(store)
         , clock_(clock)
+        , directory_(directory)
         , pauseAfterChange_(std::min(maxUseAfterLeaving / UseAfterLeavingDivisor, MaxPauseAfterChange))
         , events_(std::move(events))
         , availability_("endpoints")
@@ -54,16 +55,11 @@
         read();
     }
 
-    /// Sets the endpoints that were known before start(). storeAwaySince: since when the store has not answered whoever read them; entries
-    /// that are missing from the first read may then only have expired. Precondition: start() was not called yet.
-    void seed(const std::vector<EndpointEntry> &endpoints, std::optional<MonotonicTime> storeAwaySince)
+    /// Sets since when the store has not answered whoever read it before; entries that are missing from the first read may then only have
+    /// expired. Precondition: start() was not called yet.
+    void setStoreAwaySince(MonotonicTime since)
     {
-        for (const auto &endpoint : endpoints) {
-            directory_.update(endpoint);
-        }
-        if (storeAwaySince) {
-            availability_.failed(make_error_code(ErrorCode::StoreUnavailable), cursor_, *storeAwaySince);
-        }
+        availability_.failed(make_error_code(ErrorCode::StoreUnavailable), cursor_, since);
     }
 
 private:
@@ -121,15 +117,15 @@
     {
         answered(watchStartRevision_);
         cursor_ = watchStartRevision_;
-        std::vector<EndpointEntry> entries;
+        EndpointList list{ cursor_, {} };
         for (const auto &page : std::exchange(pages_, {})) {
             if (auto entry = decode(page)) {
-                entries.push_back(std::move(*entry));
+                list.registrations_.push_back({ std::move(*entry), page.revision_, std::nullopt });
             }
         }
-        directory_.replaceAll(entries, availability_.reregistrationDeadline(clock_.now()));
+        directory_.replaceAll(list, availability_.reregistrationDeadline(clock_.now()));
         isReadDue_ = false;
-        events_.onChanged_(directory_.entries(), cursor_);
+        events_.onChanged_();
         watch();
     }
 
@@ -146,8 +142,9 @@
             for (const auto &entry : answer->entries_) {
                 apply(entry);
             }
+            directory_.readUpTo(cursor_);
             if (!answer->entries_.empty()) {
-                events_.onChanged_(directory_.entries(), cursor_);
+                events_.onChanged_();
             }
             nextCall_.startOnce(answer->entries_.empty() ? std::chrono::milliseconds(0) : pauseAfterChange_);
         });
@@ -156,17 +153,17 @@
     void apply(const StoreEntry &entry)
     {
         if (entry.isErased_) {
-            directory_.remove(Codec::endpointOf(entry.key_), availability_.reregistrationDeadline(clock_.now()));
+            directory_.remove(Codec::endpointOf(entry.key_), entry.revision_, availability_.reregistrationDeadline(clock_.now()));
         } else if (const auto decoded = decode(entry)) {
             apply(*decoded, entry.revision_);
         } else {
-            directory_.remove(Codec::endpointOf(entry.key_), std::nullopt);
+            directory_.remove(Codec::endpointOf(entry.key_), entry.revision_, std::nullopt);
         }
     }
 
     void apply(const EndpointEntry &endpoint, StoreRevision revision)
     {
-        if (!directory_.update(endpoint)) {
+        if (!directory_.update(endpoint, revision)) {
             logEvent(LogEvent::EndpointEntryOutdated, { { "endpoint", endpoint.id_.value() }, { "revision", revision }, { "sequence", endpoint.sequence_ } });
         } else if (endpoint.isLeaving_) {
             logEvent(LogEvent::EndpointLeaves, { { "endpoint", endpoint.id_.value() }, { "revision", revision } });
@@ -185,7 +182,7 @@
     void expire()
     {
         if (directory_.expire(clock_.now())) {
-            events_.onChanged_(directory_.entries(), cursor_);
+            events_.onChanged_();
         }
     }
 
@@ -208,11 +205,11 @@
 
     S &store_;
     const C &clock_;
+    EndpointDirectory &directory_;
     std::chrono::milliseconds pauseAfterChange_;
     Events events_;
     StoreAvailability availability_;
     RetryBackoff backoff_;
-    EndpointDirectory directory_;
     Timer nextCall_;
     Timer expiry_;
     std::vector<StoreEntry> pages_;
--- a/src/fleet/registry.h
+++ b/src/fleet/registry.h
@@ -16,22 +16,24 @@
 class Registry
 {
 public:
-    /// maxUseAfterLeaving: how long an endpoint may still be used after it has announced its leaving. Precondition: loop, store and
-    /// clock outlive the registry.
-    Registry(EventLoop &loop, S &store, const C &clock, std::chrono::milliseconds maxUseAfterLeaving, RegistryEvents events)
+    /// maxUseAfterLeaving: how long an endpoint may still be used after it has announced its leaving. Precondition: loop, store, clock and
+    /// directory outlive the registry.
+    Registry(EventLoop &loop, S &store, const C &clock, EndpointDirectory &directory, std::chrono::milliseconds maxUseAfterLeaving, RegistryEvents events)
         : events_(std::move(events))
         , configurations_(loop,
                           store,
                           clock,
                           { events_.onConfiguration_, events_.onConfirmed_, [this](bool isAnswered) { answered(isConfigurationAnswered_, isAnswered); } })
-        , endpoints_(loop, store, clock, maxUseAfterLeaving, { events_.onEndpoints_, [this](bool isAnswered) { answered(areEndpointsAnswered_, isAnswered); } })
+        , endpoints_(loop, store, clock, directory, maxUseAfterLeaving, { events_.onEndpoints_, [this](bool isAnswered) {
+                                                                             answered(areEndpointsAnswered_, isAnswered);
+                                                                         } })
     {
     }
 
-    /// Sets the endpoints known before start(); see EndpointReader::seed(). Precondition: start() was not called yet.
-    void seed(const std::vector<EndpointEntry> &endpoints, std::optional<MonotonicTime> storeAwaySince)
+    /// See EndpointReader::setStoreAwaySince(). Precondition: start() was not called yet.
+    void setStoreAwaySince(MonotonicTime since)
     {
-        endpoints_.seed(endpoints, storeAwaySince);
+        endpoints_.setStoreAwaySince(since);
     }
 
     /// Reads the configuration and all entries, then watches both for changes. Precondition: called once.
--- a/src/fleet/registryevents.h
+++ b/src/fleet/registryevents.h
@@ -3,12 +3,9 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <vector>
 
 #include "fleet/configuration.h"
 #include "fleet/configurationconfirmed.h"
-#include "fleet/endpointentry.h"
-#include "store/storerevision.h"
 
 namespace cowsliphead
 {
@@ -21,8 +18,8 @@
     /// The configuration last passed on was the newest one when the confirming call was sent.
     std::function<void(ConfigurationConfirmed)> onConfirmed_;
 
-    /// All endpoints that may be used, as of a revision of the store.
-    std::function<void(std::vector<EndpointEntry>, StoreRevision)> onEndpoints_;
+    /// The directory of endpoints may have changed.
+    std::function<void()> onEndpoints_;
 
     /// The store answers all reads, or one of them has failed. Called for each change, and once for the first result.
     std::function<void(bool)> onReachable_;
--- a/src/relay/endpointlistcodec.cpp
+++ b/src/relay/endpointlistcodec.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <cstdint>
 #include <iterator>
+#include <map>
 
+#include "core/errorcode.h"
 #include "peer/messagepack.h"
 
 namespace cowsliphead::endpointlistcodec
@@ -23,6 +25,8 @@
     bool isLeaving_ = false;
     std::uint8_t stage_ = 0;
     bool isReclaimable_ = false;
+    std::uint64_t since_ = 0;
+    bool isKept_ = false;
 
     MSGPACK_DEFINE_MAP(MSGPACK_NVP("i", id_),
                        MSGPACK_NVP("n", incarnation_),
@@ -33,7 +37,9 @@
                        MSGPACK_NVP("c", slots_),
                        MSGPACK_NVP("l", isLeaving_),
                        MSGPACK_NVP("g", stage_),
-                       MSGPACK_NVP("r", isReclaimable_))
+                       MSGPACK_NVP("r", isReclaimable_),
+                       MSGPACK_NVP("v", since_),
+                       MSGPACK_NVP("k", isKept_))
 };
 
 std::uint8_t codeOf(EngineStage stage)
@@ -61,10 +67,12 @@
     }
 }
 
-WireEndpoint toWire(const EndpointEntry &endpoint)
+WireEndpoint toWire(const EndpointRegistration &registration)
 {
-    return { endpoint.id_.value(),     endpoint.incarnation_, endpoint.service_.value(), endpoint.address_.host_, endpoint.address_.port_,
-             endpoint.domain_.value(), endpoint.slots_,       endpoint.isLeaving_,       codeOf(endpoint.stage_), endpoint.isReclaimable_ };
+    const auto &endpoint = registration.entry_;
+    return { endpoint.id_.value(),    endpoint.incarnation_,    endpoint.service_.value(), endpoint.address_.host_,
+             endpoint.address_.port_, endpoint.domain_.value(), endpoint.slots_,           endpoint.isLeaving_,
+             codeOf(endpoint.stage_), endpoint.isReclaimable_,  registration.since_,       registration.keepUntil_.has_value() };
 }
 
 EndpointEntry fromWire(const WireEndpoint &wire)
@@ -84,24 +92,54 @@
 
 } // namespace
 
-std::string encode(const std::vector<EndpointEntry> &endpoints)
+std::string encode(const EndpointList &list)
 {
     std::vector<WireEndpoint> wire;
-    wire.reserve(endpoints.size());
-    std::transform(endpoints.begin(), endpoints.end(), std::back_inserter(wire), toWire);
+    wire.reserve(list.registrations_.size());
+    std::transform(list.registrations_.begin(), list.registrations_.end(), std::back_inserter(wire), toWire);
     return messagepack::pack(wire);
 }
 
-Result<std::vector<EndpointEntry>> decode(std::string_view bytes)
+EndpointLeases leasesOf(const EndpointList &list, MonotonicTime now)
+{
+    EndpointLeases leases;
+    for (const auto &registration : list.registrations_) {
+        if (registration.keepUntil_) {
+            const auto remaining = std::max(*registration.keepUntil_ - now, MonotonicTime::duration(0));
+            leases.push_back({ endpointKeyOf(registration.entry_.id_), std::chrono::floor<std::chrono::milliseconds>(remaining) });
+        }
+    }
+    return leases;
+}
+
+Result<EndpointList> decode(StoreRevision revision, std::string_view bytes, const EndpointLeases &leases, MonotonicTime askedAt)
 {
     const auto wire = messagepack::unpack<std::vector<WireEndpoint>>(bytes);
     if (!wire) {
         return tl::unexpected(wire.error());
     }
-    std::vector<EndpointEntry> endpoints;
-    endpoints.reserve(wire->size());
-    std::transform(wire->begin(), wire->end(), std::back_inserter(endpoints), fromWire);
-    return endpoints;
+    std::map<EndpointKey, MonotonicTime> keptUntil;
+    for (const auto &lease : leases) {
+        keptUntil[lease.endpoint_] = askedAt + lease.remaining_;
+    }
+    EndpointList list{ revision, {} };
+    list.registrations_.reserve(wire->size());
+    for (const auto &endpoint : *wire) {
+        if (endpoint.since_ == 0) {
+            return failure(ErrorCode::CodecMalformed);
+        }
+        EndpointRegistration registration{ fromWire(endpoint), endpoint.since_, std::nullopt };
+        if (endpoint.isKept_) {
+            const auto found = keptUntil.find(endpointKeyOf(registration.entry_.id_));
+            if (found == keptUntil.end()) {
+                // The sender has given it up by now.
+                continue;
+            }
+            registration.keepUntil_ = found->second;
+        }
+        list.registrations_.push_back(std::move(registration));
+    }
+    return list;
 }
 
 } // namespace cowsliphead::endpointlistcodec
--- a/src/relay/endpointlistcodec.h
+++ b/src/relay/endpointlistcodec.h
@@ -2,19 +2,24 @@
 
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "core/result.h"
-#include "fleet/endpointentry.h"
+#include "core/time.h"
+#include "fleet/endpointlist.h"
+#include "relay/endpointlease.h"
 
+/// What a relay knows of the endpoints, as it travels between gateways. The same knowledge has the same form at each of them: it holds neither
+/// the entries' sequence numbers nor the time until which an entry is kept. Thread safety of all functions: any thread.
 namespace cowsliphead::endpointlistcodec
 {
 
-/// Encodes the endpoints in use as MessagePack. Sequence numbers are left out: they change with every heartbeat, and only the reader of the
-/// store needs them. Thread safety: any thread.
-std::string encode(const std::vector<EndpointEntry> &endpoints);
+std::string encode(const EndpointList &list);
 
-/// Errors: CodecMalformed. Thread safety: any thread.
-Result<std::vector<EndpointEntry>> decode(std::string_view bytes);
+/// How much longer each kept entry of the list is kept.
+EndpointLeases leasesOf(const EndpointList &list, MonotonicTime now);
+
+/// Reverses encode() and leasesOf(). askedAt: when the receiver asked for the list, so that it keeps no entry longer than the sender does.
+/// Errors: CodecMalformed.
+Result<EndpointList> decode(StoreRevision revision, std::string_view bytes, const EndpointLeases &leases, MonotonicTime askedAt);
 
 } // namespace cowsliphead::endpointlistcodec
--- a/src/relay/fleetstate.h
+++ b/src/relay/fleetstate.h
@@ -2,20 +2,23 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "fleet/endpointdirectory.h"
 #include "fleet/fleetcodec.h"
 #include "fleet/fleetsnapshot.h"
 #include "logs/log.h"
 #include "relay/endpointlistcodec.h"
+#include "relay/endpointupdate.h"
 #include "relay/texthistory.h"
 
 namespace cowsliphead
 {
 
 /// The configuration and the endpoints that a gateway knows, read from the store or received from a relay, with the last versions that it
-/// can pass on. Neither ever goes back to an older revision. Thread safety: owner task only.
+/// can pass on. Neither ever goes back to what an older revision says. Thread safety: owner task only.
 template <FleetCodec Codec>
 class FleetState
 {
@@ -30,17 +33,18 @@
         return true;
     }
 
-    /// Takes the endpoints read from the store as of a revision. Returns false if they are the same as before.
-    bool setEndpoints(std::vector<EndpointEntry> endpoints, StoreRevision revision)
+    /// What is known of the endpoints. A reader of the store keeps it up to date and then calls endpointsRead().
+    EndpointDirectory &directory()
     {
-        auto text = endpointlistcodec::encode(endpoints);
-        if (text == endpoints_.text()) {
-            return false;
-        }
-        // Endpoints may also change without a change of the store: an entry that expired in an outage is given up.
-        endpoints_.add(std::max<std::uint64_t>(revision, endpoints_.revision() + 1), std::move(text));
-        snapshot_.endpoints_ = std::make_shared<const std::vector<EndpointEntry>>(std::move(endpoints));
-        return true;
+        return directory_;
+    }
+
+    /// Makes what was read from the store the list that this gateway passes on. Returns true if the endpoints have changed.
+    bool endpointsRead()
+    {
+        const bool isChanged = updateSnapshot();
+        passOnDirectory();
+        return isChanged;
     }
 
     /// Takes a configuration received from a relay. Returns true if it is newer. Errors: CodecMalformed; the whole text is needed then.
@@ -60,29 +64,63 @@
         return true;
     }
 
-    /// Takes endpoints received from a relay. Returns true if they are newer. Errors: CodecMalformed; the whole text is needed then.
-    Result<bool> applyEndpoints(const TextUpdate &update)
+    /// Joins the endpoints received from a relay that was asked at this time. Returns true if the endpoints have changed. Errors:
+    /// CodecMalformed; the whole list is needed then.
+    Result<bool> applyEndpoints(const EndpointUpdate &update, MonotonicTime askedAt)
     {
-        auto isNew = endpoints_.apply(update);
+        const auto isNew = endpointLists_.apply(update.list_);
         if (!isNew || !*isNew) {
             return isNew;
         }
-        auto decoded = endpointlistcodec::decode(endpoints_.text());
-        if (!decoded) {
-            return tl::unexpected(decoded.error());
+        const auto list = endpointlistcodec::decode(update.list_.revision_, endpointLists_.text(), update.leases_, askedAt);
+        if (!list) {
+            return tl::unexpected(list.error());
         }
-        snapshot_.endpoints_ = std::make_shared<const std::vector<EndpointEntry>>(std::move(*decoded));
-        return true;
+        directory_.merge(*list);
+        const bool isChanged = updateSnapshot();
+        isListCurrent_ = directory_.names(*list);
+        return isChanged;
     }
 
-    TextHistory &configurations()
+    /// The relay that was asked with this version of its list had no other one up to the revision.
+    void confirmEndpoints(const TextVersion &version, StoreRevision revision)
     {
-        return configurations_;
+        if (version == endpointLists_.version() && isListCurrent_) {
+            endpointLists_.confirm(revision);
+            directory_.readUpTo(revision);
+        }
+    }
+
+    /// Gives up the entries that are no longer to be kept. Returns true if the endpoints have changed.
+    bool expireEndpoints(MonotonicTime now)
+    {
+        return directory_.expire(now) && updateSnapshot();
+    }
+
+    /// The version of the list that was received or passed on last.
+    TextVersion endpointVersion() const
+    {
+        return endpointLists_.version();
+    }
+
+    /// Returns the update for a gateway that has the given version of the list, or nothing if it needs none. Precondition: this gateway reads
+    /// the store.
+    std::optional<EndpointUpdate> endpointUpdateFor(const TextVersion &known, MonotonicTime now)
+    {
+        passOnDirectory();
+        if (known.revision_ != 0 && known.digest_ == endpointLists_.version().digest_) {
+            return std::nullopt;
+        }
+        auto update = endpointLists_.updateFor(known);
+        if (!update) {
+            return std::nullopt;
+        }
+        return EndpointUpdate{ std::move(*update), endpointlistcodec::leasesOf(directory_.list(), now) };
     }
 
-    TextHistory &endpoints()
+    TextHistory &configurations()
     {
-        return endpoints_;
+        return configurations_;
     }
 
     const FleetSnapshot &snapshot() const
@@ -91,8 +129,41 @@
     }
 
 private:
+    void passOnDirectory()
+    {
+        if (directory_.revision() == 0) {
+            return;
+        }
+        if (!isListCurrent_) {
+            endpointLists_.add(directory_.revision(), known_);
+            isListCurrent_ = true;
+        }
+        endpointLists_.confirm(directory_.revision());
+    }
+
+    bool updateSnapshot()
+    {
+        auto known = endpointlistcodec::encode(directory_.list());
+        if (known == known_) {
+            return false;
+        }
+        known_ = std::move(known);
+        isListCurrent_ = false;
+        snapshot_.endpoints_ = std::make_shared<const std::vector<EndpointEntry>>(directory_.entries());
+        return true;
+    }
+
     TextHistory configurations_;
-    TextHistory endpoints_;
+    EndpointDirectory directory_;
+
+    /// The lists received from relays, and those that this gateway passed on as a relay.
+    TextHistory endpointLists_;
+
+    /// The directory in the form of endpointlistcodec.
+    std::string known_;
+
+    /// The newest of the lists names the same endpoints as the directory.
+    bool isListCurrent_ = false;
     FleetSnapshot snapshot_{ nullptr, std::make_shared<const std::vector<EndpointEntry>>() };
 };
 
--- a/src/relay/relayanswer.h
+++ b/src/relay/relayanswer.h
@@ -7,6 +7,7 @@
 
 #include "relay/crashanswer.h"
 #include "relay/endpointload.h"
+#include "relay/endpointupdate.h"
 #include "relay/gatewaymember.h"
 #include "relay/relaystatus.h"
 #include "relay/textupdate.h"
@@ -28,7 +29,10 @@
 
     /// Absent if the asking gateway has the newest ones already.
     std::optional<TextUpdate> configurationUpdate_;
-    std::optional<TextUpdate> endpointUpdate_;
+    std::optional<EndpointUpdate> endpointUpdate_;
+
+    /// The revision up to which the answering gateway knows the endpoints.
+    std::uint64_t endpoints_ = 0;
 
     /// The gateways of the failure domain, if their version differs from the one that the asking gateway has.
     std::uint64_t membersVersion_ = 0;
--- a/src/relay/relaybehaviour.h
+++ b/src/relay/relaybehaviour.h
@@ -112,6 +112,7 @@
         members_.heard(self_, now);
         members_.expire(now);
         selection_->update(now);
+        publishIf(state_.expireEndpoints(now));
         connections_.closeIdle(now);
         applyRole();
         performStep(now);
@@ -195,17 +196,17 @@
             loop_,
             *reading_.store_,
             clock_,
+            state_.directory(),
             settings_.endpointLeaveBound_,
             RegistryEvents{
                 .onConfiguration_ = [this](std::shared_ptr<const Configuration> configuration,
                                            const std::string &text) { publishIf(state_.setConfiguration(std::move(configuration), text)); },
                 .onConfirmed_ = [this](const ConfigurationConfirmed &confirmation) { confirmed(confirmation.askedAt_); },
-                .onEndpoints_ = [this](std::vector<EndpointEntry> endpoints,
-                                       StoreRevision revision) { publishIf(state_.setEndpoints(std::move(endpoints), revision)); },
+                .onEndpoints_ = [this] { publishIf(state_.endpointsRead()); },
                 .onReachable_ = [this](bool isReachable) { storeReachable(isReachable); },
             });
-        if (selection_) {
-            reading_.registry_->seed(*state_.snapshot().endpoints_, selection_->storeAwaySince());
+        if (selection_ && selection_->storeAwaySince()) {
+            reading_.registry_->setStoreAwaySince(*selection_->storeAwaySince());
         }
         reading_.registry_->start();
         quarantine_.startReading(openStore_());
@@ -333,13 +334,14 @@
         query.isLeaving_ = selection_->status(now).isLeaving_;
         query.unusableRelay_ = selection_->unusableRelay();
         query.configuration_ = needsWholeTexts_ ? TextVersion{} : state_.configurations().version();
-        query.endpoints_ = needsWholeTexts_ ? TextVersion{} : state_.endpoints().version();
+        query.endpoints_ = needsWholeTexts_ ? TextVersion{} : state_.endpointVersion();
         query.membersOf_ = membersOf_;
         query.members_ = membersVersion_;
         query.loads_ = local_;
         query.counts_ = usage_.takeForQuery();
         query.crashes_ = quarantine_.queryFor(*target);
         sentLoads_ = local_;
+        sentEndpoints_ = query.endpoints_;
         connections_.ask(*target, relaymessagecodec::encode(query), now);
     }
 
@@ -385,7 +387,8 @@
             answer.configurationAge_ = std::chrono::ceil<std::chrono::milliseconds>(now - *confirmedAt_);
         }
         answer.configurationUpdate_ = state_.configurations().updateFor(query.configuration_);
-        answer.endpointUpdate_ = state_.endpoints().updateFor(query.endpoints_);
+        answer.endpointUpdate_ = state_.endpointUpdateFor(query.endpoints_, now);
+        answer.endpoints_ = state_.endpointVersion().revision_;
         answer.membersVersion_ = members_.version();
         if (query.membersOf_ != self_.incarnation_ || query.members_ != members_.version()) {
             answer.members_ = members_.members();
@@ -422,7 +425,7 @@
 
     void targetAnswered(const PeerAddress &peer, const RelayAnswer &answer, MonotonicTime askedAt, MonotonicTime now)
     {
-        applyUpdates(peer, answer);
+        applyUpdates(peer, answer, askedAt);
         // The answering gateway counts the age until it answers, which is not before it was asked.
         if (answer.configurationAge_ && answer.configuration_ != 0 && answer.configuration_ == state_.configurations().revision()) {
             confirmed(askedAt - *answer.configurationAge_);
@@ -444,29 +447,37 @@
         applyRole();
     }
 
-    void applyUpdates(const PeerAddress &peer, const RelayAnswer &answer)
+    void applyUpdates(const PeerAddress &peer, const RelayAnswer &answer, MonotonicTime askedAt)
     {
         bool isChanged = false;
         needsWholeTexts_ = false;
         if (answer.configurationUpdate_) {
-            const auto isNew = state_.applyConfiguration(*answer.configurationUpdate_);
-            needsWholeTexts_ = !isNew;
-            isChanged = isNew.value_or(false);
+            isChanged = isTaken(peer, state_.applyConfiguration(*answer.configurationUpdate_));
         }
         if (answer.endpointUpdate_) {
-            const auto isNew = state_.applyEndpoints(*answer.endpointUpdate_);
-            needsWholeTexts_ = needsWholeTexts_ || !isNew;
-            isChanged = isChanged || isNew.value_or(false);
-            if (isNew.value_or(false)) {
-                logEvent(LogEvent::EndpointsTaken,
-                         { { "relay", textOf(peer) },
-                           { "revision", state_.endpoints().revision() },
-                           { "listed", std::uint64_t(state_.snapshot().endpoints_->size()) } });
-            }
+            const bool isNew = isTaken(peer, state_.applyEndpoints(*answer.endpointUpdate_, askedAt));
+            isChanged = isChanged || isNew;
+            logEvent(LogEvent::EndpointsTaken,
+                     { { "relay", textOf(peer) },
+                       { "revision", answer.endpointUpdate_->list_.revision_ },
+                       { "kept", std::uint64_t(answer.endpointUpdate_->leases_.size()) },
+                       { "listed", std::uint64_t(state_.snapshot().endpoints_->size()) } });
+        } else if (answer.status_.isRelay_) {
+            state_.confirmEndpoints(sentEndpoints_, answer.endpoints_);
         }
         publishIf(isChanged);
     }
 
+    /// False for an update that changes nothing. After one that cannot be applied, the whole texts are asked for.
+    bool isTaken(const PeerAddress &peer, const Result<bool> &isNew)
+    {
+        if (!isNew) {
+            needsWholeTexts_ = true;
+            logEvent(LogEvent::PeerMessageMalformed, { { "peer", textOf(peer) }, { "error", isNew.error().message() } });
+        }
+        return isNew.value_or(false);
+    }
+
     EventLoop &loop_;
     const C &clock_;
     RelaySettings settings_;
@@ -491,9 +502,10 @@
     std::size_t domainSize_ = 1;
     std::size_t gateways_ = 0;
 
-    /// This gateway's load, and that in the last query.
+    /// This gateway's load, and what the last query said of it and of the endpoints.
     EndpointLoads local_;
     EndpointLoads sentLoads_;
+    TextVersion sentEndpoints_;
 
     /// The newest configuration was confirmed by a read sent at this time.
     std::optional<MonotonicTime> confirmedAt_;
--- a/src/relay/relaymessagecodec.cpp
+++ b/src/relay/relaymessagecodec.cpp
@@ -39,11 +39,25 @@
 
 struct WireUpdate {
     std::uint64_t revision_ = 0;
-    std::uint64_t baseRevision_ = 0;
+    std::uint64_t baseDigest_ = 0;
     std::uint64_t digest_ = 0;
     std::string bytes_;
 
-    MSGPACK_DEFINE_ARRAY(revision_, baseRevision_, digest_, bytes_)
+    MSGPACK_DEFINE_ARRAY(revision_, baseDigest_, digest_, bytes_)
+};
+
+struct WireLease {
+    EndpointKey endpoint_ = 0;
+    std::uint64_t remainingMilliseconds_ = 0;
+
+    MSGPACK_DEFINE_ARRAY(endpoint_, remainingMilliseconds_)
+};
+
+struct WireEndpointUpdate {
+    WireUpdate list_;
+    std::vector<WireLease> leases_;
+
+    MSGPACK_DEFINE_ARRAY(list_, leases_)
 };
 
 struct WireVersion {
@@ -123,7 +137,8 @@
     /// In milliseconds; -1 if the configuration was never confirmed.
     std::int64_t configurationAge_ = -1;
     std::vector<WireUpdate> configurationUpdate_;
-    std::vector<WireUpdate> endpointUpdate_;
+    std::vector<WireEndpointUpdate> endpointUpdate_;
+    std::uint64_t endpoints_ = 0;
     std::uint64_t membersVersion_ = 0;
     std::vector<std::vector<WireMember>> members_;
     std::uint64_t gateways_ = 0;
@@ -141,7 +156,8 @@
                        MSGPACK_NVP("c", configuration_),
                        MSGPACK_NVP("a", configurationAge_),
                        MSGPACK_NVP("u", configurationUpdate_),
-                       MSGPACK_NVP("e", endpointUpdate_),
+                       MSGPACK_NVP("h", endpointUpdate_),
+                       MSGPACK_NVP("y", endpoints_),
                        MSGPACK_NVP("v", membersVersion_),
                        MSGPACK_NVP("m", members_),
                        MSGPACK_NVP("g", gateways_),
@@ -183,12 +199,23 @@
 
 WireUpdate toWire(const TextUpdate &update)
 {
-    return { update.revision_, update.baseRevision_, update.digest_, update.bytes_ };
+    return { update.revision_, update.baseDigest_, update.digest_, update.bytes_ };
 }
 
 TextUpdate fromWire(const WireUpdate &wire)
 {
-    return { wire.revision_, wire.baseRevision_, wire.digest_, wire.bytes_ };
+    return { wire.revision_, wire.baseDigest_, wire.digest_, wire.bytes_ };
+}
+
+WireLease toWire(const EndpointLease &lease)
+{
+    return { lease.endpoint_, static_cast<std::uint64_t>(lease.remaining_.count()) };
+}
+
+EndpointLease fromWire(const WireLease &wire)
+{
+    const auto remaining = std::min<std::uint64_t>(wire.remainingMilliseconds_, EndpointLease::MaxRemaining.count());
+    return { wire.endpoint_, std::chrono::milliseconds(remaining) };
 }
 
 WireVersion toWire(const TextVersion &version)
@@ -256,6 +283,16 @@
     return items;
 }
 
+WireEndpointUpdate toWire(const EndpointUpdate &update)
+{
+    return { toWire(update.list_), allToWire<WireLease>(update.leases_) };
+}
+
+EndpointUpdate fromWire(const WireEndpointUpdate &wire)
+{
+    return { fromWire(wire.list_), allFromWire<EndpointLease>(wire.leases_) };
+}
+
 template <typename Wire, typename Item>
 std::vector<Wire> optionalToWire(const std::optional<Item> &item)
 {
@@ -337,7 +374,8 @@
     wire.configuration_ = answer.configuration_;
     wire.configurationAge_ = answer.configurationAge_ ? answer.configurationAge_->count() : -1;
     wire.configurationUpdate_ = optionalToWire<WireUpdate>(answer.configurationUpdate_);
-    wire.endpointUpdate_ = optionalToWire<WireUpdate>(answer.endpointUpdate_);
+    wire.endpointUpdate_ = optionalToWire<WireEndpointUpdate>(answer.endpointUpdate_);
+    wire.endpoints_ = answer.endpoints_;
     wire.membersVersion_ = answer.membersVersion_;
     if (answer.members_) {
         wire.members_.push_back(allToWire<WireMember>(*answer.members_));
@@ -368,7 +406,8 @@
         answer.configurationAge_ = std::chrono::milliseconds(wire->configurationAge_);
     }
     answer.configurationUpdate_ = optionalFromWire<TextUpdate>(wire->configurationUpdate_);
-    answer.endpointUpdate_ = optionalFromWire<TextUpdate>(wire->endpointUpdate_);
+    answer.endpointUpdate_ = optionalFromWire<EndpointUpdate>(wire->endpointUpdate_);
+    answer.endpoints_ = wire->endpoints_;
     answer.membersVersion_ = wire->membersVersion_;
     if (!wire->members_.empty()) {
         answer.members_ = allFromWire<GatewayMember>(wire->members_.front());
--- a/src/relay/texthistory.cpp
+++ b/src/relay/texthistory.cpp
@@ -1,5 +1,6 @@
 #include "relay/texthistory.h"
 
+#include <algorithm>
 #include <string_view>
 #include <utility>
 
@@ -23,33 +24,40 @@
 
 bool TextHistory::add(std::uint64_t revision, std::string text)
 {
-    if (revision <= this->revision()) {
+    const TextVersion added{ revision, digestOf(text) };
+    if (revision < this->revision() || added == version()) {
         return false;
     }
-    const auto digest = digestOf(text);
-    versions_.emplace(revision, Version{ digest, std::move(text) });
+    versions_.push_back({ added, std::move(text) });
     if (versions_.size() > RetainedVersions) {
-        versions_.erase(versions_.begin());
+        versions_.pop_front();
     }
     updates_.clear();
     return true;
 }
 
+void TextHistory::confirm(std::uint64_t revision)
+{
+    if (!versions_.empty()) {
+        auto &newest = versions_.back().version_.revision_;
+        newest = std::max(newest, revision);
+    }
+}
+
 Result<bool> TextHistory::apply(const TextUpdate &update)
 {
-    const bool isKnown = version() == TextVersion{ update.revision_, update.digest_ };
-    if (update.revision_ < revision() || isKnown) {
+    if (update.revision_ < revision() || version() == TextVersion{ update.revision_, update.digest_ }) {
         return false;
     }
-    const auto base = versions_.find(update.baseRevision_);
-    if (update.baseRevision_ != 0 && base == versions_.end()) {
+    const std::string none;
+    const auto *base = update.baseDigest_ == 0 ? &none : textOf(update.baseDigest_);
+    if (base == nullptr) {
         return failure(ErrorCode::CodecMalformed);
     }
-    auto text = textdelta::expand(update.bytes_, update.baseRevision_ == 0 ? std::string_view() : std::string_view(base->second.text_));
+    auto text = textdelta::expand(update.bytes_, *base);
     if (!text || digestOf(*text) != update.digest_) {
         return failure(ErrorCode::CodecMalformed);
     }
-    versions_.erase(update.revision_);
     return add(update.revision_, std::move(*text));
 }
 
@@ -58,20 +66,25 @@
     if (versions_.empty() || known.revision_ > revision() || known == version()) {
         return std::nullopt;
     }
-    const auto base = versions_.find(known.revision_);
-    const bool hasBase = base != versions_.end() && base->second.digest_ == known.digest_;
-    const auto baseRevision = hasBase ? known.revision_ : 0;
-    const auto [found, isNew] = updates_.try_emplace(baseRevision);
+    const auto *base = known.revision_ == 0 ? nullptr : textOf(known.digest_);
+    const auto baseDigest = base == nullptr ? 0 : known.digest_;
+    const auto [found, isNew] = updates_.try_emplace(baseDigest);
     if (isNew) {
-        const auto baseText = hasBase ? std::string_view(base->second.text_) : std::string_view();
-        found->second = TextUpdate{ revision(), baseRevision, version().digest_, textdelta::compress(text(), baseText) };
+        found->second = TextUpdate{ 0, baseDigest, version().digest_, textdelta::compress(text(), base == nullptr ? std::string_view() : *base) };
     }
+    found->second.revision_ = revision();
     return found->second;
 }
 
+const std::string *TextHistory::textOf(std::uint64_t digest) const
+{
+    const auto found = std::find_if(versions_.rbegin(), versions_.rend(), [digest](const Version &item) { return item.version_.digest_ == digest; });
+    return found == versions_.rend() ? nullptr : &found->text_;
+}
+
 TextVersion TextHistory::version() const
 {
-    return versions_.empty() ? TextVersion{} : TextVersion{ versions_.rbegin()->first, versions_.rbegin()->second.digest_ };
+    return versions_.empty() ? TextVersion{} : versions_.back().version_;
 }
 
 std::uint64_t TextHistory::revision() const
@@ -82,7 +95,7 @@
 const std::string &TextHistory::text() const
 {
     static const std::string none;
-    return versions_.empty() ? none : versions_.rbegin()->second.text_;
+    return versions_.empty() ? none : versions_.back().text_;
 }
 
 } // namespace cowsliphead
--- a/src/relay/texthistory.h
+++ b/src/relay/texthistory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -20,8 +21,11 @@
     /// Adds a version. Returns false if it is not newer than the newest known one.
     bool add(std::uint64_t revision, std::string text);
 
+    /// The newest text was still the same at this revision.
+    void confirm(std::uint64_t revision);
+
     /// Adds the version that the update leads to. Returns false if it is older or the one already known. Errors: CodecMalformed, also if the
-    /// base is not known or another one; the receiver then asks for the whole text.
+    /// base is not known; the receiver then asks for the whole text.
     Result<bool> apply(const TextUpdate &update);
 
     /// Returns the update for a receiver that has the given version (revision 0: none), or nothing if it needs none.
@@ -40,13 +44,16 @@
     static constexpr std::size_t RetainedVersions = 6;
 
     struct Version {
-        std::uint64_t digest_ = 0;
+        TextVersion version_;
         std::string text_;
     };
 
-    std::map<std::uint64_t, Version> versions_;
+    const std::string *textOf(std::uint64_t digest) const;
+
+    /// The newest one is at the back.
+    std::deque<Version> versions_;
 
-    /// Updates to the newest revision, by the receiver's revision: many gateways need the same one.
+    /// Updates to the newest text, by the digest of the receiver's text: many gateways need the same one.
     std::map<std::uint64_t, TextUpdate> updates_;
 };
 
--- a/src/relay/textupdate.h
+++ b/src/relay/textupdate.h
@@ -10,10 +10,10 @@
 struct TextUpdate {
     std::uint64_t revision_ = 0;
 
-    /// The revision that the receiver must have; 0 if it needs none.
-    std::uint64_t baseRevision_ = 0;
+    /// Digest of the text that the receiver must have; 0 if it needs none.
+    std::uint64_t baseDigest_ = 0;
 
-    /// Digest of the text that the update leads to, so that a wrong base is found.
+    /// Digest of the text that the update leads to.
     std::uint64_t digest_ = 0;
 
     /// The text, compressed against the base.
--- a/tests/fleet/endpointdirectorytest.cpp
+++ b/tests/fleet/endpointdirectorytest.cpp
@@ -17,6 +17,48 @@
     return made;
 }
 
+/// Applies writes and removals to a directory in the order of their revisions, as a reader of the store does.
+class StoreReader
+{
+public:
+    bool update(const EndpointEntry &entry)
+    {
+        ++revision_;
+        const bool isApplied = directory_.update(entry, revision_);
+        directory_.readUpTo(revision_);
+        return isApplied;
+    }
+
+    void remove(const EndpointId &id, std::optional<MonotonicTime> keepUntil)
+    {
+        directory_.remove(id, ++revision_, keepUntil);
+        directory_.readUpTo(revision_);
+    }
+
+    void replaceAll(const std::vector<EndpointEntry> &entries)
+    {
+        EndpointList list{ ++revision_, {} };
+        for (const auto &entry : entries) {
+            list.registrations_.push_back({ entry, revision_, std::nullopt });
+        }
+        directory_.replaceAll(list, std::nullopt);
+    }
+
+    bool expire(MonotonicTime now)
+    {
+        return directory_.expire(now);
+    }
+
+    std::vector<EndpointEntry> entries() const
+    {
+        return directory_.entries();
+    }
+
+private:
+    EndpointDirectory directory_;
+    StoreRevision revision_ = 0;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(the_directory_of_endpoints)
@@ -25,7 +67,7 @@
 
 BOOST_AUTO_TEST_CASE(is_removed_at_once_while_the_store_is_available)
 {
-    EndpointDirectory directory;
+    StoreReader directory;
     directory.update(entry("a"));
     directory.remove(EndpointId("a"), std::nullopt);
     BOOST_TEST(directory.entries().empty());
@@ -33,7 +75,7 @@
 
 BOOST_AUTO_TEST_CASE(is_kept_after_a_store_outage_and_then_removed)
 {
-    EndpointDirectory directory;
+    StoreReader directory;
     directory.update(entry("a"));
     directory.remove(EndpointId("a"), Now + 2s);
     BOOST_TEST(directory.entries().size() == 1U);
@@ -44,7 +86,7 @@
 
 BOOST_AUTO_TEST_CASE(stays_if_it_is_written_again_before_the_deadline)
 {
-    EndpointDirectory directory;
+    StoreReader directory;
     directory.update(entry("a"));
     directory.remove(EndpointId("a"), Now + 2s);
     directory.update(entry("a"));
@@ -54,7 +96,7 @@
 
 BOOST_AUTO_TEST_CASE(of_an_endpoint_that_announced_its_leaving_is_always_removed_at_once)
 {
-    EndpointDirectory directory;
+    StoreReader directory;
     auto leaving = entry("a");
     leaving.isLeaving_ = true;
     directory.update(leaving);
@@ -68,7 +110,7 @@
 
 BOOST_AUTO_TEST_CASE(does_not_restore_an_endpoint_that_announced_its_leaving)
 {
-    EndpointDirectory directory;
+    StoreReader directory;
     auto leaving = entry("a");
     leaving.isLeaving_ = true;
     directory.update(leaving);
@@ -81,7 +123,7 @@
 
 BOOST_AUTO_TEST_CASE(that_is_older_than_the_known_entry_is_ignored)
 {
-    EndpointDirectory directory;
+    StoreReader directory;
     auto newer = entry("a");
     newer.sequence_ = 5;
     newer.slots_ = 9;
@@ -92,7 +134,7 @@
 
 BOOST_AUTO_TEST_CASE(of_the_next_incarnation_is_applied)
 {
-    EndpointDirectory directory;
+    StoreReader directory;
     auto leaving = entry("a");
     leaving.isLeaving_ = true;
     directory.update(leaving);
@@ -106,9 +148,9 @@
 
 BOOST_AUTO_TEST_CASE(a_full_read_removes_the_entries_it_does_not_contain)
 {
-    EndpointDirectory directory;
+    StoreReader directory;
     directory.update(entry("a"));
-    directory.replaceAll({ entry("b") }, std::nullopt);
+    directory.replaceAll({ entry("b") });
     BOOST_REQUIRE(directory.entries().size() == 1U);
     BOOST_TEST(directory.entries().front().id_.value() == "b");
 }
--- /dev/null
+++ b/tests/fleet/endpointhistory.cpp
@@ -0,0 +1,78 @@
+#include "endpointhistory.h"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+
+using namespace cowsliphead;
+
+EndpointHistory::EndpointHistory(const std::vector<std::uint8_t> &changes)
+{
+    constexpr int Endpoints = 3;
+    constexpr int Kinds = 4;
+    std::map<EndpointId, EndpointEntry> known;
+    for (const auto change : changes) {
+        const EndpointId id(std::string(1, static_cast<char>('a' + change % Endpoints)));
+        auto &entry = known[id];
+        entry.id_ = id;
+        const auto kind = change / Endpoints % Kinds;
+        if (kind == 0) {
+            // Another incarnation under the same identifier.
+            ++entry.incarnation_;
+            entry.isLeaving_ = false;
+        } else if (kind == 1) {
+            entry.isLeaving_ = true;
+        }
+        ++entry.sequence_;
+        changes_.push_back({ entry, kind == 2 });
+    }
+}
+
+StoreRevision EndpointHistory::lastRevision() const
+{
+    return changes_.size();
+}
+
+EndpointList EndpointHistory::listAt(StoreRevision revision, std::minstd_rand &random) const
+{
+    std::map<EndpointId, EndpointRegistration> registrations;
+    for (StoreRevision at = 1; at <= revision; ++at) {
+        const auto &change = changes_[at - 1];
+        const auto found = registrations.find(change.entry_.id_);
+        const bool hasStood = found != registrations.end() && !found->second.keepUntil_;
+        if (!change.isRemoval_) {
+            // A reader that came later knows the entry from a later write only.
+            const bool isSeenFirst = !hasStood || random() % 3 == 0;
+            registrations[change.entry_.id_] = { change.entry_, isSeenFirst ? at : found->second.since_, std::nullopt };
+        } else if (hasStood && !found->second.entry_.isLeaving_ && random() % 2 == 0) {
+            found->second.keepUntil_ = KeepUntil;
+        } else if (found != registrations.end()) {
+            registrations.erase(found);
+        }
+    }
+    EndpointList list{ revision, {} };
+    for (const auto &[id, registration] : registrations) {
+        list.registrations_.push_back(registration);
+    }
+    return list;
+}
+
+bool EndpointHistory::stands(const EndpointId &id, StoreRevision revision) const
+{
+    bool isStanding = false;
+    for (StoreRevision at = 1; at <= revision; ++at) {
+        const auto &change = changes_[at - 1];
+        isStanding = change.entry_.id_ == id ? !change.isRemoval_ : isStanding;
+    }
+    return isStanding;
+}
+
+StoreRevision EndpointHistory::removedAt(const EndpointId &id, StoreRevision revision) const
+{
+    StoreRevision removedAt = 0;
+    for (StoreRevision at = 1; at <= revision; ++at) {
+        const auto &change = changes_[at - 1];
+        removedAt = change.entry_.id_ == id && change.isRemoval_ ? at : removedAt;
+    }
+    return removedAt;
+}
--- a/tests/fleet/registrytest.cpp
+++ b/tests/fleet/registrytest.cpp
@@ -76,18 +76,17 @@
     FleetSnapshot snapshot_;
     int confirmationCount_ = 0;
     std::optional<bool> isReachable_;
+    EndpointDirectory directory_;
     Registry<FakeStore, PlatformFleetCodec, VirtualClock> registry_{
         loop_,
         store_,
         clock_,
+        directory_,
         2000ms,
         { .onConfiguration_ = [this](std::shared_ptr<const Configuration> configuration,
                                      const std::string & /*text*/) { snapshot_.configuration_ = std::move(configuration); },
           .onConfirmed_ = [this](ConfigurationConfirmed /*confirmation*/) { ++confirmationCount_; },
-          .onEndpoints_ =
-              [this](std::vector<EndpointEntry> endpoints, StoreRevision /*revision*/) {
-                  snapshot_.endpoints_ = std::make_shared<const std::vector<EndpointEntry>>(std::move(endpoints));
-              },
+          .onEndpoints_ = [this] { snapshot_.endpoints_ = std::make_shared<const std::vector<EndpointEntry>>(directory_.entries()); },
           .onReachable_ = [this](bool isReachable) { isReachable_ = isReachable; } }
     };
 };
--- a/tests/relay/fleetstatetest.cpp
+++ b/tests/relay/fleetstatetest.cpp
@@ -11,6 +11,8 @@
 namespace
 {
 
+constexpr MonotonicTime Now(std::chrono::hours(1));
+
 std::string configurationText(int version)
 {
     return R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[]})";
@@ -46,6 +48,23 @@
         return update ? member_.applyConfiguration(*update) : Result<bool>(false);
     }
 
+    /// The relay reads the endpoints from the store. Returns true if they have changed.
+    bool read(const std::vector<EndpointEntry> &entries, StoreRevision revision)
+    {
+        EndpointList list{ revision, {} };
+        for (const auto &entry : entries) {
+            list.registrations_.push_back({ entry, 1, std::nullopt });
+        }
+        relay_.directory().replaceAll(list, std::nullopt);
+        return relay_.endpointsRead();
+    }
+
+    /// The relay's update for a gateway that has the given version.
+    EndpointUpdate updateFor(const TextVersion &known)
+    {
+        return *relay_.endpointUpdateFor(known, Now);
+    }
+
     State relay_;
     State member_;
 };
@@ -85,7 +104,7 @@
     const auto first = pair.relay_.configurations().version();
     pair.configure(6, 2);
     const auto update = pair.relay_.configurations().updateFor(first);
-    BOOST_TEST(update->baseRevision_ == 5U);
+    BOOST_TEST(update->baseDigest_ == first.digest_);
     BOOST_TEST(!pair.member_.applyConfiguration(*update).has_value());
     BOOST_TEST(*pair.member_.applyConfiguration(*pair.relay_.configurations().updateFor({})));
 }
@@ -94,10 +113,10 @@
 {
     Pair pair;
     auto listed = endpoints(9);
-    BOOST_TEST(pair.relay_.setEndpoints(listed, 7));
+    BOOST_TEST(pair.read(listed, 7));
     listed[3].sequence_ = 8;
-    BOOST_TEST(!pair.relay_.setEndpoints(listed, 8));
-    BOOST_TEST(*pair.member_.applyEndpoints(*pair.relay_.endpoints().updateFor({})));
+    BOOST_TEST(!pair.read(listed, 8));
+    BOOST_TEST(*pair.member_.applyEndpoints(pair.updateFor({}), Now));
     BOOST_TEST((*pair.member_.snapshot().endpoints_ == endpoints(9)));
 }
 
@@ -106,38 +125,39 @@
     // Guards against a gateway that applies a difference to a list which its new relay never had, and then keeps the old one: requests went to
     // endpoints that had left three seconds before (granite-lantern-grown, hunt-09e8-3).
     Pair former;
-    former.relay_.setEndpoints(endpoints(9), 7);
+    former.read(endpoints(9), 7);
     Pair pair;
-    pair.relay_.setEndpoints(endpoints(8), 7);
+    pair.read(endpoints(8), 7);
     auto &member = pair.member_;
-    BOOST_REQUIRE(*member.applyEndpoints(*former.relay_.endpoints().updateFor({})));
-    BOOST_TEST(*member.applyEndpoints(*pair.relay_.endpoints().updateFor(member.endpoints().version())));
+    BOOST_REQUIRE(*member.applyEndpoints(former.updateFor({}), Now));
+    BOOST_TEST(*member.applyEndpoints(pair.updateFor(member.endpointVersion()), Now));
+    BOOST_TEST(member.snapshot().endpoints_->size() == 8U);
+    BOOST_TEST(!*member.applyEndpoints(former.updateFor({}), Now));
     BOOST_TEST(member.snapshot().endpoints_->size() == 8U);
-    BOOST_REQUIRE(*member.applyEndpoints(*former.relay_.endpoints().updateFor({})));
-    pair.relay_.setEndpoints(endpoints(7), 8);
-    BOOST_TEST(*member.applyEndpoints(*pair.relay_.endpoints().updateFor(member.endpoints().version())));
+    pair.read(endpoints(7), 8);
+    BOOST_TEST(*member.applyEndpoints(pair.updateFor(member.endpointVersion()), Now));
     BOOST_TEST(member.snapshot().endpoints_->size() == 7U);
 }
 
 BOOST_AUTO_TEST_CASE(refuses_an_update_against_another_base)
 {
     Pair former;
-    former.relay_.setEndpoints(endpoints(9), 7);
+    former.read(endpoints(9), 7);
     Pair pair;
-    pair.relay_.setEndpoints(endpoints(8), 7);
-    const auto known = pair.relay_.endpoints().version();
-    pair.relay_.setEndpoints(endpoints(7), 8);
-    BOOST_REQUIRE(*pair.member_.applyEndpoints(*former.relay_.endpoints().updateFor({})));
-    BOOST_TEST(!pair.member_.applyEndpoints(*pair.relay_.endpoints().updateFor(known)).has_value());
-    BOOST_TEST(pair.member_.endpoints().revision() == 7U);
+    pair.read(endpoints(8), 7);
+    const auto known = pair.relay_.endpointVersion();
+    pair.read(endpoints(7), 8);
+    BOOST_REQUIRE(*pair.member_.applyEndpoints(former.updateFor({}), Now));
+    BOOST_TEST(!pair.member_.applyEndpoints(pair.updateFor(known), Now).has_value());
+    BOOST_TEST(pair.member_.endpointVersion().revision_ == 7U);
 }
 
 BOOST_AUTO_TEST_CASE(takes_a_change_of_endpoints_that_the_store_did_not_change)
 {
     Pair pair;
-    pair.relay_.setEndpoints(endpoints(9), 7);
-    BOOST_TEST(pair.relay_.setEndpoints(endpoints(8), 7));
-    BOOST_TEST(*pair.member_.applyEndpoints(*pair.relay_.endpoints().updateFor({})));
+    pair.read(endpoints(9), 7);
+    BOOST_TEST(pair.read(endpoints(8), 7));
+    BOOST_TEST(*pair.member_.applyEndpoints(pair.updateFor({}), Now));
     BOOST_TEST(pair.member_.snapshot().endpoints_->size() == 8U);
 }
 
@@ -207,7 +227,8 @@
     answer.from_ = member;
     answer.status_ = { true, true, false, true, PeerAddress{ "10.0.0.3", 7 } };
     answer.configurationAge_ = std::chrono::milliseconds(12);
-    answer.endpointUpdate_ = TextUpdate{ 4, 3, 2, "bytes" };
+    answer.endpointUpdate_ = EndpointUpdate{ TextUpdate{ 4, 3, 2, "bytes" }, { { 7, std::chrono::milliseconds(1500) } } };
+    answer.endpoints_ = 5;
     answer.members_ = { member };
     answer.gateways_ = 340;
     answer.stored_ = { { {}, 9, 2 } };
@@ -215,9 +236,20 @@
     BOOST_REQUIRE(decodedAnswer.has_value());
     BOOST_TEST(relaymessagecodec::encode(*decodedAnswer) == relaymessagecodec::encode(answer));
     BOOST_TEST((decodedAnswer->members_ == answer.members_));
+    BOOST_TEST((decodedAnswer->endpointUpdate_->leases_.at(0).remaining_ == std::chrono::milliseconds(1500)));
+    BOOST_TEST(decodedAnswer->endpoints_ == 5U);
     BOOST_TEST(decodedAnswer->status_.isStoreLost_ == false);
 }
 
+BOOST_AUTO_TEST_CASE(let_no_entry_be_kept_longer_than_any_relay_would)
+{
+    RelayAnswer answer;
+    answer.endpointUpdate_ = EndpointUpdate{ {}, { { 7, std::chrono::hours(1) } } };
+    const auto decoded = relaymessagecodec::decodeAnswer(relaymessagecodec::encode(answer));
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST((decoded->endpointUpdate_->leases_.at(0).remaining_ == EndpointLease::MaxRemaining));
+}
+
 BOOST_AUTO_TEST_CASE(with_loads_out_of_order_are_refused)
 {
     RelayQuery query;
