Tests: a head that stops in the middle is no answer, wherever it stops

Report of another operator: a server stopped in the middle of its answer's head and closed, and clients got a 200 with an empty body, framed as whole. For each length of two heads and each kind of route the gateway answers 502, and the product's own front end takes no such answer as complete, for heads with a length, in chunks and without a body.

--- a/tests/gateway/gatewaytest.cpp
+++ b/tests/gateway/gatewaytest.cpp
@@ -235,6 +235,27 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(with_an_endpoint_that_closes_in_the_middle_of_a_head)
+
+BOOST_AUTO_TEST_CASE(answers_no_success_wherever_it_stopped)
+{
+    // Guards against a head that is taken as complete when the connection ends: callers got a 200 with an empty body, framed as whole.
+    for (const auto &response : { CompleteResponse, StreamHead }) {
+        const auto headSize = response.find("\r\n\r\n") + 4;
+        for (std::size_t size = 1; size < headSize; ++size) {
+            for (const auto *path : { "/safe/x", "/once/x", "/stream/x" }) {
+                GatewayFixture fixture;
+                fixture.addEndpoint({ { response.substr(0, size), true } });
+                const auto answer = fixture.sendRequest(path);
+                BOOST_TEST(answer.status_ == 502, path << " after " << size << " bytes: " << answer.status_);
+                BOOST_TEST(answer.isComplete_);
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(with_an_endpoint_that_answers_too_much)
 
 BOOST_AUTO_TEST_CASE(skips_the_answer_of_another_request)
--- a/tests/http/httpcalltest.cpp
+++ b/tests/http/httpcalltest.cpp
@@ -185,6 +185,23 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(that_stops_in_the_middle_of_its_head, Fixture)
+
+BOOST_AUTO_TEST_CASE(is_incomplete_wherever_it_stopped)
+{
+    // Guards against a head that is taken as complete when the connection ends: callers got a 200 with an empty body, framed as whole.
+    for (const std::string head : { "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 0\r\nX-Request-Id: 1\r\n\r\n",
+                                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Request-Id: 1\r\n\r\n",
+                                    "HTTP/1.1 204 No Content\r\nX-Request-Id: 1\r\n\r\n" }) {
+        for (std::size_t size = 1; size < head.size(); ++size) {
+            startServer(head.substr(0, size), true);
+            BOOST_TEST(!receivesCompleteAnswer(), head.substr(0, size));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(that_is_followed_by_more_bytes, Fixture)
 
 BOOST_AUTO_TEST_CASE(leaves_a_connection_that_is_not_reused)
