--- a/src/decide/drainmachine.cpp
+++ b/src/decide/drainmachine.cpp
@@ -32,8 +32,21 @@
     return drainStart_ && now >= *drainStart_ + policy_.announcePeriod_;
 }
 
+bool DrainMachine::accepts(MonotonicTime deadline, MonotonicTime now) const
+{
+    return !mayCloseListener(now) || deadline <= endingStart();
+}
+
+bool DrainMachine::isEnding(MonotonicTime now) const
+{
+    return drainStart_ && now >= endingStart();
+}
+
 bool DrainMachine::mayEnd(MonotonicTime now, bool isIdle) const
 {
+    if (isEnding(now)) {
+        return isIdle || now >= lastExit();
+    }
     return mayCloseListener(now) && isIdle && now >= quietPeriodEnd();
 }
 
@@ -42,13 +55,13 @@
     if (!drainStart_) {
         return std::nullopt;
     }
+    auto next = isEnding(now) ? lastExit() : endingStart();
     if (!mayCloseListener(now)) {
-        return *drainStart_ + policy_.announcePeriod_ - now;
+        next = std::min(next, *drainStart_ + policy_.announcePeriod_);
+    } else if (isIdle) {
+        next = std::min(next, quietPeriodEnd());
     }
-    if (!isIdle) {
-        return std::nullopt;
-    }
-    return std::max(quietPeriodEnd() - now, MonotonicTime::duration(0));
+    return std::max(next - now, MonotonicTime::duration(0));
 }
 
 MonotonicTime DrainMachine::quietPeriodEnd() const
@@ -57,4 +70,15 @@
     return std::max(listenerClosed, lastArrival_) + policy_.quietPeriod_;
 }
 
+MonotonicTime DrainMachine::endingStart() const
+{
+    return *drainStart_ + policy_.grace_ - std::min<std::chrono::milliseconds>(MaxEndMargin, policy_.grace_ / EndMarginDivisor);
+}
+
+MonotonicTime DrainMachine::lastExit() const
+{
+    const auto end = *drainStart_ + policy_.grace_;
+    return endingStart() + (end - endingStart()) / 2;
+}
+
 } // namespace cowsliphead
--- a/src/decide/drainpolicy.h
+++ b/src/decide/drainpolicy.h
@@ -13,6 +13,9 @@
 
     /// How long no request may have arrived before the daemon exits.
     std::chrono::milliseconds quietPeriod_{ 500 };
+
+    /// Time from the stop signal until the process is killed.
+    std::chrono::milliseconds grace_{ 120000 };
 };
 
 } // namespace cowsliphead
--- a/src/operate/parsesettings.cpp
+++ b/src/operate/parsesettings.cpp
@@ -55,6 +55,7 @@
     }
     settings.drain_.announcePeriod_ = fields.millisecondsOr("drainAnnounceMs", settings.drain_.announcePeriod_);
     settings.drain_.quietPeriod_ = fields.millisecondsOr("drainQuietMs", settings.drain_.quietPeriod_);
+    settings.drain_.grace_ = readPositiveMilliseconds(fields, "drainGraceMs", settings.drain_.grace_);
     fields.refuseUnknownFields();
     return fields.firstError();
 }
--- a/src/serve/activerequest.cpp
+++ b/src/serve/activerequest.cpp
@@ -227,10 +227,23 @@
     execute(machine_.answerEnded());
 }
 
+bool ActiveRequest::mayHaveRun() const
+{
+    return machine_.mayHaveRun() || (attempt_ && attempt_->mayHaveBeenSent());
+}
+
+void ActiveRequest::onProcessStopping()
+{
+    if (!onEnd_) {
+        return;
+    }
+    const auto code = mayHaveRun() ? ErrorCode::EndpointLost : ErrorCode::Draining;
+    executeStep(FailStep{ make_error_code(code), mayHaveRun() ? Outcome::Unknown : Outcome::NotRun });
+}
+
 void ActiveRequest::onCallerLeft()
 {
-    const bool mayHaveRun = machine_.mayHaveRun() || (attempt_ && attempt_->mayHaveBeenSent());
-    finish(mayHaveRun ? Outcome::Unknown : Outcome::NotRun, make_error_code(ErrorCode::CallerLeft));
+    finish(mayHaveRun() ? Outcome::Unknown : Outcome::NotRun, make_error_code(ErrorCode::CallerLeft));
 }
 
 void ActiveRequest::failAttempt(const AttemptFailure &failure)
--- a/src/serve/activerequest.h
+++ b/src/serve/activerequest.h
@@ -47,6 +47,9 @@
     /// Starts processing. onEnd is called once; destroy the object only in a later iteration of the event loop.
     void start(OnEnd onEnd);
 
+    /// Sends the final response now, since the process is stopping. Does nothing if the request has ended.
+    void onProcessStopping();
+
 private:
     void execute(const RequestStep &step);
     void executeStep(const struct WaitStep &step);
@@ -65,6 +68,9 @@
     void onData(std::string_view data);
     void onEnd(const tl::expected<void, AttemptFailure> &end);
     void onCallerLeft();
+
+    /// True if an endpoint may have run the request or may be running it now.
+    bool mayHaveRun() const;
     void failAttempt(const AttemptFailure &failure);
     void closeAttempt(std::error_code code);
     void sendUsageEntry(Outcome outcome);
--- a/src/serve/servebehaviour.cpp
+++ b/src/serve/servebehaviour.cpp
@@ -108,6 +108,10 @@
         reject(request, *exchange, plan.error());
         return;
     }
+    if (drain_.isDraining() && !drain_.accepts(plan->traits_.deadline_, context_.clock_.now())) {
+        reject(request, *exchange, make_error_code(ErrorCode::Draining));
+        return;
+    }
     const auto sinceConfirmed = context_.clock_.now() - context_.recordsConfirmedAt_;
     if (const auto isFresh = checkStaleness(*context_.records_, plan->account_, sinceConfirmed); !isFresh) {
         reject(request, *exchange, isFresh.error());
@@ -216,6 +220,11 @@
     if (drain_.mayCloseListener(now)) {
         server_.stopListening();
     }
+    if (drain_.isEnding(now)) {
+        for (const auto &request : activeRequests_) {
+            request->onProcessStopping();
+        }
+    }
     if (const auto wait = drain_.nextCheck(now, server_.isIdle())) {
         // Rounded up, since a timer that fires too early would be rearmed with a delay of zero.
         drainCheckTimer_.startOnce(std::chrono::ceil<std::chrono::milliseconds>(*wait));
--- a/tests/serve/servingtest.cpp
+++ b/tests/serve/servingtest.cpp
@@ -49,6 +49,22 @@
     }
 };
 
+const DrainPolicy Drain{ std::chrono::milliseconds(300), std::chrono::milliseconds(1000), std::chrono::milliseconds(1600) };
+
+struct OneEngineAndAShortGrace : ServingTestCluster {
+    OneEngineAndAShortGrace()
+        : ServingTestCluster(1, {}, Drain)
+    {
+    }
+};
+
+struct OneEngineAndALongGrace : ServingTestCluster {
+    OneEngineAndALongGrace()
+        : ServingTestCluster(1, {}, { Drain.announcePeriod_, Drain.quietPeriod_, std::chrono::hours(1) })
+    {
+    }
+};
+
 struct ThreeEnginesWithShortTimeouts : ServingTestCluster {
     ThreeEnginesWithShortTimeouts()
         : ServingTestCluster(3, R"({"firstTokenTimeoutMs":300,"betweenTokensTimeoutMs":300})")
@@ -222,3 +238,42 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_daemon_that_is_ordered_to_stop)
+
+BOOST_FIXTURE_TEST_SUITE(before_its_requests_have_ended, OneEngineAndAShortGrace)
+
+BOOST_AUTO_TEST_CASE(answers_them_before_it_is_killed)
+{
+    // Guards against requests that are cut without an answer at the end of the grace period.
+    setFaults(R"({"silentAfterTokens":3})");
+    stop();
+    const auto startedAt = std::chrono::steady_clock::now();
+    const auto answer = sendAll({ unstreamedBody("one", Tokens) }).front();
+    BOOST_TEST((std::chrono::steady_clock::now() - startedAt < Drain.grace_));
+    BOOST_TEST(answer.isComplete_);
+    BOOST_TEST(answer.status_ == 502);
+    BOOST_TEST(answer.outcome_ == "unknown");
+}
+
+BOOST_AUTO_TEST_CASE(takes_no_other_that_it_may_not_finish)
+{
+    const auto answer = sendAfterStop(unstreamedBody("one", Tokens));
+    BOOST_TEST(answer.status_ == 503);
+    BOOST_TEST(answer.outcome_ == "not-run");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(with_time_for_another_one, OneEngineAndALongGrace)
+
+BOOST_AUTO_TEST_CASE(takes_it)
+{
+    const auto answer = sendAfterStop(unstreamedBody("one", Tokens));
+    BOOST_TEST(answer.status_ == 200);
+    BOOST_TEST(tokensOf(answer) == expectedTokens("one", Tokens));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
