--- a/tests/serve/servingtestcluster.h
+++ b/tests/serve/servingtestcluster.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -14,6 +15,8 @@
 namespace cowsliphead
 {
 
+class HttpClient;
+
 /// The answer that a caller received, and whether its end was received.
 struct CallerAnswer {
     int status_ = 0;
