States of endpoints that are no longer listed are forgotten by age

A gateway remembers that an endpoint has said in an answer that it leaves, or wants no requests for a while, also while the endpoint is not listed, since the same incarnation may be listed again: after an outage of the store its entry is written anew. The 1,024 states were evicted in the order of identifiers, so that of "a" went first however young it was, and the endpoint got requests again. On 890 endpoints a rollout of all of them is enough.

States are kept for ten minutes, at most 4,096, the oldest goes first. The lookup changes no state any more; update() marks what it lists.

Evidence. gets_none_though_more_than_a_thousand_others_were_replaced_since fails on the code before (2 requests instead of 1) and passes.

--- a/src/gateway/endpointtable.cpp
+++ b/src/gateway/endpointtable.cpp
@@ -15,8 +15,8 @@
 /// Idle connections kept for each endpoint, so that all gateways together stay below the endpoint's connection limit.
 constexpr std::size_t MaxIdleConnections = 6;
 
-/// Endpoints that are no longer listed and whose state is kept.
-constexpr std::size_t MaxFormerStates = 1024;
+/// Limits the memory that endpoints occupy which are no longer listed; a fleet of 890 endpoints replaces fewer within their lifetime.
+constexpr std::size_t MaxFormerEndpoints = 4096;
 
 void closeIdle(EndpointState &state)
 {
@@ -34,50 +34,52 @@
 
 EndpointTable::~EndpointTable() = default;
 
-void EndpointTable::update(const std::vector<EndpointEntry> &entries)
+void EndpointTable::update(const std::vector<EndpointEntry> &entries, MonotonicTime now)
 {
     std::map<EndpointId, std::shared_ptr<EndpointState>> states;
     for (const auto &entry : entries) {
         if (entry.isLeaving_) {
             continue;
         }
-        auto state = known(entry);
+        auto state = stateOf(entry);
         state->entry_ = entry;
         state->key_ = endpointKeyOf(entry.id_);
+        state->isListed_ = true;
         states.emplace(entry.id_, std::move(state));
     }
     for (const auto &[id, state] : states_) {
-        const auto kept = states.find(id);
-        if (kept == states.end() || kept->second != state) {
+        const auto listed = states.find(id);
+        if (listed == states.end() || listed->second != state) {
             state->isListed_ = false;
             closeIdle(*state);
-            remember(state);
+            former_[id] = { state, now + FormerLifetime };
         }
     }
     states_ = std::move(states);
+    forgetOldest(now);
 }
 
-std::shared_ptr<EndpointState> EndpointTable::known(const EndpointEntry &entry) const
+std::shared_ptr<EndpointState> EndpointTable::stateOf(const EndpointEntry &entry) const
 {
-    for (const auto *states : { &states_, &former_ }) {
-        const auto found = states->find(entry.id_);
-        const bool isSame =
-            found != states->end() && found->second->entry_.incarnation_ == entry.incarnation_ && found->second->entry_.address_ == entry.address_;
-        if (isSame) {
-            found->second->isListed_ = true;
-            return found->second;
-        }
+    const auto isSame = [&entry](const EndpointState &state) {
+        return state.entry_.incarnation_ == entry.incarnation_ && state.entry_.address_ == entry.address_;
+    };
+    if (const auto listed = states_.find(entry.id_); listed != states_.end() && isSame(*listed->second)) {
+        return listed->second;
+    }
+    if (const auto former = former_.find(entry.id_); former != former_.end() && isSame(*former->second.state_)) {
+        return former->second.state_;
     }
     return std::make_shared<EndpointState>();
 }
 
-/// A list that is older, or that lacked an entry for a while, may name the endpoint again.
-void EndpointTable::remember(const std::shared_ptr<EndpointState> &state)
+void EndpointTable::forgetOldest(MonotonicTime now)
 {
-    if (former_.size() >= MaxFormerStates) {
-        former_.erase(former_.begin());
+    std::erase_if(former_, [now](const auto &item) { return now >= item.second.forgetAt_; });
+    while (former_.size() > MaxFormerEndpoints) {
+        former_.erase(std::min_element(
+            former_.begin(), former_.end(), [](const auto &left, const auto &right) { return left.second.forgetAt_ < right.second.forgetAt_; }));
     }
-    former_[state->entry_.id_] = state;
 }
 
 placement::Candidates EndpointTable::candidates(const ServiceName &service, EngineStage stage, const std::set<EndpointId> &excluded, MonotonicTime now)
--- a/src/gateway/endpointtable.h
+++ b/src/gateway/endpointtable.h
@@ -30,8 +30,9 @@
     EndpointTable(const EndpointTable &) = delete;
     EndpointTable &operator=(const EndpointTable &) = delete;
 
-    /// Replaces the list of endpoints; idle connections to removed endpoints are closed.
-    void update(const std::vector<EndpointEntry> &entries);
+    /// Replaces the list of endpoints; idle connections to removed endpoints are closed. The state of a removed one is remembered for
+    /// FormerLifetime, since the same incarnation may be listed again.
+    void update(const std::vector<EndpointEntry> &entries, MonotonicTime now);
 
     /// Returns the endpoints of the service and stage that are not excluded and may get a request. Endpoints that failed recently are returned only if there is
     /// no other.
@@ -74,15 +75,23 @@
     bool isEmpty() const;
 
 private:
+    /// Longer than an incarnation that was removed comes back.
+    static constexpr std::chrono::minutes FormerLifetime{ 10 };
+
+    struct FormerEndpoint {
+        std::shared_ptr<EndpointState> state_;
+        MonotonicTime forgetAt_;
+    };
+
     /// The state of this incarnation of the endpoint, or a new one.
-    std::shared_ptr<EndpointState> known(const EndpointEntry &entry) const;
-    void remember(const std::shared_ptr<EndpointState> &state);
+    std::shared_ptr<EndpointState> stateOf(const EndpointEntry &entry) const;
+    void forgetOldest(MonotonicTime now);
 
     EventLoop &loop_;
     std::map<EndpointId, std::shared_ptr<EndpointState>> states_;
 
     /// The last states of endpoints that are no longer listed.
-    std::map<EndpointId, std::shared_ptr<EndpointState>> former_;
+    std::map<EndpointId, FormerEndpoint> former_;
     EndpointHealth health_;
 };
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -68,7 +68,7 @@
         if (isNew) {
             context_.configuration_ = std::move(snapshot.configuration_);
         }
-        context_.endpoints_.update(*snapshot.endpoints_);
+        context_.endpoints_.update(*snapshot.endpoints_, context_.clock_.now());
         logEvent(LogEvent::EndpointsUpdated,
                  { { "listed", std::uint64_t(snapshot.endpoints_->size()) },
                    { "prefill", context_.endpoints_.countOf(EngineStage::Prefill) },
--- a/tests/gateway/endpointwishestest.cpp
+++ b/tests/gateway/endpointwishestest.cpp
@@ -47,6 +47,19 @@
     BOOST_TEST(first.requests().size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(gets_none_though_more_than_a_thousand_others_were_replaced_since)
+{
+    // Guards against states that are forgotten by identifier instead of by age.
+    auto &first = addEndpoint({ { LeavingSuccess } });
+    addEndpoint({ { Success } });
+    sendRequest("/safe/x");
+    publishOthers(1100);
+    publishNothing();
+    publish();
+    sendRequest("/safe/x");
+    BOOST_TEST(first.requests().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(gets_requests_again_as_another_incarnation)
 {
     auto &first = addEndpoint({ { LeavingSuccess }, { Success } });
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -92,6 +92,19 @@
     gateway_.receive(FleetSnapshot{ configuration_, std::make_shared<const std::vector<EndpointEntry>>() });
 }
 
+void GatewayFixture::publishOthers(int count)
+{
+    auto entries = std::make_shared<std::vector<EndpointEntry>>();
+    for (int number = 0; number < count; ++number) {
+        EndpointEntry entry;
+        entry.id_ = EndpointId("other-" + std::to_string(number));
+        entry.service_ = ServiceName("service");
+        entry.address_ = { "127.0.0.1", 1 };
+        entries->push_back(entry);
+    }
+    gateway_.receive(FleetSnapshot{ configuration_, entries });
+}
+
 void GatewayFixture::restartEndpoints()
 {
     ++incarnation_;
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -42,6 +42,9 @@
     /// Removes all endpoints from the list.
     void publishNothing();
 
+    /// Publishes a list of other endpoints, which nobody can reach.
+    void publishOthers(int count);
+
     /// From now on the list names new incarnations of all endpoints.
     void restartEndpoints();
 
