--- a/src/relay/relaymessagecodec.cpp
+++ b/src/relay/relaymessagecodec.cpp
@@ -14,6 +14,10 @@
 namespace
 {
 
+/// Raised with each change that a gateway of the version before would misread. Gateways of two formats do not understand each other: while both
+/// are running, each asks a relay of its own.
+constexpr std::uint32_t MessageFormat = 2;
+
 struct WireAddress {
     std::string host_;
     std::uint16_t port_ = 0;
@@ -96,6 +100,7 @@
 
 /// Optional parts are arrays of at most one element.
 struct WireQuery {
+    std::uint32_t format_ = 0;
     WireMember from_;
     bool isFromRelay_ = false;
     bool isLeaving_ = false;
@@ -110,7 +115,8 @@
     std::uint64_t crashesVersion_ = 0;
     std::vector<WireCrash> crashes_;
 
-    MSGPACK_DEFINE_MAP(MSGPACK_NVP("f", from_),
+    MSGPACK_DEFINE_MAP(MSGPACK_NVP("z", format_),
+                       MSGPACK_NVP("f", from_),
                        MSGPACK_NVP("r", isFromRelay_),
                        MSGPACK_NVP("x", isLeaving_),
                        MSGPACK_NVP("u", unusableRelay_),
@@ -126,6 +132,7 @@
 };
 
 struct WireAnswer {
+    std::uint32_t format_ = 0;
     WireMember from_;
     bool isRelay_ = false;
     bool isFit_ = false;
@@ -147,7 +154,8 @@
     std::uint64_t crashesVersion_ = 0;
     std::vector<WireCrash> crashes_;
 
-    MSGPACK_DEFINE_MAP(MSGPACK_NVP("f", from_),
+    MSGPACK_DEFINE_MAP(MSGPACK_NVP("z", format_),
+                       MSGPACK_NVP("f", from_),
                        MSGPACK_NVP("r", isRelay_),
                        MSGPACK_NVP("t", isFit_),
                        MSGPACK_NVP("s", isStoreLost_),
@@ -320,7 +328,8 @@
 
 std::string encode(const RelayQuery &query)
 {
-    return messagepack::pack(WireQuery{ toWire(query.from_),
+    return messagepack::pack(WireQuery{ MessageFormat,
+                                        toWire(query.from_),
                                         query.isFromRelay_,
                                         query.isLeaving_,
                                         optionalToWire<WireAddress>(query.unusableRelay_),
@@ -341,6 +350,9 @@
     if (!wire) {
         return tl::unexpected(wire.error());
     }
+    if (wire->format_ != MessageFormat) {
+        return failure(ErrorCode::CodecMalformed);
+    }
     auto loads = loadsFromWire(wire->loads_);
     if (!loads) {
         return tl::unexpected(loads.error());
@@ -365,6 +377,7 @@
 std::string encode(const RelayAnswer &answer)
 {
     WireAnswer wire;
+    wire.format_ = MessageFormat;
     wire.from_ = toWire(answer.from_);
     wire.isRelay_ = answer.status_.isRelay_;
     wire.isFit_ = answer.status_.isFit_;
@@ -394,6 +407,9 @@
     if (!wire) {
         return tl::unexpected(wire.error());
     }
+    if (wire->format_ != MessageFormat) {
+        return failure(ErrorCode::CodecMalformed);
+    }
     auto loads = loadsFromWire(wire->loads_);
     if (!loads) {
         return tl::unexpected(loads.error());
--- a/tests/relay/fleetstatetest.cpp
+++ b/tests/relay/fleetstatetest.cpp
@@ -257,6 +257,15 @@
     BOOST_TEST(!relaymessagecodec::decodeQuery(relaymessagecodec::encode(query)).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(of_another_format_are_refused)
+{
+    // Guards against gateways of two versions that misread each other's lists of endpoints during a rolling restart. An empty map, whose fields
+    // all have their defaults, is a message of the first format.
+    const std::string emptyMap = "\x80";
+    BOOST_TEST(!relaymessagecodec::decodeQuery(emptyMap).has_value());
+    BOOST_TEST(!relaymessagecodec::decodeAnswer(emptyMap).has_value());
+}
+
 RC_BOOST_PROP(made_of_arbitrary_bytes_do_no_harm, (const std::string &bytes))
 {
     relaymessagecodec::decodeQuery(bytes);
