--- a/tests/fleet/endpointjointest.cpp
+++ b/tests/fleet/endpointjointest.cpp
@@ -14,10 +14,8 @@
 /// Lists of several readers at random revisions, out of order and repeated.
 std::vector<EndpointList> someLists(const EndpointHistory &history, std::minstd_rand &random)
 {
-    std::vector<EndpointList> lists;
-    for (int count = 0; count < 6; ++count) {
-        lists.push_back(history.listAt(1 + random() % history.lastRevision(), random));
-    }
+    std::vector<EndpointList> lists(6);
+    std::generate(lists.begin(), lists.end(), [&] { return history.listAt(1 + random() % history.lastRevision(), random); });
     lists.push_back(lists.front());
     return lists;
 }
