A stopping gateway keeps its usage counts until the store takes them or it is killed

A stopping gateway wrote its last counts once, waited a second and ended, whatever became of the write; a single refusal lost them too. Nothing was logged, though usage_left_behind exists for this.

Now it writes again until the store has accepted all, at the longest until 0.2 s before it would be killed, and logs what it leaves behind.

Evidence. stores_its_counts_if_the_store_returns_within_the_grace_period fails on the code before and passes.

--- a/src/duty/dutybehaviour.h
+++ b/src/duty/dutybehaviour.h
@@ -34,6 +34,7 @@
     DutyBehaviour(EventLoop &loop, S &store, P &platform, const C &clock, const DutySettings &settings, const InstanceId &incarnation, UsageLinks links)
         : loop_(loop)
         , clock_(clock)
+        , stopGrace_(settings.stopGrace_)
         , lease_(store, clock, leasePolicy(settings), "duty/leader", incarnation.value())
         , usage_(
               store, platform, clock, settings, incarnation, [this] { return activeFence(); }, [this] { lease_.resign(); }, std::move(links))
@@ -60,8 +61,8 @@
     /// number of gateways.
     static constexpr std::chrono::milliseconds CandidateInterval{ 500 };
 
-    /// How long a stopping process waits for the store to accept its last counts.
-    static constexpr std::chrono::milliseconds FinalFlushTimeout{ 1000 };
+    /// How long before it is killed a stopping process gives up its last counts if the store has not accepted them.
+    static constexpr std::chrono::milliseconds EndMargin{ 200 };
 
     static LeasePolicy leasePolicy(const DutySettings &settings)
     {
@@ -108,7 +109,7 @@
     /// Releases the lease so that another process can take the duties at once. Usage is counted until the last answer has ended.
     void handle(const DrainRequest & /*request*/)
     {
-        isDraining_ = true;
+        drainStartedAt_ = clock_.now();
         lease_.resign();
         handleDutyChange();
     }
@@ -127,7 +128,7 @@
             return;
         }
         usage_.tick(now);
-        if (isDraining_) {
+        if (drainStartedAt_) {
             return;
         }
         lease_.tick();
@@ -138,10 +139,16 @@
         }
     }
 
+    /// The store may be away, and the counts are nowhere else.
     void stopOnceFlushed(MonotonicTime now)
     {
-        if (usage_.isFlushed() || now - *completedAt_ > FinalFlushTimeout) {
+        if (usage_.isFlushed()) {
             loop_.stop();
+        } else if (now >= drainStartedAt_.value_or(*completedAt_) + stopGrace_ - EndMargin) {
+            logEvent(LogEvent::UsageLeftBehind);
+            loop_.stop();
+        } else {
+            usage_.flush(now);
         }
     }
 
@@ -158,6 +165,7 @@
 
     EventLoop &loop_;
     const C &clock_;
+    std::chrono::milliseconds stopGrace_;
     LeaseHolder<S, C> lease_;
     UsageDuty<S, P, C> usage_;
     ScaleDuty<S, P, C> scale_;
@@ -165,7 +173,7 @@
 
     /// When UsageComplete was received: no more requests are counted.
     std::optional<MonotonicTime> completedAt_;
-    bool isDraining_ = false;
+    std::optional<MonotonicTime> drainStartedAt_;
     bool wasActing_ = false;
 };
 
--- a/src/duty/dutysettings.h
+++ b/src/duty/dutysettings.h
@@ -15,6 +15,9 @@
 
     /// Duration of the duty lease; calls of two holders must not interleave within this time.
     std::chrono::milliseconds leaseDuration_{ 3000 };
+
+    /// Time from the stop signal until the process is killed.
+    std::chrono::milliseconds stopGrace_{ 8000 };
 };
 
 } // namespace cowsliphead
--- a/src/duty/usageduty.h
+++ b/src/duty/usageduty.h
@@ -105,6 +105,12 @@
         for (const auto &counts : own_.finish(windowAt(now))) {
             writer_.add(counts);
         }
+        flush(now);
+    }
+
+    /// Writes what the store lacks, unless a write is under way. Precondition: complete() was called.
+    void flush(MonotonicTime now)
+    {
         writer_.flush(windowAt(now) + 1);
     }
 
--- a/src/gateway/parsegatewaysettings.cpp
+++ b/src/gateway/parsegatewaysettings.cpp
@@ -78,6 +78,7 @@
     settings.duty_.windowLength_ = fields.millisecondsOr("usageWindowMs", settings.duty_.windowLength_);
     settings.duty_.reportDeadline_ = fields.millisecondsOr("usageReportMs", settings.duty_.reportDeadline_);
     settings.duty_.leaseDuration_ = fields.millisecondsOr("leaseMs", settings.duty_.leaseDuration_);
+    settings.duty_.stopGrace_ = bounds.stopGrace_;
 }
 
 } // namespace
