dispatch_ended names the parts of the prompt that other requests may share

Cause: the log line of a dispatch that an endpoint ended had the digest of the whole request only. No decision changed.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -402,7 +402,7 @@
             context_.metrics_.crashes_.increment({ { "service", service_.value() } });
             crashes_.endpointClosed(dispatch_->endpoint().entry_.address_);
         }
-        requestlog::dispatchEnded(dispatch_->plan(), result, elapsed(), crashes_.knownDigest());
+        requestlog::dispatchEnded(dispatch_->plan(), result, elapsed(), crashes_.knownDigest(), metadata_.sharedParts());
     }
 
     std::chrono::milliseconds elapsed() const
--- a/src/gateway/requestlog.cpp
+++ b/src/gateway/requestlog.cpp
@@ -16,6 +16,15 @@
     return static_cast<std::uint64_t>(std::max<std::int64_t>(0, duration.count()));
 }
 
+std::string idsOf(std::span<const PromptPart> parts)
+{
+    std::string ids;
+    for (const auto &part : parts) {
+        ids += (ids.empty() ? "" : ",") + part.id_;
+    }
+    return ids;
+}
+
 } // namespace
 
 void ended(const Summary &summary)
@@ -41,7 +50,11 @@
             { "configurationAgeMs", countOf(summary.configurationAge_) } });
 }
 
-void dispatchEnded(const DispatchPlan &plan, const AttemptResult &result, std::chrono::milliseconds elapsed, const RequestDigest &digest)
+void dispatchEnded(const DispatchPlan &plan,
+                   const AttemptResult &result,
+                   std::chrono::milliseconds elapsed,
+                   const RequestDigest &digest,
+                   std::span<const PromptPart> parts)
 {
     logEvent(LogEvent::DispatchEnded,
              { { "request", plan.attemptId_ },
@@ -51,6 +64,7 @@
                { "reason", result.reason_ },
                { "status", std::uint64_t(result.head_.status_) },
                { "digest", digest.value() },
+               { "parts", idsOf(parts) },
                { "afterMs", countOf(elapsed) } });
 }
 
--- a/src/gateway/requestlog.h
+++ b/src/gateway/requestlog.h
@@ -2,11 +2,13 @@
 
 #include <chrono>
 #include <cstdint>
+#include <span>
 #include <string>
 
 #include "core/requestdigest.h"
 #include "gateway/attemptresult.h"
 #include "gateway/dispatchplan.h"
+#include "gateway/promptpart.h"
 
 namespace cowsliphead::requestlog
 {
@@ -38,8 +40,12 @@
 void ended(const Summary &summary);
 
 /// Logs a dispatch that gave no response to forward. digest: of the request, if the endpoint closed the connection; it links the attempts
-/// of a request that crashes endpoints.
-void dispatchEnded(const DispatchPlan &plan, const AttemptResult &result, std::chrono::milliseconds elapsed, const RequestDigest &digest);
+/// of a request that crashes endpoints. parts: of the prompt, those that other requests may share; they link different requests that do.
+void dispatchEnded(const DispatchPlan &plan,
+                   const AttemptResult &result,
+                   std::chrono::milliseconds elapsed,
+                   const RequestDigest &digest,
+                   std::span<const PromptPart> parts);
 
 /// Logs that an engine has read a prompt. sharedParts: identifies the prompt's shared parts.
 void promptRead(const DispatchPlan &plan, const std::string &sharedParts, std::uint64_t sharedTokens, std::chrono::milliseconds duration);
--- a/src/gateway/requestmetadata.h
+++ b/src/gateway/requestmetadata.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -29,12 +30,18 @@
     /// The last event that the caller has received, if it resumes a stream.
     std::string lastEventId_;
 
+    /// The parts that other requests may share: all but the last one.
+    std::span<const PromptPart> sharedParts() const
+    {
+        return std::span(promptParts_).first(promptParts_.empty() ? 0 : promptParts_.size() - 1);
+    }
+
     /// Tokens of the parts that other requests may share.
     std::uint64_t sharedTokens() const
     {
         std::uint64_t tokens = 0;
-        for (std::size_t index = 0; index + 1 < promptParts_.size(); ++index) {
-            tokens += promptParts_[index].tokens_;
+        for (const auto &part : sharedParts()) {
+            tokens += part.tokens_;
         }
         return tokens;
     }
--- a/src/gateway/requestrouter.cpp
+++ b/src/gateway/requestrouter.cpp
@@ -33,8 +33,8 @@
 std::string sharedPartsOf(const RequestMetadata &metadata)
 {
     std::string name;
-    for (std::size_t index = 0; index + 1 < metadata.promptParts_.size(); ++index) {
-        name += metadata.promptParts_[index].id_;
+    for (const auto &part : metadata.sharedParts()) {
+        name += part.id_;
     }
     return name;
 }
