--- a/tests/gateway/rawendpoint.cpp
+++ b/tests/gateway/rawendpoint.cpp
@@ -70,6 +70,10 @@
     if (scripts_.size() > 1) {
         scripts_.erase(scripts_.begin());
     }
+    if (!script.crashesOn_.empty() && request.find(script.crashesOn_) != std::string::npos) {
+        script.bytes_.pop_back();
+        script.crashes_ = true;
+    }
     const std::string field = "X-Attempt-Id: ";
     const auto at = request.find(field);
     const auto id = at == std::string::npos ? std::string() : request.substr(at + field.size(), request.find('\r', at) - at - field.size());
--- a/tests/gateway/rawendpoint.h
+++ b/tests/gateway/rawendpoint.h
@@ -30,6 +30,9 @@
         /// Closes all connections and refuses new ones after the bytes.
         bool crashes_ = false;
 
+        /// Crashes in the middle of the answer to a request that contains this text. Empty for none.
+        std::string crashesOn_ = {};
+
         /// Sent again and again after the other bytes, until the gateway closes the connection.
         std::string endlessBytes_ = {};
     };
