--- /dev/null
+++ b/src/decide/crashevidence.cpp
@@ -0,0 +1,63 @@
+#include "decide/crashevidence.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace cowsliphead
+{
+
+CrashEvidence::CrashEvidence(SuspectKey suspect, std::vector<const CrashRecord *> records, bool wasAnswered)
+    : suspect_(suspect)
+    , records_(std::move(records))
+    , wasAnswered_(wasAnswered)
+{
+    std::stable_sort(records_.begin(), records_.end(), [](const auto *left, const auto *right) { return left->crashedAt_ < right->crashedAt_; });
+}
+
+std::set<IncarnationKey> CrashEvidence::endpoints() const
+{
+    std::set<IncarnationKey> endpoints;
+    for (const auto *record : records_) {
+        endpoints.insert(record->endpoint_);
+    }
+    return endpoints;
+}
+
+std::size_t CrashEvidence::crashesInARow(const std::set<IncarnationKey> &explained) const
+{
+    auto endpoints = explained;
+    std::set<SuspectKey> requests;
+    const CrashRecord *last = nullptr;
+    std::size_t crashes = 0;
+    for (const auto *record : records_) {
+        const bool isPart = record->request_ != suspect_;
+        const bool isLater = last == nullptr || record->writtenAt_ >= last->crashedAt_;
+        if (isLater && !endpoints.contains(record->endpoint_) && !(isPart && requests.contains(record->request_))) {
+            endpoints.insert(record->endpoint_);
+            requests.insert(record->request_);
+            last = record;
+            ++crashes;
+        }
+    }
+    return crashes;
+}
+
+bool CrashEvidence::isLikelierThan(const CrashEvidence &other) const
+{
+    const auto rank = [](const CrashEvidence &evidence) {
+        return std::tuple(!evidence.wasAnswered_, evidence.endpoints().size(), evidence.depth(), evidence.suspect_);
+    };
+    return rank(*this) > rank(other);
+}
+
+std::size_t CrashEvidence::depth() const
+{
+    if (records_.empty()) {
+        return 0;
+    }
+    const auto &parts = records_.front()->parts_;
+    return static_cast<std::size_t>(std::find(parts.begin(), parts.end(), suspect_) - parts.begin());
+}
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/decide/crashevidence.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstddef>
+#include <set>
+#include <vector>
+
+#include "decide/crashrecord.h"
+#include "decide/incarnationkey.h"
+#include "decide/suspectkey.h"
+
+namespace cowsliphead
+{
+
+/// The crashes that speak against one suspect. Thread safety: as any value type.
+class CrashEvidence
+{
+public:
+    /// wasAnswered: the suspect was answered before these crashes. Precondition: the records outlive the evidence; all have the suspect.
+    CrashEvidence(SuspectKey suspect, std::vector<const CrashRecord *> records, bool wasAnswered);
+
+    SuspectKey suspect() const
+    {
+        return suspect_;
+    }
+
+    bool wasAnswered() const
+    {
+        return wasAnswered_;
+    }
+
+    /// False for a request. Precondition: there are records.
+    bool isPart() const
+    {
+        return records_.front()->request_ != suspect_;
+    }
+
+    /// In the order of the crashes.
+    const std::vector<const CrashRecord *> &records() const
+    {
+        return records_;
+    }
+
+    std::set<IncarnationKey> endpoints() const;
+
+    /// How many of the crashes followed one another: each at another endpoint, and under a request that was written after the crash before,
+    /// so that endpoints which fail at the same moment count once. Crashes with a part count only under different requests, since those under
+    /// a request that comes again speak against the request. explained: endpoints whose crashes do not count.
+    std::size_t crashesInARow(const std::set<IncarnationKey> &explained = {}) const;
+
+    /// True if this suspect is the likelier cause of crashes at which both were there: one that was never answered before one that was, then
+    /// the one with more crashes, then the later part of the prompt, which fewer requests have.
+    bool isLikelierThan(const CrashEvidence &other) const;
+
+private:
+    /// Position in the prompt; a request comes after all its parts.
+    std::size_t depth() const;
+
+    SuspectKey suspect_;
+    std::vector<const CrashRecord *> records_;
+    bool wasAnswered_;
+};
+
+} // namespace cowsliphead
--- a/src/decide/crashregister.h
+++ b/src/decide/crashregister.h
@@ -5,85 +5,148 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
+#include <utility>
+#include <variant>
 #include <vector>
 
-#include "core/requestdigest.h"
 #include "core/time.h"
+#include "decide/blame.h"
 #include "decide/crashchanges.h"
-#include "decide/crashcount.h"
-#include "decide/crashreport.h"
+#include "decide/crashevidence.h"
+#include "decide/crashrecord.h"
+#include "decide/crashreports.h"
+#include "decide/crashsuspects.h"
+#include "decide/crashverdict.h"
+#include "decide/recentanswers.h"
 
 namespace cowsliphead
 {
 
-/// The requests under which endpoints crashed, as known to one gateway. A request that crashed several endpoints one after the other
-/// without being answered in between is quarantined: it is not dispatched any more. Registers converge by exchanging reports in any order,
-/// any number of times. Thread safety: owner task only.
+/// Finds the requests, and the parts of prompts, that crash endpoints, from what the gateways saw of crashes and answers. A suspect that was
+/// there when several endpoints crashed one after the other, that was not answered in between and whose crashes no other suspect explains is
+/// quarantined: no request with it is dispatched. Registers converge by exchanging reports in any order, any number of times. Thread safety:
+/// owner task only.
 class CrashRegister
 {
 public:
-    /// Crashes after which a request is quarantined.
-    static constexpr std::uint32_t QuarantineThreshold = 3;
+    /// Crashes in a row after which a suspect is quarantined.
+    static constexpr std::size_t QuarantineThreshold = 3;
 
-    /// How long a count is kept after its last change.
-    static constexpr std::chrono::minutes CountLifetime{ 10 };
+    /// How long a suspect is quarantined after its last crash, and how long crashes and answers are remembered.
+    static constexpr std::chrono::minutes Lifetime{ 10 };
 
     /// Limits the memory that failing endpoints and callers can occupy.
-    static constexpr std::size_t MaxCounts = 4096;
+    static constexpr std::size_t MaxEntries = 4096;
 
-    /// True if no request is registered, so that digests need not be computed.
+    /// True if no crash is known, so that digests of requests need not be computed.
     bool isEmpty() const;
 
-    /// The count to pass to crashed() if a dispatch that begins now ends in a crash.
-    CrashCount countOf(const RequestDigest &digest, MonotonicTime now) const;
+    /// Why a request with these suspects must not be dispatched; nothing if it may be.
+    std::optional<CrashVerdict> verdictOn(const CrashSuspects &suspects, MonotonicTime now) const;
 
-    /// How much longer the request is quarantined; nothing if it is not.
-    std::optional<std::chrono::milliseconds> quarantineLeft(const RequestDigest &digest, MonotonicTime now) const;
+    /// An endpoint closed the connection with the request in hand. Precondition: the suspects have the request.
+    void crashed(const CrashSuspects &suspects, IncarnationKey endpoint, MonotonicTime writtenAt, MonotonicTime now);
 
-    /// An endpoint crashed with the request in hand. atDispatch: the count when the request was dispatched.
-    void crashed(const RequestDigest &digest, CrashCount atDispatch, MonotonicTime now);
+    /// An endpoint answered the request completely: neither the request nor its parts crash endpoints.
+    void answered(const CrashSuspects &suspects, MonotonicTime now);
 
-    /// An endpoint that was taken to have crashed under the request is alive: it only lost the answer.
-    void survived(const RequestDigest &digest, MonotonicTime now);
+    /// An endpoint was alive at the given time. If it was taken to have crashed before, it only lost answers.
+    void survived(IncarnationKey endpoint, MonotonicTime aliveAt, MonotonicTime now);
 
-    /// An endpoint answered the request.
-    void answered(const RequestDigest &digest, MonotonicTime now);
+    /// Takes what another register knows.
+    void merge(const CrashReports &reports, MonotonicTime now);
 
-    /// Takes the counts that are greater than the known ones.
-    void merge(const std::vector<CrashReport> &reports, MonotonicTime now);
+    /// The most crashes in a row that speak against one of the suspects.
+    std::size_t crashesInARow(const CrashSuspects &suspects, MonotonicTime now) const;
 
     /// Increases with each change.
     std::uint64_t version() const;
 
-    /// The counts that changed after a version of this register; 0 for all.
-    std::vector<CrashReport> changesAfter(std::uint64_t version, MonotonicTime now) const;
+    /// What changed after a version of this register; 0 for all.
+    CrashReports changesAfter(std::uint64_t version, MonotonicTime now) const;
 
-    /// The first changes after a version that another gateway needs; 0 for all. Single crashes are told only while they are recent: after a
-    /// failure of many endpoints there are hundreds, and a gateway that comes later can do without them.
+    /// The first changes after a version that another gateway needs; 0 for all. What leads to no quarantine is told only while it is recent:
+    /// after a failure of many endpoints there are hundreds of crashes, and a gateway that comes later can do without them.
     CrashChanges changesFor(std::uint64_t version, MonotonicTime now) const;
 
+    std::vector<SuspectKey> quarantined(MonotonicTime now) const;
+
+    /// The crashes for which the suspect is quarantined, without suspects that are not to blame. Precondition: it is quarantined.
+    std::vector<CrashSighting> evidenceAgainst(SuspectKey suspect, MonotonicTime now) const;
+
 private:
-    /// How long a single crash is told.
+    /// How long a change is told that leads to no quarantine.
     static constexpr std::chrono::seconds RecentTime{ 10 };
 
-    /// Reports in one message: a few kilobytes, which the smallest links carry beside their load.
+    /// Changes in one message: a few kilobytes, which the smallest links carry beside their load.
     static constexpr std::size_t MaxReports = 64;
 
-    struct Entry {
-        CrashCount count_;
-        MonotonicTime until_;
+    using RecordKey = std::pair<IncarnationKey, SuspectKey>;
+    using EntryKey = std::variant<RecordKey, SuspectKey>;
 
-        /// The version in which it changed.
+    struct Change {
         std::uint64_t version_ = 0;
+        MonotonicTime changedAt_;
+    };
+
+    struct Crash : Change {
+        CrashRecord record_;
+    };
+
+    struct Clearance : Change {
+        MonotonicTime answeredAt_;
     };
 
-    void raise(const RequestDigest &digest, CrashCount count, std::chrono::milliseconds remaining, MonotonicTime now);
+    struct Verdict {
+        /// False if the suspect was released before its time.
+        bool isQuarantined_ = false;
+        MonotonicTime until_;
+
+        /// Only requests that have all of these, too, are refused.
+        std::vector<SuspectKey> alternatives_;
+    };
+
+    static std::set<SuspectKey> suspectsOf(const CrashRecord &record);
+    static CrashSighting sightingOf(const CrashRecord &record, MonotonicTime now);
+
+    void add(CrashRecord record, MonotonicTime now);
+    void addSuspect(SuspectKey suspect, const CrashRecord &record, MonotonicTime now);
+    void clear(SuspectKey suspect, MonotonicTime answeredAt, MonotonicTime now);
+    void refute(Crash &crash, MonotonicTime now);
+    void close(SuspectKey suspect, const RecordKey &record);
+    void changed(Change &change, EntryKey key, MonotonicTime now);
+
+    CrashEvidence evidenceOf(SuspectKey suspect, MonotonicTime now) const;
+    bool isOpen(const CrashRecord &record, SuspectKey suspect) const;
+
+    /// Decides again who is to blame, if any evidence has changed.
+    void reconsider(MonotonicTime now);
+    void quarantine(const Blame &blame, MonotonicTime now);
+    bool hasVerdict(SuspectKey suspect, MonotonicTime now) const;
+    bool isNeeded(const EntryKey &key, MonotonicTime now) const;
+    bool isTold(const EntryKey &key, MonotonicTime now) const;
+    bool isExpired(const EntryKey &key, MonotonicTime now) const;
+    void report(const EntryKey &key, CrashReports &reports, MonotonicTime now) const;
     void makeRoom(MonotonicTime now);
+    void erase(const EntryKey &key);
+
+    std::map<RecordKey, Crash> crashes_;
+    std::map<SuspectKey, std::set<RecordKey>> crashesBySuspect_;
+
+    /// As crashesBySuspect_, without crashes that are refuted or from before the suspect's last answer.
+    std::map<SuspectKey, std::set<RecordKey>> openCrashes_;
+
+    /// The last known answers to suspects that were there at crashes.
+    std::map<SuspectKey, Clearance> clearances_;
+    RecentAnswers answers_;
+    std::map<SuspectKey, Verdict> verdicts_;
 
-    std::map<RequestDigest, Entry> entries_;
+    /// True if evidence has changed since the last decision.
+    bool isChanged_ = false;
 
-    /// The digests in the order of their last changes.
-    std::map<std::uint64_t, RequestDigest> changes_;
+    /// The entries in the order of their last changes.
+    std::map<std::uint64_t, EntryKey> changes_;
     std::uint64_t version_ = 0;
 };
 
--- a/src/gateway/crashtracker.cpp
+++ b/src/gateway/crashtracker.cpp
@@ -1,10 +1,10 @@
 #include "gateway/crashtracker.h"
 
 #include "gateway/admittedrequest.h"
+#include "gateway/crashkeys.h"
 #include "gateway/gatewaycontext.h"
 #include "gateway/requestdigestof.h"
 #include "gateway/requestmetadata.h"
-#include "logs/log.h"
 
 namespace cowsliphead
 {
@@ -19,59 +19,68 @@
 
 std::optional<std::chrono::milliseconds> CrashTracker::quarantineLeft()
 {
-    return context_.crashes_.isEmpty() ? std::nullopt : context_.crashes_.quarantineLeft(digest(), context_.clock_.now());
-}
-
-void CrashTracker::dispatched()
-{
-    countAtDispatch_ = context_.crashes_.isEmpty() ? CrashCount{} : context_.crashes_.countOf(digest(), context_.clock_.now());
+    if (context_.crashes_.isEmpty()) {
+        return std::nullopt;
+    }
+    const auto verdict = context_.crashes_.verdictOn(suspects(true), context_.clock_.now());
+    if (!verdict) {
+        return std::nullopt;
+    }
+    culprit_ = nameOf(verdict->culprit_);
+    return verdict->left_;
 }
 
-void CrashTracker::endpointClosed(const SocketAddress &endpoint)
+void CrashTracker::endpointClosed(const EndpointEntry &endpoint, MonotonicTime writtenAt)
 {
     const auto now = context_.clock_.now();
-    const bool wasQuarantined = context_.crashes_.quarantineLeft(digest(), now).has_value();
-    context_.crashes_.crashed(digest(), countAtDispatch_, now);
-    context_.publishCrashes();
-    const auto crashes = context_.crashes_.countOf(digest(), now).crashes_;
-    if (!wasQuarantined && context_.crashes_.quarantineLeft(digest(), now)) {
-        logEvent(LogEvent::RequestQuarantined, { { "digest", digest().value() }, { "request", metadata_.attemptId_ }, { "crashes", std::uint64_t(crashes) } });
-    }
+    const auto incarnation = crashkeys::ofEndpoint(endpoint);
+    context_.crashes_.crashed(suspects(true), incarnation, writtenAt, now);
+    context_.crashesChanged();
     // A single loss has no consequences, so it is not worth a connection.
-    if (crashes > 1) {
-        context_.crashVerifier_.verify(endpoint, [&context = context_, digest = digest()] { endpointSurvived(context, digest); });
+    if (context_.crashes_.crashesInARow(suspects(true), now) > 1) {
+        context_.crashVerifier_.verify(endpoint.address_, [&context = context_, incarnation, now] {
+            context.crashes_.survived(incarnation, now, context.clock_.now());
+            context.crashesChanged();
+        });
     }
 }
 
-void CrashTracker::answered()
+void CrashTracker::answered(const EndpointEntry &endpoint, MonotonicTime writtenAt)
 {
-    if (!context_.crashes_.isEmpty()) {
-        takeBack(context_, digest(), &CrashRegister::answered);
+    const auto now = context_.clock_.now();
+    context_.crashes_.answered(suspects(!context_.crashes_.isEmpty()), now);
+    // A list that is not up to date may name an incarnation whose successor has answered.
+    if (!context_.crashes_.isEmpty() && context_.age_.isWithin(context_.settings_.bounds_.configuration_, now)) {
+        context_.crashes_.survived(crashkeys::ofEndpoint(endpoint), writtenAt, now);
     }
+    context_.crashesChanged();
 }
 
-void CrashTracker::endpointSurvived(GatewayContext &context, const RequestDigest &digest)
+const CrashSuspects &CrashTracker::suspects(bool withRequest)
 {
-    takeBack(context, digest, &CrashRegister::survived);
-}
-
-void CrashTracker::takeBack(GatewayContext &context, const RequestDigest &digest, void (CrashRegister::*change)(const RequestDigest &, MonotonicTime))
-{
-    const auto now = context.clock_.now();
-    const bool wasQuarantined = context.crashes_.quarantineLeft(digest, now).has_value();
-    (context.crashes_.*change)(digest, now);
-    context.publishCrashes();
-    if (wasQuarantined && !context.crashes_.quarantineLeft(digest, now)) {
-        logEvent(LogEvent::RequestReleased, { { "digest", digest.value() } });
+    if (!suspects_) {
+        suspects_.emplace();
+        for (const auto &part : metadata_.sharedParts()) {
+            if (suspects_->parts_.size() < MaxParts) {
+                suspects_->parts_.push_back(crashkeys::ofPart(part.id_));
+            }
+        }
     }
+    if (withRequest && !suspects_->request_) {
+        digest_ = requestDigestOf(request_, metadata_, admitted_.account_ == nullptr ? AccountId() : admitted_.account_->id_);
+        suspects_->request_ = crashkeys::ofRequest(digest_);
+    }
+    return *suspects_;
 }
 
-const RequestDigest &CrashTracker::digest()
+std::string CrashTracker::nameOf(SuspectKey suspect)
 {
-    if (digest_.isEmpty()) {
-        digest_ = requestDigestOf(request_, metadata_, admitted_.account_ == nullptr ? AccountId() : admitted_.account_->id_);
+    for (const auto &part : metadata_.sharedParts()) {
+        if (crashkeys::ofPart(part.id_) == suspect) {
+            return part.id_;
+        }
     }
-    return digest_;
+    return digest_.value();
 }
 
 } // namespace cowsliphead
--- a/src/gateway/crashtracker.h
+++ b/src/gateway/crashtracker.h
@@ -1,40 +1,40 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <optional>
+#include <string>
 
 #include "core/requestdigest.h"
 #include "core/time.h"
-#include "decide/crashcount.h"
+#include "decide/crashsuspects.h"
+#include "decide/suspectkey.h"
 
 namespace cowsliphead
 {
 
-class CrashRegister;
 struct AdmittedRequest;
 struct CallerRequest;
+struct EndpointEntry;
 struct GatewayContext;
 struct RequestMetadata;
-struct SocketAddress;
 
-/// Connects one request to the gateway's register of requests that crash endpoints. Thread safety: the context's task only.
+/// Connects one request to the gateway's register of what crashes endpoints. Thread safety: the context's task only.
 class CrashTracker
 {
 public:
-    /// Precondition: all arguments outlive the tracker; admitted is set before the first call of another member.
+    /// Precondition: all arguments outlive the tracker; metadata and admitted are set before the first call of another member.
     CrashTracker(GatewayContext &context, const CallerRequest &request, const RequestMetadata &metadata, const AdmittedRequest &admitted);
 
-    /// How much longer the request is not dispatched because it crashes endpoints; nothing if it may be dispatched.
+    /// How much longer the request is not dispatched because it, or a part of its prompt, crashes endpoints; nothing if it may be
+    /// dispatched.
     std::optional<std::chrono::milliseconds> quarantineLeft();
 
-    /// The request is written to an endpoint.
-    void dispatched();
+    /// The endpoint closed the connection with the request in hand. writtenAt: when it was written.
+    void endpointClosed(const EndpointEntry &endpoint, MonotonicTime writtenAt);
 
-    /// The endpoint at this address closed the connection with the request in hand. Precondition: dispatched() was called.
-    void endpointClosed(const SocketAddress &endpoint);
-
-    /// The endpoint answered the request. Precondition: dispatched() was called.
-    void answered();
+    /// The endpoint answered the request completely.
+    void answered(const EndpointEntry &endpoint, MonotonicTime writtenAt);
 
     /// The request's digest if it was needed so far, else an empty one.
     const RequestDigest &knownDigest() const
@@ -42,19 +42,27 @@
         return digest_;
     }
 
+    /// For logs: the part of the prompt, or the digest of the request, for which it was not dispatched. Empty if it was.
+    const std::string &culprit() const
+    {
+        return culprit_;
+    }
+
 private:
-    const RequestDigest &digest();
+    /// Parts of a longer prompt that are no suspects, which limits what crashes under it occupy.
+    static constexpr std::size_t MaxParts = 32;
 
-    /// The request may have ended by then.
-    static void endpointSurvived(GatewayContext &context, const RequestDigest &digest);
-    static void takeBack(GatewayContext &context, const RequestDigest &digest, void (CrashRegister::*change)(const RequestDigest &, MonotonicTime));
+    /// withRequest: with the digest of the request, which takes the whole body.
+    const CrashSuspects &suspects(bool withRequest);
+    std::string nameOf(SuspectKey suspect);
 
     GatewayContext &context_;
     const CallerRequest &request_;
     const RequestMetadata &metadata_;
     const AdmittedRequest &admitted_;
     RequestDigest digest_;
-    CrashCount countAtDispatch_;
+    std::optional<CrashSuspects> suspects_;
+    std::string culprit_;
 };
 
 } // namespace cowsliphead
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -245,9 +245,6 @@
         if (!withholdReason_ && crashes_.quarantineLeft()) {
             withholdReason_ = ErrorCode::RequestQuarantined;
         }
-        if (!withholdReason_) {
-            crashes_.dispatched();
-        }
         return !withholdReason_;
     }
 
@@ -276,7 +273,7 @@
         }
         if (result.end_ == AttemptEnd::Answered) {
             recordResponse();
-            crashes_.answered();
+            crashes_.answered(endpoint.entry_, dispatch_->writtenAt());
         } else {
             endpointoutcome::failed(context_, dispatch_->plan(), result.end_, withholdReason_.has_value());
             logDispatch(result);
@@ -400,7 +397,7 @@
         context_.metrics_.attempts_.increment({ { "end", attemptEndName(result.end_) } });
         if (result.isClosedByEndpoint()) {
             context_.metrics_.crashes_.increment({ { "service", service_.value() } });
-            crashes_.endpointClosed(dispatch_->endpoint().entry_.address_);
+            crashes_.endpointClosed(dispatch_->endpoint().entry_, dispatch_->writtenAt());
         }
         requestlog::dispatchEnded(dispatch_->plan(), result, elapsed(), crashes_.knownDigest(), metadata_.sharedParts());
     }
@@ -453,6 +450,7 @@
         summary.timeLeft_ = timeLeft();
         summary.elapsed_ = elapsed();
         summary.digest_ = crashes_.knownDigest();
+        summary.culprit_ = crashes_.culprit();
         summary.configuration_ = configuration_ ? configuration_->version_ : 0;
         summary.configurationAge_ = context_.age_.age(context_.clock_.now());
         requestlog::ended(summary);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -92,7 +92,8 @@
 
     void handle(const CrashReports &reports)
     {
-        context_.mergeCrashes(reports);
+        context_.crashes_.merge(reports, context_.clock_.now());
+        context_.crashesChanged();
     }
 
     void handle(const LoadQuery &query)
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -7,6 +7,7 @@
 
 #include "core/systemclock.h"
 #include "decide/crashregister.h"
+#include "decide/crashreports.h"
 #include "fleet/configuration.h"
 #include "gateway/configurationage.h"
 #include "gateway/crashverifier.h"
@@ -14,8 +15,8 @@
 #include "gateway/endpointtable.h"
 #include "gateway/gatewaymetrics.h"
 #include "gateway/gatewaysettings.h"
+#include "gateway/quarantinelog.h"
 #include "gateway/retryallowance.h"
-#include "relay/crashreports.h"
 #include "task/address.h"
 #include "task/eventloop.h"
 #include "traces/span.h"
@@ -44,6 +45,7 @@
 
     /// The version of crashes_ that the other gateways are told.
     std::uint64_t publishedCrashes_ = 0;
+    QuarantineLog quarantineLog_{};
 
     /// Set once the process is stopping.
     std::optional<DrainSchedule> drain_{};
@@ -57,22 +59,16 @@
         return found->second;
     }
 
-    /// Tells the other gateways what has changed.
-    void publishCrashes()
+    /// Tells the other gateways what has changed in crashes_, if anything has. Call it after each change.
+    void crashesChanged()
     {
         if (crashes_.version() != publishedCrashes_) {
-            crashReports_.send({ crashes_.changesAfter(publishedCrashes_, clock_.now()) });
+            crashReports_.send(crashes_.changesAfter(publishedCrashes_, clock_.now()));
             publishedCrashes_ = crashes_.version();
+            quarantineLog_.update(crashes_.quarantined(clock_.now()));
         }
     }
 
-    /// Takes what other gateways know. Precondition: publishCrashes() was called after each change of this gateway's own.
-    void mergeCrashes(const CrashReports &reports)
-    {
-        crashes_.merge(reports.reports_, clock_.now());
-        publishedCrashes_ = crashes_.version();
-    }
-
     /// Share of the decode engines' slots that all gateways occupy.
     double decodeOccupancy(const ServiceName &service) const
     {
--- a/src/gateway/requestlog.cpp
+++ b/src/gateway/requestlog.cpp
@@ -46,15 +46,13 @@
             { "timeLeftMs", countOf(summary.timeLeft_) },
             { "afterMs", countOf(summary.elapsed_) },
             { "digest", summary.digest_.value() },
+            { "culprit", summary.culprit_ },
             { "configuration", summary.configuration_ },
             { "configurationAgeMs", countOf(summary.configurationAge_) } });
 }
 
-void dispatchEnded(const DispatchPlan &plan,
-                   const AttemptResult &result,
-                   std::chrono::milliseconds elapsed,
-                   const RequestDigest &digest,
-                   std::span<const PromptPart> parts)
+void dispatchEnded(
+    const DispatchPlan &plan, const AttemptResult &result, std::chrono::milliseconds elapsed, const RequestDigest &digest, std::span<const PromptPart> parts)
 {
     logEvent(LogEvent::DispatchEnded,
              { { "request", plan.attemptId_ },
--- a/src/gateway/requestlog.h
+++ b/src/gateway/requestlog.h
@@ -33,6 +33,9 @@
 
     /// Empty if it was not needed.
     RequestDigest digest_{};
+
+    /// The part of the prompt, or the digest, for which the request was not dispatched. Empty if it was.
+    std::string culprit_{};
     std::chrono::milliseconds configurationAge_{ 0 };
 };
 
@@ -41,11 +44,8 @@
 
 /// Logs a dispatch that gave no response to forward. digest: of the request, if the endpoint closed the connection; it links the attempts
 /// of a request that crashes endpoints. parts: of the prompt, those that other requests may share; they link different requests that do.
-void dispatchEnded(const DispatchPlan &plan,
-                   const AttemptResult &result,
-                   std::chrono::milliseconds elapsed,
-                   const RequestDigest &digest,
-                   std::span<const PromptPart> parts);
+void dispatchEnded(
+    const DispatchPlan &plan, const AttemptResult &result, std::chrono::milliseconds elapsed, const RequestDigest &digest, std::span<const PromptPart> parts);
 
 /// Logs that an engine has read a prompt. sharedParts: identifies the prompt's shared parts.
 void promptRead(const DispatchPlan &plan, const std::string &sharedParts, std::uint64_t sharedTokens, std::chrono::milliseconds duration);
--- a/src/relay/crashanswer.h
+++ b/src/relay/crashanswer.h
@@ -1,9 +1,8 @@
 #pragma once
 
 #include <cstdint>
-#include <vector>
 
-#include "decide/crashreport.h"
+#include "decide/crashreports.h"
 
 namespace cowsliphead
 {
@@ -13,8 +12,8 @@
     /// The version of the answering gateway's register.
     std::uint64_t version_ = 0;
 
-    /// Its counts that the asking gateway does not have yet.
-    std::vector<CrashReport> reports_;
+    /// What the asking gateway does not know yet.
+    CrashReports reports_;
 };
 
 } // namespace cowsliphead
--- a/src/relay/crashexchange.cpp
+++ b/src/relay/crashexchange.cpp
@@ -11,7 +11,7 @@
 {
 }
 
-void CrashExchange::received(const std::vector<CrashReport> &reports, MonotonicTime now)
+void CrashExchange::received(const CrashReports &reports, MonotonicTime now)
 {
     crashes_.merge(reports, now);
     publish(now);
@@ -38,7 +38,7 @@
 
 CrashAnswer CrashExchange::answer(const CrashQuery &query, MonotonicTime now)
 {
-    // Taken before the sender's own counts are merged, which it need not be told.
+    // Taken before the sender's own reports are merged, which it need not be told.
     auto changes = crashes_.changesFor(query.knownOf_ == self_ ? query.knownVersion_ : 0, now);
     const bool isComplete = changes.version_ == crashes_.version();
     received(query.reports_, now);
@@ -50,7 +50,7 @@
     if (crashes_.version() == publishedVersion_) {
         return;
     }
-    gateway_.send({ crashes_.changesAfter(publishedVersion_, now) });
+    gateway_.send(crashes_.changesAfter(publishedVersion_, now));
     publishedVersion_ = crashes_.version();
 }
 
--- a/src/relay/crashexchange.h
+++ b/src/relay/crashexchange.h
@@ -2,21 +2,20 @@
 
 #include <cstdint>
 #include <map>
-#include <vector>
 
 #include "core/instanceid.h"
 #include "core/time.h"
 #include "decide/crashregister.h"
+#include "decide/crashreports.h"
 #include "decide/peeraddress.h"
 #include "relay/crashanswer.h"
 #include "relay/crashquery.h"
-#include "relay/crashreports.h"
 #include "task/address.h"
 
 namespace cowsliphead
 {
 
-/// Spreads the counts of requests that crash endpoints: between the gateway task and the relay of the failure domain, and between the
+/// Spreads what gateways saw of crashes and answers: between the gateway task and the relay of the failure domain, and between the
 /// relays. Each side tells the other what changed since the exchange before. Thread safety: owner task only.
 class CrashExchange
 {
@@ -24,8 +23,8 @@
     /// self: this run of the process. gateway: the task that dispatches requests; it hears of each change.
     CrashExchange(InstanceId self, Address<CrashReports> gateway);
 
-    /// The gateway task, or the store, has counts.
-    void received(const std::vector<CrashReport> &reports, MonotonicTime now);
+    /// The gateway task, or the store, has reports.
+    void received(const CrashReports &reports, MonotonicTime now);
 
     /// Returns the part of the next query to a gateway.
     CrashQuery queryFor(const PeerAddress &peer, MonotonicTime now);
--- a/src/relay/crashquery.h
+++ b/src/relay/crashquery.h
@@ -1,10 +1,9 @@
 #pragma once
 
 #include <cstdint>
-#include <vector>
 
 #include "core/instanceid.h"
-#include "decide/crashreport.h"
+#include "decide/crashreports.h"
 
 namespace cowsliphead
 {
@@ -15,8 +14,8 @@
     InstanceId knownOf_;
     std::uint64_t knownVersion_ = 0;
 
-    /// The counts of the sender that the asked gateway does not have yet.
-    std::vector<CrashReport> reports_;
+    /// What the asked gateway does not know yet.
+    CrashReports reports_;
 };
 
 } // namespace cowsliphead
--- a/src/relay/quarantinecodec.h
+++ b/src/relay/quarantinecodec.h
@@ -1,17 +1,18 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
-#include "core/requestdigest.h"
 #include "core/result.h"
-#include "decide/crashreport.h"
+#include "decide/crashreports.h"
+#include "decide/suspectkey.h"
 #include "store/storeentry.h"
 
 namespace cowsliphead
 {
 
-/// The stored form of a quarantined request. It is kept so that gateways that start, and failure domains that are cut off from each other,
-/// know it.
+/// The stored form of the evidence against a suspect that is quarantined. It is kept so that gateways that start, and failure domains that
+/// are cut off from each other, know it.
 namespace quarantinecodec
 {
 
@@ -19,14 +20,13 @@
 inline constexpr const char *Prefix = "quarantine/";
 
 /// Thread safety: any thread.
-std::string keyOf(const RequestDigest &digest);
+std::string keyOf(SuspectKey suspect);
 
 /// Thread safety: any thread.
-std::string toText(const CrashCount &count);
+std::string toText(const std::vector<CrashSighting> &evidence);
 
-/// The report's remaining time is that of a new count, since the entry does not tell its age. Errors: CodecMalformed. Thread safety: any
-/// thread.
-Result<CrashReport> fromEntry(const StoreEntry &entry);
+/// Errors: CodecMalformed. Thread safety: any thread.
+Result<CrashReports> fromEntry(const StoreEntry &entry);
 
 } // namespace quarantinecodec
 
--- a/src/relay/quarantinerelay.h
+++ b/src/relay/quarantinerelay.h
@@ -13,8 +13,8 @@
 namespace cowsliphead
 {
 
-/// The part of a relay task that keeps the fleet in agreement about requests that crash endpoints: counts go from gateway to gateway by way
-/// of the relays, quarantined requests are also kept in the store. Thread safety: all members, on the loop's task only.
+/// The part of a relay task that keeps the fleet in agreement about what crashes endpoints: reports go from gateway to gateway by way of the
+/// relays, the evidence against what is quarantined is also kept in the store. Thread safety: all members, on the loop's task only.
 template <RangedStore S, Clock C>
 class QuarantineRelay
 {
@@ -30,7 +30,7 @@
     /// Follows the store, as the relay of the failure domain.
     void startReading(std::unique_ptr<S> store)
     {
-        store_.emplace(loop_, std::move(store), [this](const std::vector<CrashReport> &reports) { exchange_.received(reports, clock_.now()); });
+        store_.emplace(loop_, std::move(store), [this](const CrashReports &reports) { exchange_.received(reports, clock_.now()); });
         store_->start();
         storedVersion_ = 0;
         storeQuarantined(OtherRelayTime);
@@ -41,10 +41,10 @@
         store_.reset();
     }
 
-    /// The gateway task saw endpoints crash, or a request answered.
+    /// The gateway task saw endpoints crash, or suspects answered.
     void received(const CrashReports &crashes)
     {
-        exchange_.received(crashes.reports_, clock_.now());
+        exchange_.received(crashes, clock_.now());
         storeQuarantined({});
     }
 
@@ -70,7 +70,7 @@
     }
 
 private:
-    /// Time for the relay of the failure domain that found the request to store it, so that not every relay does.
+    /// Time for the relay of the failure domain that found the suspect to store it, so that not every relay does.
     static constexpr std::chrono::milliseconds OtherRelayTime{ 2000 };
 
     void storeQuarantined(std::chrono::milliseconds delay)
@@ -80,10 +80,8 @@
             return;
         }
         const auto now = clock_.now();
-        for (const auto &report : exchange_.crashes().changesAfter(storedVersion_, now)) {
-            if (exchange_.crashes().quarantineLeft(report.digest_, now)) {
-                store_->put(report.digest_, report.count_, now + delay);
-            }
+        for (const auto suspect : exchange_.crashes().quarantined(now)) {
+            store_->put(suspect, exchange_.crashes().evidenceAgainst(suspect, now), now + delay);
         }
         storedVersion_ = version;
     }
@@ -93,7 +91,7 @@
     CrashExchange exchange_;
     std::optional<QuarantineStore<S>> store_;
 
-    /// The version of the counts up to which quarantined requests were passed to the store.
+    /// The version of the register up to which suspects were passed to the store.
     std::uint64_t storedVersion_ = 0;
 };
 
--- a/src/relay/quarantinestore.h
+++ b/src/relay/quarantinestore.h
@@ -22,13 +22,13 @@
 namespace cowsliphead
 {
 
-/// Keeps the quarantined requests in the store and follows what other gateways put there. Entries end with a lease. Thread safety: all
+/// Keeps the evidence against quarantined suspects in the store and follows what other gateways put there. Entries end with a lease. Thread safety: all
 /// members, on the store's task only.
 template <RangedStore S>
 class QuarantineStore
 {
 public:
-    using OnReports = std::function<void(const std::vector<CrashReport> &)>;
+    using OnReports = std::function<void(const CrashReports &)>;
 
     /// onReports receives the entries of the store. Precondition: the loop outlives the object. No reply follows once it is destroyed.
     QuarantineStore(EventLoop &loop, std::unique_ptr<S> store, OnReports onReports)
@@ -46,11 +46,12 @@
         nextWrite_.startRepeating(WriteInterval);
     }
 
-    /// Puts the request into the store from this time on, unless it is there by then. Repeated calls change nothing.
-    void put(const RequestDigest &digest, const CrashCount &count, MonotonicTime from)
+    /// Puts the evidence into the store from this time on, unless there is some against the suspect by then. Repeated calls change nothing.
+    void put(SuspectKey suspect, std::vector<CrashSighting> evidence, MonotonicTime from)
     {
-        if (!stored_.contains(digest)) {
-            pending_.try_emplace(digest, Pending{ count, from });
+        const auto key = quarantinecodec::keyOf(suspect);
+        if (!stored_.contains(key)) {
+            pending_.try_emplace(key, Pending{ std::move(evidence), from });
         }
     }
 
@@ -62,7 +63,7 @@
     static constexpr std::chrono::milliseconds WriteInterval{ 500 };
 
     struct Pending {
-        CrashCount count_;
+        std::vector<CrashSighting> evidence_;
         MonotonicTime from_;
     };
 
@@ -121,19 +122,19 @@
 
     void apply(const std::vector<StoreEntry> &entries)
     {
-        std::vector<CrashReport> reports;
+        CrashReports reports;
         for (const auto &entry : entries) {
             if (entry.isErased_) {
-                stored_.erase(RequestDigest(entry.key_.substr(std::min(entry.key_.size(), std::string_view(quarantinecodec::Prefix).size()))));
-            } else if (auto report = quarantinecodec::fromEntry(entry)) {
-                stored_.insert(report->digest_);
-                pending_.erase(report->digest_);
-                reports.push_back(std::move(*report));
+                stored_.erase(entry.key_);
+            } else if (const auto evidence = quarantinecodec::fromEntry(entry)) {
+                stored_.insert(entry.key_);
+                pending_.erase(entry.key_);
+                reports.sightings_.insert(reports.sightings_.end(), evidence->sightings_.begin(), evidence->sightings_.end());
             } else {
                 logEvent(LogEvent::QuarantineEntryMalformed, { { "key", entry.key_ }, { "revision", entry.revision_ } });
             }
         }
-        if (!reports.empty()) {
+        if (reports.size() > 0) {
             onReports_(reports);
         }
     }
@@ -147,22 +148,20 @@
             return;
         }
         isWriting_ = true;
-        const auto digest = due->first;
-        const auto count = due->second.count_;
-        store_->grantLease(CrashRegister::CountLifetime, [this, digest, count](const Result<LeaseId> &lease) {
+        store_->grantLease(CrashRegister::Lifetime, [this, key = due->first, evidence = due->second.evidence_](const Result<LeaseId> &lease) {
             if (!lease) {
                 isWriting_ = false;
                 return;
             }
             StoreWrite write;
-            write.key_ = quarantinecodec::keyOf(digest);
-            write.value_ = quarantinecodec::toText(count);
+            write.key_ = key;
+            write.value_ = quarantinecodec::toText(evidence);
             write.lease_ = *lease;
-            store_->compareAndSwap(write, [this, digest](const Result<StoreRevision> &answer) {
+            store_->compareAndSwap(write, [this, key](const Result<StoreRevision> &answer) {
                 isWriting_ = false;
                 if (answer || answer.error() == ErrorCode::StoreConflict) {
-                    pending_.erase(digest);
-                    stored_.insert(digest);
+                    pending_.erase(key);
+                    stored_.insert(key);
                 }
             });
         });
@@ -173,8 +172,10 @@
     RetryBackoff backoff_;
     Timer nextCall_;
     Timer nextWrite_;
-    std::set<RequestDigest> stored_;
-    std::map<RequestDigest, Pending> pending_;
+
+    /// Keys of the store.
+    std::set<std::string> stored_;
+    std::map<std::string, Pending> pending_;
     StoreRevision cursor_ = 0;
     bool isReadDue_ = true;
     bool isWriting_ = false;
--- a/src/relay/relaylinks.h
+++ b/src/relay/relaylinks.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "decide/crashreports.h"
 #include "fleet/configurationconfirmed.h"
 #include "fleet/fleetsnapshot.h"
 #include "fleet/gatewaycount.h"
-#include "relay/crashreports.h"
 #include "relay/fleetload.h"
 #include "relay/loadquery.h"
 #include "relay/localload.h"
--- a/src/relay/relaymessagecodec.cpp
+++ b/src/relay/relaymessagecodec.cpp
@@ -5,7 +5,7 @@
 #include <map>
 #include <utility>
 
-#include "decide/crashregister.h"
+#include "decide/crashreports.h"
 #include "peer/messagepack.h"
 
 namespace cowsliphead::relaymessagecodec
@@ -16,7 +16,7 @@
 
 /// Raised with each change that a gateway of the version before would misread. Gateways of two formats do not understand each other: while both
 /// are running, each asks a relay of its own.
-constexpr std::uint32_t MessageFormat = 2;
+constexpr std::uint32_t MessageFormat = 3;
 
 struct WireAddress {
     std::string host_;
@@ -89,13 +89,22 @@
     MSGPACK_DEFINE_ARRAY(window_, version_)
 };
 
-struct WireCrash {
-    std::string digest_;
-    std::uint32_t generation_ = 0;
-    std::uint32_t crashes_ = 0;
-    std::uint64_t remainingMilliseconds_ = 0;
+struct WireSighting {
+    std::uint64_t endpoint_ = 0;
+    std::uint64_t request_ = 0;
+    std::vector<std::uint64_t> parts_;
+    std::uint32_t heldMilliseconds_ = 0;
+    std::uint32_t ageMilliseconds_ = 0;
+    bool isRefuted_ = false;
+
+    MSGPACK_DEFINE_ARRAY(endpoint_, request_, parts_, heldMilliseconds_, ageMilliseconds_, isRefuted_)
+};
 
-    MSGPACK_DEFINE_ARRAY(digest_, generation_, crashes_, remainingMilliseconds_)
+struct WireClearance {
+    std::uint64_t suspect_ = 0;
+    std::uint32_t ageMilliseconds_ = 0;
+
+    MSGPACK_DEFINE_ARRAY(suspect_, ageMilliseconds_)
 };
 
 /// Optional parts are arrays of at most one element.
@@ -113,7 +122,8 @@
     std::vector<WireCounts> counts_;
     std::string crashesOf_;
     std::uint64_t crashesVersion_ = 0;
-    std::vector<WireCrash> crashes_;
+    std::vector<WireSighting> sightings_;
+    std::vector<WireClearance> clearances_;
 
     MSGPACK_DEFINE_MAP(MSGPACK_NVP("z", format_),
                        MSGPACK_NVP("f", from_),
@@ -128,7 +138,8 @@
                        MSGPACK_NVP("w", counts_),
                        MSGPACK_NVP("k", crashesOf_),
                        MSGPACK_NVP("n", crashesVersion_),
-                       MSGPACK_NVP("q", crashes_))
+                       MSGPACK_NVP("q", sightings_),
+                       MSGPACK_NVP("j", clearances_))
 };
 
 struct WireAnswer {
@@ -152,7 +163,8 @@
     std::vector<WireLoad> loads_;
     std::vector<WireStored> stored_;
     std::uint64_t crashesVersion_ = 0;
-    std::vector<WireCrash> crashes_;
+    std::vector<WireSighting> sightings_;
+    std::vector<WireClearance> clearances_;
 
     MSGPACK_DEFINE_MAP(MSGPACK_NVP("z", format_),
                        MSGPACK_NVP("f", from_),
@@ -172,7 +184,8 @@
                        MSGPACK_NVP("l", loads_),
                        MSGPACK_NVP("w", stored_),
                        MSGPACK_NVP("n", crashesVersion_),
-                       MSGPACK_NVP("q", crashes_))
+                       MSGPACK_NVP("q", sightings_),
+                       MSGPACK_NVP("j", clearances_))
 };
 
 WireAddress toWire(const PeerAddress &address)
@@ -264,15 +277,35 @@
     return { {}, wire.window_, wire.version_ };
 }
 
-WireCrash toWire(const CrashReport &report)
+WireSighting toWire(const CrashSighting &sighting)
+{
+    WireSighting wire{ static_cast<std::uint64_t>(sighting.endpoint_),     static_cast<std::uint64_t>(sighting.request_),     {},
+                       static_cast<std::uint32_t>(sighting.held_.count()), static_cast<std::uint32_t>(sighting.age_.count()), sighting.isRefuted_ };
+    std::transform(
+        sighting.parts_.begin(), sighting.parts_.end(), std::back_inserter(wire.parts_), [](SuspectKey part) { return static_cast<std::uint64_t>(part); });
+    return wire;
+}
+
+CrashSighting fromWire(const WireSighting &wire)
+{
+    CrashSighting sighting{ IncarnationKey(wire.endpoint_),
+                            SuspectKey(wire.request_),
+                            {},
+                            std::chrono::milliseconds(wire.heldMilliseconds_),
+                            std::chrono::milliseconds(wire.ageMilliseconds_),
+                            wire.isRefuted_ };
+    std::transform(wire.parts_.begin(), wire.parts_.end(), std::back_inserter(sighting.parts_), [](std::uint64_t part) { return SuspectKey(part); });
+    return sighting;
+}
+
+WireClearance toWire(const CrashClearance &clearance)
 {
-    return { report.digest_.value(), report.count_.generation_, report.count_.crashes_, static_cast<std::uint64_t>(report.remaining_.count()) };
+    return { static_cast<std::uint64_t>(clearance.suspect_), static_cast<std::uint32_t>(clearance.age_.count()) };
 }
 
-CrashReport fromWire(const WireCrash &wire)
+CrashClearance fromWire(const WireClearance &wire)
 {
-    const auto remaining = std::min<std::uint64_t>(wire.remainingMilliseconds_, std::chrono::milliseconds(CrashRegister::CountLifetime).count());
-    return { RequestDigest(wire.digest_), { wire.generation_, wire.crashes_ }, std::chrono::milliseconds(remaining) };
+    return { SuspectKey(wire.suspect_), std::chrono::milliseconds(wire.ageMilliseconds_) };
 }
 
 template <typename Wire, typename Items>
@@ -341,7 +374,8 @@
                                         allToWire<WireCounts>(query.counts_),
                                         query.crashes_.knownOf_.value(),
                                         query.crashes_.knownVersion_,
-                                        allToWire<WireCrash>(query.crashes_.reports_) });
+                                        allToWire<WireSighting>(query.crashes_.reports_.sightings_),
+                                        allToWire<WireClearance>(query.crashes_.reports_.clearances_) });
 }
 
 Result<RelayQuery> decodeQuery(std::string_view bytes)
@@ -371,7 +405,9 @@
                        wire->members_,
                        std::move(*loads),
                        std::move(counts),
-                       { InstanceId(wire->crashesOf_), wire->crashesVersion_, allFromWire<CrashReport>(wire->crashes_) } };
+                       { InstanceId(wire->crashesOf_),
+                         wire->crashesVersion_,
+                         { allFromWire<CrashSighting>(wire->sightings_), allFromWire<CrashClearance>(wire->clearances_) } } };
 }
 
 std::string encode(const RelayAnswer &answer)
@@ -397,7 +433,8 @@
     wire.loads_ = allToWire<WireLoad>(answer.loads_);
     wire.stored_ = allToWire<WireStored>(answer.stored_);
     wire.crashesVersion_ = answer.crashes_.version_;
-    wire.crashes_ = allToWire<WireCrash>(answer.crashes_.reports_);
+    wire.sightings_ = allToWire<WireSighting>(answer.crashes_.reports_.sightings_);
+    wire.clearances_ = allToWire<WireClearance>(answer.crashes_.reports_.clearances_);
     return messagepack::pack(wire);
 }
 
@@ -431,7 +468,7 @@
     answer.gateways_ = wire->gateways_;
     answer.loads_ = std::move(*loads);
     answer.stored_ = allFromWire<CountsStored>(wire->stored_);
-    answer.crashes_ = { wire->crashesVersion_, allFromWire<CrashReport>(wire->crashes_) };
+    answer.crashes_ = { wire->crashesVersion_, { allFromWire<CrashSighting>(wire->sightings_), allFromWire<CrashClearance>(wire->clearances_) } };
     return answer;
 }
 
--- a/tests/decide/crashregistertest.cpp
+++ b/tests/decide/crashregistertest.cpp
@@ -10,20 +10,31 @@
 namespace
 {
 
-const RequestDigest Request("r");
+const CrashSuspects Request{ SuspectKey(1), {} };
+const CrashSuspects OtherRequest{ SuspectKey(2), {} };
 
 struct Fixture {
     VirtualClock clock_;
     CrashRegister crashes_;
+    int endpoints_ = 0;
 
-    bool isQuarantined() const
+    bool isQuarantined(const CrashSuspects &suspects = Request) const
     {
-        return crashes_.quarantineLeft(Request, clock_.now()).has_value();
+        return crashes_.verdictOn(suspects, clock_.now()).has_value();
     }
 
-    void crashOnce()
+    IncarnationKey nextEndpoint()
     {
-        crashes_.crashed(Request, crashes_.countOf(Request, clock_.now()), clock_.now());
+        return IncarnationKey(++endpoints_);
+    }
+
+    IncarnationKey crashOnce(const CrashSuspects &suspects = Request)
+    {
+        const auto writtenAt = clock_.now();
+        clock_.advance(10ms);
+        const auto endpoint = nextEndpoint();
+        crashes_.crashed(suspects, endpoint, writtenAt, clock_.now());
+        return endpoint;
     }
 };
 
@@ -38,14 +49,14 @@
     void send(std::size_t gateway, bool crashes)
     {
         auto &own = registers_[gateway];
-        if (own.quarantineLeft(Request, clock_.now())) {
+        if (own.verdictOn(Request, clock_.now())) {
             return;
         }
-        const auto atDispatch = own.countOf(Request, clock_.now());
+        const auto writtenAt = clock_.now();
         clock_.advance(10ms);
         if (crashes) {
             ++crashes_;
-            own.crashed(Request, atDispatch, clock_.now());
+            own.crashed(Request, IncarnationKey(crashes_), writtenAt, clock_.now());
         } else {
             own.answered(Request, clock_.now());
         }
@@ -79,7 +90,7 @@
     BOOST_TEST(!isQuarantined());
     crashOnce();
     BOOST_TEST(isQuarantined());
-    BOOST_TEST((crashes_.quarantineLeft(Request, clock_.now()) == std::optional<std::chrono::milliseconds>(10min)));
+    BOOST_TEST((crashes_.verdictOn(Request, clock_.now())->left_ == 10min));
 }
 
 BOOST_AUTO_TEST_CASE(is_dispatched_again_once_the_quarantine_has_expired)
@@ -98,7 +109,7 @@
     for (int crash = 0; crash < 3; ++crash) {
         crashOnce();
     }
-    BOOST_TEST(!crashes_.quarantineLeft(RequestDigest("other"), clock_.now()).has_value());
+    BOOST_TEST(!isQuarantined(OtherRequest));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -108,9 +119,10 @@
 
 BOOST_AUTO_TEST_CASE(is_not_quarantined_if_its_endpoints_fail_at_the_same_moment)
 {
-    const auto atDispatch = crashes_.countOf(Request, clock_.now());
+    const auto writtenAt = clock_.now();
+    clock_.advance(10ms);
     for (int endpoint = 0; endpoint < 20; ++endpoint) {
-        crashes_.crashed(Request, atDispatch, clock_.now());
+        crashes_.crashed(Request, nextEndpoint(), writtenAt, clock_.now());
     }
     BOOST_TEST(!isQuarantined());
 }
@@ -136,23 +148,44 @@
 
 BOOST_AUTO_TEST_CASE(is_released_when_an_endpoint_turns_out_to_be_alive_and_quarantined_by_the_next_crash)
 {
-    for (int crash = 0; crash < 3; ++crash) {
-        crashOnce();
-    }
-    crashes_.survived(Request, clock_.now());
+    const auto endpoint = crashOnce();
+    crashOnce();
+    crashOnce();
+    crashes_.survived(endpoint, clock_.now(), clock_.now());
     BOOST_TEST(!isQuarantined());
     crashOnce();
     BOOST_TEST(isQuarantined());
 }
 
+BOOST_AUTO_TEST_CASE(is_not_released_by_an_endpoint_that_was_alive_before_it_crashed)
+{
+    const auto before = clock_.now();
+    const auto endpoint = crashOnce();
+    crashOnce();
+    crashOnce();
+    crashes_.survived(endpoint, before, clock_.now());
+    BOOST_TEST(isQuarantined());
+}
+
+BOOST_AUTO_TEST_CASE(is_not_quarantined_if_one_endpoint_loses_it_again_and_again)
+{
+    const auto endpoint = nextEndpoint();
+    for (int loss = 0; loss < 20; ++loss) {
+        crashes_.crashed(Request, endpoint, clock_.now(), clock_.now());
+        clock_.advance(100ms);
+    }
+    BOOST_TEST(!isQuarantined());
+}
+
 BOOST_AUTO_TEST_CASE(is_not_blamed_for_a_dispatch_from_before_the_answer)
 {
     crashOnce();
     crashOnce();
-    const auto atDispatch = crashes_.countOf(Request, clock_.now());
+    const auto writtenAt = clock_.now();
     crashes_.answered(Request, clock_.now());
-    crashes_.crashed(Request, atDispatch, clock_.now());
-    BOOST_TEST(crashes_.countOf(Request, clock_.now()).crashes_ == 1U);
+    clock_.advance(10ms);
+    crashes_.crashed(Request, nextEndpoint(), writtenAt, clock_.now());
+    BOOST_TEST(crashes_.crashesInARow(Request, clock_.now()) == 1U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -202,7 +235,7 @@
         gateways.tellAll();
     }
     for (const auto &crashes : gateways.registers_) {
-        RC_ASSERT(!crashes.quarantineLeft(Request, gateways.clock_.now()));
+        RC_ASSERT(!crashes.verdictOn(Request, gateways.clock_.now()));
     }
 }
 
@@ -221,7 +254,7 @@
     gateways.tellAll();
     const auto now = gateways.clock_.now();
     for (const auto &crashes : gateways.registers_) {
-        RC_ASSERT(crashes.countOf(Request, now) == gateways.registers_[0].countOf(Request, now));
+        RC_ASSERT(crashes.crashesInARow(Request, now) == gateways.registers_[0].crashesInARow(Request, now));
     }
 }
 
@@ -235,20 +268,20 @@
 {
     crashOnce();
     const auto version = crashes_.version();
-    BOOST_TEST(crashes_.changesAfter(version, clock_.now()).empty());
-    crashes_.crashed(RequestDigest("other"), {}, clock_.now());
+    BOOST_TEST(crashes_.changesAfter(version, clock_.now()).size() == 0U);
+    crashOnce(OtherRequest);
     const auto changes = crashes_.changesAfter(version, clock_.now());
-    BOOST_REQUIRE(changes.size() == 1U);
-    BOOST_TEST((changes[0].digest_ == RequestDigest("other")));
+    BOOST_REQUIRE(changes.sightings_.size() == 1U);
+    BOOST_TEST((changes.sightings_[0].request_ == OtherRequest.request_));
 }
 
 BOOST_AUTO_TEST_CASE(tells_others_of_many_single_crashes_in_small_parts_and_only_for_a_while)
 {
     // Regression test (tks-bundles-grown, hunt-2cc4-7): a thousand lost requests made each query of a relay so large that its answers came too
     // late, and gateways found no relay after an outage of the store.
-    constexpr int Losses = 1000;
-    for (int number = 0; number < Losses; ++number) {
-        crashes_.crashed(RequestDigest(std::to_string(number)), {}, clock_.now());
+    constexpr std::uint64_t Losses = 1000;
+    for (std::uint64_t number = 0; number < Losses; ++number) {
+        crashes_.crashed({ SuspectKey(100 + number), {} }, nextEndpoint(), clock_.now(), clock_.now());
     }
     std::size_t told = 0;
     for (std::uint64_t version = 0; version < crashes_.version();) {
@@ -262,14 +295,47 @@
     clock_.advance(11s);
     crashOnce();
     crashOnce();
+    crashOnce();
+    clock_.advance(11s);
     const auto later = crashes_.changesFor(0, clock_.now());
-    BOOST_REQUIRE(later.reports_.size() == 1U);
-    BOOST_TEST((later.reports_[0].digest_ == Request));
+    BOOST_REQUIRE(later.reports_.sightings_.size() == 3U);
+    BOOST_TEST((later.reports_.sightings_[0].request_ == Request.request_));
     BOOST_TEST(later.version_ == crashes_.version());
 }
 
+BOOST_AUTO_TEST_CASE(tells_of_crashes_of_long_ago_once_they_lead_to_a_quarantine)
+{
+    std::uint64_t told = 0;
+    CrashRegister late;
+    for (int crash = 0; crash < 3; ++crash) {
+        clock_.advance(60s);
+        told = crashes_.version();
+        crashOnce();
+    }
+    const auto changes = crashes_.changesFor(told, clock_.now());
+    late.merge(changes.reports_, clock_.now());
+    BOOST_TEST(late.verdictOn(Request, clock_.now()).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(tells_a_gateway_that_starts_what_released_a_request)
+{
+    const auto endpoint = crashOnce();
+    crashOnce();
+    crashOnce();
+    const auto stored = CrashReports{ crashes_.evidenceAgainst(*Request.request_, clock_.now()), {} };
+    crashes_.survived(endpoint, clock_.now(), clock_.now());
+    clock_.advance(60s);
+    CrashRegister late;
+    late.merge(stored, clock_.now());
+    BOOST_TEST(late.verdictOn(Request, clock_.now()).has_value());
+    late.merge(crashes_.changesFor(0, clock_.now()).reports_, clock_.now());
+    BOOST_TEST(!late.verdictOn(Request, clock_.now()).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(does_not_change_when_it_is_told_what_it_knows)
 {
+    crashOnce();
+    crashes_.answered(Request, clock_.now());
     crashOnce();
     const auto version = crashes_.version();
     crashes_.merge(crashes_.changesAfter(0, clock_.now()), clock_.now());
@@ -281,16 +347,19 @@
     for (int crash = 0; crash < 3; ++crash) {
         crashOnce();
     }
-    for (std::size_t number = 0; number < 2 * CrashRegister::MaxCounts; ++number) {
-        crashes_.crashed(RequestDigest(std::to_string(number)), {}, clock_.now());
+    for (std::size_t number = 0; number < 2 * CrashRegister::MaxEntries; ++number) {
+        crashes_.crashed({ SuspectKey(100 + number), {} }, nextEndpoint(), clock_.now(), clock_.now());
     }
     BOOST_TEST(isQuarantined());
-    BOOST_TEST(crashes_.changesAfter(0, clock_.now()).size() == CrashRegister::MaxCounts);
+    BOOST_TEST(crashes_.changesAfter(0, clock_.now()).size() == CrashRegister::MaxEntries);
 }
 
 BOOST_AUTO_TEST_CASE(takes_no_longer_lifetime_from_a_report_than_it_gives_itself)
 {
-    crashes_.merge({ CrashReport{ Request, { 0, 3 }, 24h } }, clock_.now());
+    for (std::uint64_t endpoint = 1; endpoint <= 3; ++endpoint) {
+        crashes_.merge({ { CrashSighting{ IncarnationKey(endpoint), *Request.request_, {}, 0ms, -24h, false } }, {} }, clock_.now());
+    }
+    BOOST_TEST(isQuarantined());
     clock_.advance(10min);
     BOOST_TEST(!isQuarantined());
 }
--- a/tests/gateway/crashingparttest.cpp
+++ b/tests/gateway/crashingparttest.cpp
@@ -64,9 +64,9 @@
     for (int request = 0; request < 3; ++request) {
         send("first:9,other" + std::to_string(request) + ":3,deadly:7");
     }
-    BOOST_TEST(send("deadly:7").status_ == 503);
     BOOST_TEST(send("first:9,deadly:7,between:3").status_ == 503);
     BOOST_TEST(send("first:9").status_ == 200);
+    BOOST_TEST(send("deadly:7").status_ == 503);
 }
 
 BOOST_AUTO_TEST_CASE(keeps_no_sound_request_of_its_account_or_with_its_other_parts_from_being_served)
--- a/tests/relay/crashexchangetest.cpp
+++ b/tests/relay/crashexchangetest.cpp
@@ -16,7 +16,7 @@
 namespace
 {
 
-const RequestDigest Request("r");
+const CrashSuspects Request{ SuspectKey(1), {} };
 
 /// A gateway of several, whose processes exchange their counts by queries that may be lost.
 struct Process {
@@ -26,7 +26,7 @@
 
     explicit Process(const std::string &name, VirtualClock &clock)
         : incarnation_(name)
-        , exchange_(incarnation_, Address<CrashReports>([this, &clock](const CrashReports &reports) { dispatching_.merge(reports.reports_, clock.now()); }))
+        , exchange_(incarnation_, Address<CrashReports>([this, &clock](const CrashReports &reports) { dispatching_.merge(reports, clock.now()); }))
     {
     }
 };
@@ -37,6 +37,7 @@
     VirtualClock clock_;
     std::array<std::unique_ptr<Process>, Count> processes_;
     int starts_ = 0;
+    int endpoints_ = 0;
     std::size_t lastReports_ = 0;
 
     Exchanges()
@@ -59,7 +60,8 @@
     void crash(std::size_t number)
     {
         auto &process = *processes_[number];
-        process.dispatching_.crashed(Request, process.dispatching_.countOf(Request, clock_.now()), clock_.now());
+        clock_.advance(10ms);
+        process.dispatching_.crashed(Request, IncarnationKey(++endpoints_), clock_.now(), clock_.now());
         process.exchange_.received(process.dispatching_.changesAfter(0, clock_.now()), clock_.now());
     }
 
@@ -78,9 +80,9 @@
         }
     }
 
-    std::uint32_t crashesAt(std::size_t number) const
+    std::size_t crashesAt(std::size_t number) const
     {
-        return processes_[number]->dispatching_.countOf(Request, clock_.now()).crashes_;
+        return processes_[number]->dispatching_.crashesInARow(Request, clock_.now());
     }
 };
 
@@ -160,25 +162,25 @@
 
 BOOST_AUTO_TEST_SUITE(the_messages_of_relays)
 
-BOOST_AUTO_TEST_CASE(carry_the_counts_of_crashes)
+BOOST_AUTO_TEST_CASE(carry_what_is_known_of_crashes_and_answers)
 {
+    const CrashSighting sighting{ IncarnationKey(~0ULL), SuspectKey(2), { SuspectKey(3), SuspectKey(1ULL << 63U) }, 40ms, 5000ms, true };
+    const CrashClearance clearance{ SuspectKey(3), 700ms };
     RelayQuery query;
     query.from_ = { InstanceId("i"), FailureDomain("a"), { "10.0.0.1", 7 } };
-    query.crashes_ = { InstanceId("known"), 12, { { Request, { 2, 3 }, 5000ms } } };
+    query.crashes_ = { InstanceId("known"), 12, { { sighting }, { clearance } } };
     const auto decodedQuery = relaymessagecodec::decodeQuery(relaymessagecodec::encode(query));
     BOOST_REQUIRE(decodedQuery.has_value());
     BOOST_TEST((decodedQuery->crashes_.knownOf_ == InstanceId("known")));
     BOOST_TEST(decodedQuery->crashes_.knownVersion_ == 12U);
     RelayAnswer answer;
-    answer.crashes_ = { 13, { { Request, { 2, 3 }, 5000ms } } };
+    answer.crashes_ = { 13, { { sighting }, { clearance } } };
     const auto decodedAnswer = relaymessagecodec::decodeAnswer(relaymessagecodec::encode(answer));
     BOOST_REQUIRE(decodedAnswer.has_value());
     BOOST_TEST(decodedAnswer->crashes_.version_ == 13U);
     for (const auto &reports : { decodedQuery->crashes_.reports_, decodedAnswer->crashes_.reports_ }) {
-        BOOST_REQUIRE(reports.size() == 1U);
-        BOOST_TEST((reports[0].digest_ == Request));
-        BOOST_TEST((reports[0].count_ == CrashCount{ 2, 3 }));
-        BOOST_TEST((reports[0].remaining_ == 5000ms));
+        BOOST_TEST((reports.sightings_ == std::vector<CrashSighting>{ sighting }));
+        BOOST_TEST((reports.clearances_ == std::vector<CrashClearance>{ clearance }));
     }
 }
 
--- a/tests/relay/quarantinestoretest.cpp
+++ b/tests/relay/quarantinestoretest.cpp
@@ -13,8 +13,10 @@
 namespace
 {
 
-const RequestDigest Request("r");
-const std::string Value = R"({"crashes":3,"generation":0})";
+constexpr SuspectKey Part{ 0x1f };
+const std::string Key = "quarantine/000000000000001f";
+const std::string Value = R"({"crashes":[{"ageMs":5,"endpoint":18446744073709551615,"heldMs":40,"parts":[31],"request":2}]})";
+const std::vector<CrashSighting> Evidence{ { IncarnationKey(~0ULL), SuspectKey(2), { Part }, 40ms, 5ms, false } };
 
 /// Passes each call on to a store that outlives the client.
 class StoreClient
@@ -72,9 +74,9 @@
 struct Fixture {
     EventLoop loop_;
     FakeStore store_;
-    std::vector<CrashReport> reports_;
-    QuarantineStore<StoreClient> quarantine_{ loop_, std::make_unique<StoreClient>(store_), [this](const std::vector<CrashReport> &reports) {
-                                                 reports_.insert(reports_.end(), reports.begin(), reports.end());
+    std::vector<CrashSighting> crashes_;
+    QuarantineStore<StoreClient> quarantine_{ loop_, std::make_unique<StoreClient>(store_), [this](const CrashReports &reports) {
+                                                 crashes_.insert(crashes_.end(), reports.sightings_.begin(), reports.sightings_.end());
                                              } };
 
     Fixture()
@@ -97,45 +99,46 @@
 
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(the_quarantined_requests_in_the_store, Fixture)
+BOOST_FIXTURE_TEST_SUITE(the_quarantined_suspects_in_the_store, Fixture)
 
 BOOST_AUTO_TEST_CASE(are_read_at_the_start_and_watched_from_then_on)
 {
-    answerRead({ { "quarantine/r", Value, 9, false } });
+    answerRead({ { Key, Value, 9, false } });
     BOOST_TEST(store_.watchedAfter_["quarantine/"] == 10U);
     store_.watches_["quarantine/"](WatchAnswer{ { { "quarantine/s", Value, 11, false } }, 11 });
-    BOOST_REQUIRE(reports_.size() == 2U);
-    BOOST_TEST((reports_[0].digest_ == Request));
-    BOOST_TEST((reports_[0].count_ == CrashCount{ 0, 3 }));
-    BOOST_TEST((reports_[1].digest_ == RequestDigest("s")));
+    BOOST_REQUIRE(crashes_.size() == 2U);
+    BOOST_TEST((crashes_[0] == Evidence[0]));
+    BOOST_TEST((crashes_[1] == Evidence[0]));
 }
 
 BOOST_AUTO_TEST_CASE(that_cannot_be_decoded_are_left_out)
 {
     answerRead({ { "quarantine/a", "", 1, false },
                  { "quarantine/b", "[]", 2, false },
-                 { "quarantine/c", R"({"crashes":-3,"generation":0})", 3, false },
-                 { "quarantine/d", R"({"crashes":3,"generation":4294967296})", 4, false },
-                 { "quarantine/", Value, 5, false },
-                 { "quarantine/r", Value, 6, false } });
-    BOOST_REQUIRE(reports_.size() == 1U);
-    BOOST_TEST((reports_[0].digest_ == Request));
+                 { "quarantine/c", R"({"crashes":3})", 3, false },
+                 { "quarantine/d", R"({"crashes":[3]})", 4, false },
+                 { "quarantine/e", R"({"crashes":[{"ageMs":-5,"endpoint":1,"heldMs":40,"parts":[],"request":2}]})", 5, false },
+                 { "quarantine/f", R"({"crashes":[{"ageMs":5,"endpoint":1,"heldMs":40,"parts":["p"],"request":2}]})", 6, false },
+                 { "quarantine/g", R"({"crashes":[{"ageMs":5,"endpoint":18446744073709551616,"heldMs":40,"parts":[],"request":2}]})", 7, false },
+                 { Key, Value, 8, false } });
+    BOOST_REQUIRE(crashes_.size() == 1U);
+    BOOST_TEST((crashes_[0] == Evidence[0]));
 }
 
 BOOST_AUTO_TEST_CASE(are_written_under_a_lease_unless_they_are_there)
 {
     answerRead({});
-    quarantine_.put(Request, { 0, 3 }, SystemClock().now());
+    quarantine_.put(Part, Evidence, SystemClock().now());
     run(600ms);
     BOOST_REQUIRE(store_.leaseReplies_.size() == 1U);
     store_.leaseReplies_[0](LeaseId("7"));
     BOOST_REQUIRE(store_.writes_.size() == 1U);
-    BOOST_TEST(store_.writes_[0].key_ == "quarantine/r");
+    BOOST_TEST(store_.writes_[0].key_ == Key);
     BOOST_TEST(store_.writes_[0].value_ == Value);
     BOOST_TEST(store_.writes_[0].expectedRevision_ == 0U);
     BOOST_TEST((store_.writes_[0].lease_ == LeaseId("7")));
     store_.writeReplies_[0](failure(ErrorCode::StoreConflict));
-    quarantine_.put(Request, { 0, 3 }, SystemClock().now());
+    quarantine_.put(Part, Evidence, SystemClock().now());
     run();
     BOOST_TEST(store_.leaseReplies_.size() == 1U);
 }
@@ -143,7 +146,7 @@
 BOOST_AUTO_TEST_CASE(are_written_again_after_an_answer_that_was_lost)
 {
     answerRead({});
-    quarantine_.put(Request, { 0, 3 }, SystemClock().now());
+    quarantine_.put(Part, Evidence, SystemClock().now());
     run(600ms);
     store_.leaseReplies_[0](failure(ErrorCode::StoreUnavailable));
     run(600ms);
@@ -157,10 +160,10 @@
 BOOST_AUTO_TEST_CASE(are_left_to_the_relay_that_found_them_for_a_while)
 {
     answerRead({});
-    quarantine_.put(Request, { 0, 3 }, SystemClock().now() + 900ms);
+    quarantine_.put(Part, Evidence, SystemClock().now() + 900ms);
     run(600ms);
     BOOST_TEST(store_.leaseReplies_.empty());
-    store_.watches_["quarantine/"](WatchAnswer{ { { "quarantine/r", Value, 11, false } }, 11 });
+    store_.watches_["quarantine/"](WatchAnswer{ { { Key, Value, 11, false } }, 11 });
     run();
     BOOST_TEST(store_.leaseReplies_.empty());
 }
@@ -172,8 +175,8 @@
     store_.watches_["quarantine/"](failure(ErrorCode::StoreHistoryGone));
     run(600ms);
     BOOST_REQUIRE(store_.ranges_.contains("quarantine/"));
-    answerRead({ { "quarantine/r", Value, 9, false } });
-    BOOST_TEST(reports_.size() == 1U);
+    answerRead({ { Key, Value, 9, false } });
+    BOOST_TEST(crashes_.size() == 1U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/soak/crashfleet.h
+++ b/tests/soak/crashfleet.h
@@ -17,8 +17,8 @@
 #include "task/timer.h"
 #include "usagereportserver.h"
 
-/// Gateway processes of two failure domains before endpoints that one request crashes. A caller sends that request again and again, to one
-/// gateway after the other; another caller sends ordinary requests.
+/// Gateway processes of two failure domains before endpoints that one request, or one part of prompts, crashes. Crashing requests are sent to
+/// one gateway after the other; another caller sends ordinary requests.
 class CrashFleet
 {
 public:
@@ -41,6 +41,10 @@
     /// From now on the crashing request is sent at this interval.
     void sendCrashingRequests(std::chrono::milliseconds interval);
 
+    /// From now on requests that only share the crashing part are sent at this interval, and as often sound ones that share another part with
+    /// them.
+    void sendCrashingParts(std::chrono::milliseconds interval);
+
     /// Kills all gateways; they start again at once.
     void killGateways();
 
@@ -53,9 +57,12 @@
     /// The number of crashes after a time.
     int crashesAfter(Time time) const;
 
-    /// The answers to the crashing request with this status.
+    /// The answers to crashing requests with this status.
     int answersWith(int status) const;
 
+    /// The share of the sound requests sent beside crashing parts since a time that were answered with success.
+    double soundSuccessRateSince(Time time) const;
+
     const SoakLedger &ledger() const
     {
         return ledger_;
@@ -63,6 +70,10 @@
 
 private:
     struct Endpoint {
+        int number_ = 0;
+
+        /// Tells one run of the endpoint from the next.
+        int born_ = 0;
         std::unique_ptr<EndpointServer> server_;
         std::unique_ptr<FaultProxy> proxy_;
         std::unique_ptr<cowsliphead::Timer> restart_;
@@ -72,8 +83,10 @@
 
     void writeConfiguration();
     void addEndpoint(int number);
+    void start(Endpoint &endpoint);
     void crash(Endpoint &endpoint);
     void sendCrashingRequest();
+    void send(const std::string &path, const std::string &parts, bool isSound);
 
     cowsliphead::EventLoop loop_;
     StoreServer store_{ loop_ };
@@ -84,6 +97,7 @@
     std::unique_ptr<SoakCaller> caller_;
     std::vector<std::shared_ptr<Call>> calls_;
     std::vector<Time> crashes_;
+    bool sharesPart_ = false;
     cowsliphead::Timer sendTimer_;
     cowsliphead::Timer restartTimer_;
 };
--- a/tests/soak/crashingrequesttest.cpp
+++ b/tests/soak/crashingrequesttest.cpp
@@ -92,3 +92,32 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Regression test (incident BUDGET, LOST): gateways counted crashes by whole requests, so that different requests with one part of a prompt
+// crashed endpoint after endpoint.
+BOOST_FIXTURE_TEST_SUITE(a_part_of_prompts_that_crashes_each_endpoint, Fixture)
+
+BOOST_AUTO_TEST_CASE(is_sent_to_no_endpoint_by_any_gateway_while_sound_requests_with_its_other_parts_go_on)
+{
+    fleet_->sendCrashingParts(150ms);
+    fleet_->runFor(9000ms);
+    BOOST_REQUIRE(fleet_->crashes().size() >= Threshold);
+    BOOST_TEST_MESSAGE(fleet_->crashes().size() << " crashes");
+    BOOST_TEST(fleet_->crashesAfter(fleet_->crashes()[Threshold - 1] + SpreadTime) <= MaxLateSendings);
+    BOOST_TEST(fleet_->answersWith(503) > 0);
+    BOOST_TEST(fleet_->ledger().violations().empty());
+    BOOST_TEST(fleet_->soundSuccessRateSince(std::chrono::steady_clock::now() - 3s) > 0.9);
+}
+
+BOOST_AUTO_TEST_CASE(is_still_known_after_all_gateways_were_killed)
+{
+    fleet_->sendCrashingParts(150ms);
+    fleet_->runFor(6000ms);
+    fleet_->killGateways();
+    const auto killedAt = std::chrono::steady_clock::now();
+    fleet_->runFor(4000ms);
+    BOOST_TEST(fleet_->crashesAfter(killedAt) <= MaxLateSendings);
+    BOOST_TEST(fleet_->soundSuccessRateSince(std::chrono::steady_clock::now() - 2s) > 0.9);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/soak/endpointserver.cpp
+++ b/tests/soak/endpointserver.cpp
@@ -30,9 +30,9 @@
 
 EndpointServer::~EndpointServer() = default;
 
-void EndpointServer::crashOn(std::string path, std::function<void()> onCrash)
+void EndpointServer::crashOn(std::function<bool(const RequestHead &)> isDeadly, std::function<void()> onCrash)
 {
-    crashingPath_ = std::move(path);
+    isDeadly_ = std::move(isDeadly);
     onCrash_ = std::move(onCrash);
 }
 
@@ -67,7 +67,7 @@
         return;
     }
     ledger_.recordRun(attempt, id_, headerValue(headers, "X-Tenant"), !headerValue(headers, "X-Api-Key").empty());
-    if (request.head_.target_ == crashingPath_) {
+    if (isDeadly_ && isDeadly_(request.head_)) {
         loop_.defer(onCrash_);
         return;
     }
--- a/tests/soak/endpointserver.h
+++ b/tests/soak/endpointserver.h
@@ -32,8 +32,9 @@
         return id_;
     }
 
-    /// From now on a request for this path makes the endpoint crash while it runs it: onCrash is called, which has to cut all connections.
-    void crashOn(std::string path, std::function<void()> onCrash);
+    /// From now on a request that isDeadly holds for makes the endpoint crash while it runs it: onCrash is called, which has to cut all
+    /// connections.
+    void crashOn(std::function<bool(const cowsliphead::RequestHead &)> isDeadly, std::function<void()> onCrash);
 
 private:
     struct Session {
@@ -48,7 +49,7 @@
     cowsliphead::EventLoop &loop_;
     SoakLedger &ledger_;
     std::string id_;
-    std::string crashingPath_;
+    std::function<bool(const cowsliphead::RequestHead &)> isDeadly_;
     std::function<void()> onCrash_;
     std::map<std::uint64_t, Session> sessions_;
     std::uint64_t lastSessionNumber_ = 0;
