Tests: answers of endpoints with neither a length nor chunks

The gateway held this before: such an answer is whole when its connection ends in order, not when it is reset; a stream that ends inside an event is broken off, and resumed elsewhere after its last whole event. Nothing changed.

--- a/tests/gateway/rawendpoint.cpp
+++ b/tests/gateway/rawendpoint.cpp
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <sys/socket.h>
 
 #include "http1/socketaddress.h"
 
@@ -46,6 +47,16 @@
     endpoint.loop_.defer([&endpoint, events] { endpoint.connections_.erase(events); });
 }
 
+void RawEndpoint::onWrittenBeforeReset(bufferevent *events, void *self)
+{
+    const linger immediately{ .l_onoff = 1, .l_linger = 0 };
+    setsockopt(bufferevent_getfd(events), SOL_SOCKET, SO_LINGER, &immediately, sizeof immediately);
+    auto &endpoint = *static_cast<RawEndpoint *>(self);
+    // Time for the gateway to read the bytes, which a reset would discard.
+    endpoint.pendingWrites_.push_back(std::make_unique<Timer>(endpoint.loop_, [&endpoint, events] { endpoint.connections_.erase(events); }));
+    endpoint.pendingWrites_.back()->startOnce(std::chrono::milliseconds(50));
+}
+
 void RawEndpoint::onDrained(bufferevent *events, void *self)
 {
     const auto &bytes = static_cast<RawEndpoint *>(self)->endlessBytes_[events];
@@ -97,7 +108,9 @@
         loop_.defer([this] { crash(); });
         return;
     }
-    if (script.closesConnection_) {
+    if (script.resetsConnection_) {
+        bufferevent_setcb(events, nullptr, &RawEndpoint::onWrittenBeforeReset, &RawEndpoint::onEvent, this);
+    } else if (script.closesConnection_) {
         bufferevent_setcb(events, nullptr, &RawEndpoint::onWritten, &RawEndpoint::onEvent, this);
     }
 }
--- a/tests/gateway/rawendpoint.h
+++ b/tests/gateway/rawendpoint.h
@@ -35,6 +35,9 @@
 
         /// Sent again and again after the other bytes, until the gateway closes the connection.
         std::string endlessBytes_ = {};
+
+        /// Resets the connection after the bytes.
+        bool resetsConnection_ = false;
     };
 
     RawEndpoint(cowsliphead::EventLoop &loop, std::vector<Script> scripts);
@@ -62,6 +65,7 @@
 private:
     static void onReadable(bufferevent *events, void *self);
     static void onWritten(bufferevent *events, void *self);
+    static void onWrittenBeforeReset(bufferevent *events, void *self);
     static void onDrained(bufferevent *events, void *self);
     static void onEvent(bufferevent *events, short what, void *self);
 
