--- a/tests/decide/crashingparttest.cpp
+++ b/tests/decide/crashingparttest.cpp
@@ -103,6 +103,17 @@
     BOOST_TEST(crashes_.verdictOn(same, clock_.now()).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(is_not_blamed_for_one_request_that_comes_again_and_another_that_ran_beside)
+{
+    const auto same = request({ Deadly });
+    crash({ request({ Deadly }) });
+    for (int crashes = 0; crashes < 3; ++crashes) {
+        crash({ same });
+    }
+    BOOST_TEST(!isQuarantined(Deadly));
+    BOOST_TEST(crashes_.verdictOn(same, clock_.now()).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(is_not_blamed_for_crashes_that_another_part_explains)
 {
     // The first part was answered between the crashes, so not all of them speak against it.
