Parts of prompts that were answered before need more crashes to be blamed

What callers would see: with endpoints failing for other reasons beside a deadly part, or in a row across most of a service, a part that most sound requests have was refused for ten minutes.

Cause: three crashes in a row sufficed for any part. A part that was answered for as long as anybody remembers was blamed by one crash for another reason beside two under the deadly part; and a part in all requests cannot be told from the failure of all endpoints. The other way round, crashes that overlapped, and the two attempts of one request, counted as one, so that after a pause more than three requests with the deadly part came late.

Such a part now needs five crashes at separate moments, is not blamed for crashes at which a part was that was never answered, and is tried again after 30 s. Five crashes at separate moments under two requests suffice for any part. Where the known part was at most of the crashes only, requests without the other one are let through.

--- a/src/decide/blamedsuspects.h
+++ b/src/decide/blamedsuspects.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstddef>
 #include <vector>
 
 #include "decide/blame.h"
@@ -8,7 +7,7 @@
 namespace cowsliphead
 {
 
-/// Returns the suspects with at least so many crashes in a row that no likelier suspect explains. Thread safety: any thread.
-std::vector<Blame> blamedSuspects(std::vector<CrashEvidence> suspects, std::size_t crashesInARow);
+/// Returns the suspects whose crashes suffice, without those that a likelier suspect explains. Thread safety: any thread.
+std::vector<Blame> blamedSuspects(std::vector<CrashEvidence> suspects);
 
 } // namespace cowsliphead
--- a/src/decide/crashevidence.cpp
+++ b/src/decide/crashevidence.cpp
@@ -24,6 +24,32 @@
     return endpoints;
 }
 
+bool CrashEvidence::suffices(const std::set<IncarnationKey> &explained) const
+{
+    const bool isKnownPart = wasAnswered_ && !records_.empty() && isPart();
+    return crashedApart(explained) || (!isKnownPart && crashesInARow(explained) >= BlamedInARow);
+}
+
+bool CrashEvidence::crashedApart(const std::set<IncarnationKey> &explained) const
+{
+    auto endpoints = explained;
+    std::set<SuspectKey> requests;
+    const CrashRecord *last = nullptr;
+    std::size_t crashes = 0;
+    for (const auto *record : records_) {
+        if (record->request_ == suspect_ || explained.contains(record->endpoint_)) {
+            continue;
+        }
+        requests.insert(record->request_);
+        const bool isApart = last == nullptr || record->crashedAt_ - last->crashedAt_ >= SeparateMoments;
+        if (isApart && endpoints.insert(record->endpoint_).second) {
+            last = record;
+            ++crashes;
+        }
+    }
+    return crashes >= BlamedApart && requests.size() > 1;
+}
+
 std::size_t CrashEvidence::crashesInARow(const std::set<IncarnationKey> &explained) const
 {
     auto endpoints = explained;
--- a/src/decide/crashevidence.h
+++ b/src/decide/crashevidence.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <set>
 #include <vector>
@@ -42,6 +43,14 @@
 
     std::set<IncarnationKey> endpoints() const;
 
+    /// Crashes in a row that suffice to blame a suspect.
+    static constexpr std::size_t BlamedInARow = 3;
+
+    /// True if the crashes suffice to blame the suspect. A part of prompts that was answered before needs more of them, since many requests
+    /// may have it: were it blamed for endpoints that fail for another reason, all of these would be refused. explained: endpoints whose
+    /// crashes do not count.
+    bool suffices(const std::set<IncarnationKey> &explained = {}) const;
+
     /// How many of the crashes followed one another: each at another endpoint, and under a request that was written after the crash before,
     /// so that endpoints which fail at the same moment count once. Crashes with a part count only under different requests, since those under
     /// a request that comes again speak against the request. explained: endpoints whose crashes do not count.
@@ -52,6 +61,15 @@
     bool isLikelierThan(const CrashEvidence &other) const;
 
 private:
+    /// Crashes at separate moments that suffice to blame a part of prompts although its requests ran at the same time.
+    static constexpr std::size_t BlamedApart = 5;
+
+    /// Engines that fail together do so within less.
+    static constexpr std::chrono::milliseconds SeparateMoments{ 50 };
+
+    /// True if a part was there at so many crashes at separate moments, and not only under one request.
+    bool crashedApart(const std::set<IncarnationKey> &explained) const;
+
     /// Position in the prompt; a request comes after all its parts.
     std::size_t depth() const;
 
--- a/src/decide/crashregister.cpp
+++ b/src/decide/crashregister.cpp
@@ -301,11 +301,11 @@
     }
     std::vector<CrashEvidence> suspects;
     for (const auto &[suspect, crashes] : openCrashes_) {
-        if (crashes.size() >= QuarantineThreshold) {
+        if (crashes.size() > 1) {
             suspects.push_back(evidenceOf(suspect, now));
         }
     }
-    const auto blames = blamedSuspects(std::move(suspects), QuarantineThreshold);
+    const auto blames = blamedSuspects(std::move(suspects));
     std::erase_if(verdicts_, [now](const auto &item) { return now >= item.second.until_; });
     for (auto &[suspect, verdict] : verdicts_) {
         verdict.isQuarantined_ = false;
@@ -318,8 +318,13 @@
 void CrashRegister::quarantine(const Blame &blame, MonotonicTime now)
 {
     const auto &evidence = blame.evidence_;
+    const auto duration = evidence.wasAnswered() && evidence.isPart() ? KnownPartQuarantine : std::chrono::seconds(Lifetime);
+    const auto until = evidence.records().back()->crashedAt_ + duration;
+    if (now >= until) {
+        return;
+    }
     const auto [verdict, isNew] = verdicts_.try_emplace(evidence.suspect());
-    verdict->second = { true, evidence.records().back()->crashedAt_ + Lifetime, blame.alternatives_ };
+    verdict->second = { true, until, blame.alternatives_ };
     if (isNew) {
         // Other gateways may not have been told of crashes of long ago.
         for (const auto &key : crashesBySuspect_.at(evidence.suspect())) {
--- a/src/decide/crashregister.h
+++ b/src/decide/crashregister.h
@@ -30,12 +30,12 @@
 class CrashRegister
 {
 public:
-    /// Crashes in a row after which a suspect is quarantined.
-    static constexpr std::size_t QuarantineThreshold = 3;
-
     /// How long a suspect is quarantined after its last crash, and how long crashes and answers are remembered.
     static constexpr std::chrono::minutes Lifetime{ 10 };
 
+    /// The same for a part of prompts that was answered before, which is tried again sooner: many requests may have it.
+    static constexpr std::chrono::seconds KnownPartQuarantine{ 30 };
+
     /// Limits the memory that failing endpoints and callers can occupy.
     static constexpr std::size_t MaxEntries = 4096;
 
