serve: parts of prompts that crash engines are recognized too

What callers saw: each request that shares the deadly message with others crashed up to three engines of a daemon before it was quarantined, and the next request began anew; the same cause as in the gateway.

The daemon's Quarantine judges whole requests as before. The messages of a prompt but the last are judged by CrashRegister beside it. Endpoints there do not say when they started, so EndpointRuns takes a crash for another one if the request was written after the crash before.

Evidence: test_serve -t a_poison_request/that_shares_the_deadly_part_with _others fails with three checks without the verdict, as before: the fourth request crashes engines again. With it no engine crashes under the fourth, and sound requests are answered.

--- a/src/gateway/crashkeys.cpp
+++ b/src/decide/crashkeys.cpp
@@ -1,9 +1,7 @@
-#include "gateway/crashkeys.h"
+#include "decide/crashkeys.h"
 
 #include <xxhash.h>
 
-#include "fleet/endpointentry.h"
-
 namespace cowsliphead::crashkeys
 {
 
@@ -26,9 +24,9 @@
     return SuspectKey(XXH3_64bits_withSeed(part.data(), part.size(), PartSeed));
 }
 
-IncarnationKey ofEndpoint(const EndpointEntry &entry)
+IncarnationKey ofEndpoint(const EndpointId &endpoint, std::uint64_t incarnation)
 {
-    return IncarnationKey(XXH3_64bits_withSeed(entry.id_.value().data(), entry.id_.value().size(), entry.incarnation_));
+    return IncarnationKey(XXH3_64bits_withSeed(endpoint.value().data(), endpoint.value().size(), incarnation));
 }
 
 } // namespace cowsliphead::crashkeys
--- a/src/gateway/crashtracker.cpp
+++ b/src/gateway/crashtracker.cpp
@@ -1,7 +1,7 @@
 #include "gateway/crashtracker.h"
 
+#include "decide/crashkeys.h"
 #include "gateway/admittedrequest.h"
-#include "gateway/crashkeys.h"
 #include "gateway/gatewaycontext.h"
 #include "gateway/requestdigestof.h"
 #include "gateway/requestmetadata.h"
@@ -33,7 +33,7 @@
 void CrashTracker::endpointClosed(const EndpointEntry &endpoint, MonotonicTime writtenAt)
 {
     const auto now = context_.clock_.now();
-    const auto incarnation = crashkeys::ofEndpoint(endpoint);
+    const auto incarnation = crashkeys::ofEndpoint(endpoint.id_, endpoint.incarnation_);
     context_.crashes_.crashed(suspects(true), incarnation, writtenAt, now);
     context_.crashesChanged();
     // A single loss has no consequences, so it is not worth a connection.
@@ -51,7 +51,7 @@
     context_.crashes_.answered(suspects(!context_.crashes_.isEmpty()), now);
     // A list that is not up to date may name an incarnation whose successor has answered.
     if (!context_.crashes_.isEmpty() && context_.age_.isWithin(context_.settings_.bounds_.configuration_, now)) {
-        context_.crashes_.survived(crashkeys::ofEndpoint(endpoint), writtenAt, now);
+        context_.crashes_.survived(crashkeys::ofEndpoint(endpoint.id_, endpoint.incarnation_), writtenAt, now);
     }
     context_.crashesChanged();
 }
--- a/src/serve/activerequest.cpp
+++ b/src/serve/activerequest.cpp
@@ -179,6 +179,7 @@
     std::erase_if(forwarded.headers_, [](const auto &field) { return isSameHeaderName(field.first, TraceHeader); });
     forwarded.headers_.emplace_back(TraceHeader, telemetry_.attemptStarted(endpoint.endpoint_));
     attempt_ = std::make_unique<Attempt>(context_, endpoint, id);
+    requestIsolation_.attemptStarted();
     attempt_->start(endpoint, forwarded, planAttempt(plan_, isStreamRequested_, attemptNumber_, context_.clock_.now()), std::move(events));
 }
 
--- a/src/serve/requestisolation.cpp
+++ b/src/serve/requestisolation.cpp
@@ -4,9 +4,11 @@
 #include <utility>
 
 #include "core/sha256.h"
+#include "decide/crashkeys.h"
 #include "http/httprequest.h"
 #include "logs/log.h"
 #include "records/recordset.h"
+#include "serve/promptparts.h"
 #include "serve/servingcontext.h"
 
 namespace cowsliphead
@@ -27,6 +29,10 @@
 
 QuarantineStatus RequestIsolation::quarantineStatus()
 {
+    const CrashSuspects parts{ std::nullopt, context_.crashes_.isEmpty() ? std::vector<SuspectKey>() : suspects().parts_ };
+    if (context_.crashes_.verdictOn(parts, context_.clock_.now())) {
+        return QuarantineStatus::Quarantined;
+    }
     // Avoids computing the digest as long as no request is suspect or quarantined.
     return context_.quarantine_.size() == 0 ? QuarantineStatus::Trusted : context_.quarantine_.quarantineStatus(digest(), context_.clock_.now());
 }
@@ -57,9 +63,15 @@
     context_.isolationQueue_.remove(sequence_);
 }
 
+void RequestIsolation::attemptStarted()
+{
+    attemptStartedAt_ = context_.clock_.now();
+}
+
 void RequestIsolation::recordCrash(const EndpointId &endpoint)
 {
     const auto now = context_.clock_.now();
+    context_.crashes_.crashed(suspects(), context_.endpointRuns_.ended(endpoint, attemptStartedAt_, now), attemptStartedAt_, now);
     context_.quarantine_.crashed(digest(), endpoint, isIsolated_, now);
     if (context_.quarantine_.quarantineStatus(digest(), now) == QuarantineStatus::Quarantined) {
         logEvent(LogEvent::RequestQuarantined, { { "digest", digest().value() } });
@@ -71,6 +83,17 @@
     if (context_.quarantine_.size() > 0) {
         context_.quarantine_.answered(digest());
     }
+    if (!context_.crashes_.isEmpty()) {
+        context_.crashes_.answered(suspects(), context_.clock_.now());
+    }
+}
+
+const CrashSuspects &RequestIsolation::suspects()
+{
+    if (!suspects_) {
+        suspects_ = CrashSuspects{ crashkeys::ofRequest(digest()), sharedPromptParts(request_.body_) };
+    }
+    return *suspects_;
 }
 
 const RequestDigest &RequestIsolation::digest()
--- a/src/serve/requestisolation.h
+++ b/src/serve/requestisolation.h
@@ -7,6 +7,7 @@
 #include "core/endpointid.h"
 #include "core/requestdigest.h"
 #include "core/time.h"
+#include "decide/crashsuspects.h"
 #include "decide/quarantinestatus.h"
 #include "task/timer.h"
 
@@ -38,6 +39,9 @@
     /// Leaves the queue and frees the reserved endpoint, if any.
     void end();
 
+    /// The request is sent to an endpoint.
+    void attemptStarted();
+
     /// Records that the endpoint crashed while the request was in flight. Precondition: called before end().
     void recordCrash(const EndpointId &endpoint);
 
@@ -46,11 +50,14 @@
 
 private:
     const RequestDigest &digest();
+    const CrashSuspects &suspects();
 
     ServingContext &context_;
     const HttpRequest &request_;
     std::uint64_t sequence_;
     std::optional<RequestDigest> digest_;
+    std::optional<CrashSuspects> suspects_;
+    MonotonicTime attemptStartedAt_;
     bool isIsolated_ = false;
     std::function<void()> onDeadline_;
     Timer deadlineTimer_;
--- a/src/serve/servingcontext.h
+++ b/src/serve/servingcontext.h
@@ -6,8 +6,10 @@
 #include "core/failuredomain.h"
 #include "core/systemclock.h"
 #include "core/time.h"
+#include "decide/crashregister.h"
 #include "decide/endpointchooser.h"
 #include "decide/endpointhealth.h"
+#include "decide/endpointruns.h"
 #include "decide/quarantine.h"
 #include "decide/retrybudget.h"
 #include "decide/usageentry.h"
@@ -36,6 +38,10 @@
     EndpointChooser chooser_;
     EndpointHealth health_;
     Quarantine quarantine_;
+
+    /// Finds the parts of prompts that crash endpoints; quarantine_ judges whole requests.
+    CrashRegister crashes_{};
+    EndpointRuns endpointRuns_{};
     IsolationQueue isolationQueue_;
     FailureDomain failureDomain_;
 
--- a/tests/serve/servingtest.cpp
+++ b/tests/serve/servingtest.cpp
@@ -237,6 +237,27 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Regression test (incident BUDGET, LOST): crashes were counted by whole requests, so that different requests with one part of a prompt
+// crashed engine after engine.
+BOOST_FIXTURE_TEST_SUITE(that_shares_the_deadly_part_with_others, SixEngines)
+
+BOOST_AUTO_TEST_CASE(is_rejected_without_a_crash_after_three_others_and_sound_ones_are_answered)
+{
+    for (const auto *caller : { "one", "two", "three" }) {
+        BOOST_TEST(sendAll({ streamedBodyAfter("plague", caller, Tokens) }).front().outcome_ == "unknown");
+        // Waits until all engines are back.
+        crashes();
+    }
+    const auto before = crashes();
+    const auto answer = sendAll({ streamedBodyAfter("plague", "four", Tokens) }).front();
+    BOOST_TEST(answer.status_ == 422);
+    BOOST_TEST(answer.outcome_ == "not-run");
+    BOOST_TEST(crashes() == before);
+    BOOST_TEST(sendAll({ streamedBodyAfter("health", "five", Tokens) }).front().isComplete_);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_daemon_that_is_ordered_to_stop)
--- a/tests/serve/servingtestcluster.cpp
+++ b/tests/serve/servingtestcluster.cpp
@@ -229,6 +229,13 @@
     return buildBody(caller, tokens, true);
 }
 
+std::string streamedBodyAfter(const std::string &sharedMessage, const std::string &caller, int tokens)
+{
+    auto body = nlohmann::json::parse(buildBody(caller, tokens, true));
+    body["messages"] = { { { "role", "system" }, { "content", sharedMessage } }, { { "role", "user" }, { "content", caller } } };
+    return body.dump();
+}
+
 std::string unstreamedBody(const std::string &caller, int tokens)
 {
     return buildBody(caller, tokens, false);
--- a/tests/serve/servingtestcluster.h
+++ b/tests/serve/servingtestcluster.h
@@ -73,6 +73,9 @@
 /// Request body of a streamed completion whose tokens contain the caller's name.
 std::string streamedBody(const std::string &caller, int tokens);
 
+/// Request body of a streamed completion whose prompt begins with a message that other requests may share.
+std::string streamedBodyAfter(const std::string &sharedMessage, const std::string &caller, int tokens);
+
 /// Request body of an unstreamed completion.
 std::string unstreamedBody(const std::string &caller, int tokens);
 
