serve: an answer with neither a length nor chunks is whole if it ended in order

What callers saw: an endpoint whose answers have neither a length nor chunks could not be used at all; each answer counted as lost. Cause: libevent reports the end of the connection as the end of such an answer, and a crash was taken to look the same. A reset is reported as an error, though; and a completion that is not JSON to its end is not whole.

A stream is whole only after its last event, as before; a test shows it for each place at which its connection may end.

--- a/src/http/httpcall.cpp
+++ b/src/http/httpcall.cpp
@@ -167,8 +167,9 @@
         return;
     }
     const auto self = std::exchange(self_, nullptr);
-    const bool isAnswerComplete = request != nullptr && isHeadRead_ && !error_ && isBodyDelimited(request);
-    const bool canReuse = isAnswerComplete && isConnectionReusable(request);
+    // A body with neither a length nor chunks is complete if the connection ended in order; libevent reports a reset as an error.
+    const bool isAnswerComplete = request != nullptr && isHeadRead_ && !error_;
+    const bool canReuse = isAnswerComplete && isBodyDelimited(request) && isConnectionReusable(request);
     request_ = nullptr;
     removeOutputCallback();
     const auto onEnd = std::exchange(events_, {}).onEnd_;
@@ -215,7 +216,6 @@
 
 bool HttpCall::isBodyDelimited(evhttp_request *request) const
 {
-    // libevent reports a body without a length as complete when the connection closes, but a server crash looks the same.
     const auto *fields = evhttp_request_get_input_headers(request);
     const bool hasLength = evhttp_find_header(fields, "Content-Length") != nullptr || evhttp_find_header(fields, "Transfer-Encoding") != nullptr;
     const auto status = evhttp_request_get_response_code(request);
--- a/src/serve/activerequest.cpp
+++ b/src/serve/activerequest.cpp
@@ -18,6 +18,7 @@
 #include "serve/attempt.h"
 #include "serve/attemptplan.h"
 #include "serve/servingcontext.h"
+#include "serve/wholeanswer.h"
 #include "task/eventloop.h"
 
 namespace cowsliphead
@@ -223,6 +224,10 @@
         failAttempt(end.error());
         return;
     }
+    if (!isStreamed_ && !isWholeAnswer(answerHead_, answerBody_, !plan_.target_.model_.isEmpty())) {
+        failAttempt({ make_error_code(ErrorCode::EndpointLost), true, false });
+        return;
+    }
     requestIsolation_.recordAnswered();
     closeAttempt({});
     execute(machine_.answerEnded());
--- a/tests/serve/answerstreamtest.cpp
+++ b/tests/serve/answerstreamtest.cpp
@@ -129,6 +129,26 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(whose_connection_ends)
+
+BOOST_AUTO_TEST_CASE(is_whole_only_after_its_last_event)
+{
+    const std::string events = "data: {\"token\":1}\n\ndata: [DONE]\n\n";
+    const auto first = events.find("\n\n") + 2;
+    for (std::size_t size = 0; size < events.size(); ++size) {
+        AnswerStream stream;
+        stream.beginAttempt("1");
+        BOOST_TEST(stream.append(events.substr(0, size)) == (size < first ? "" : events.substr(0, first)));
+        BOOST_TEST(!stream.isComplete());
+    }
+    AnswerStream stream;
+    stream.beginAttempt("1");
+    BOOST_TEST(stream.append(events) == events);
+    BOOST_TEST(stream.isComplete());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(whose_next_endpoint_does_not_confirm_the_resume_position)
 
 BOOST_AUTO_TEST_CASE(does_not_continue_with_that_endpoint)
--- a/tests/soak/crashingrequesttest.cpp
+++ b/tests/soak/crashingrequesttest.cpp
@@ -42,6 +42,13 @@
         }
     }
 
+    void checkLateCrashes() const
+    {
+        BOOST_REQUIRE(fleet_->crashes().size() >= Threshold);
+        BOOST_TEST_MESSAGE(fleet_->crashes().size() << " crashes");
+        BOOST_TEST(fleet_->crashesAfter(fleet_->crashes()[Threshold - 1] + SpreadTime) <= MaxLateSendings);
+    }
+
     Fixture(const Fixture &) = delete;
     Fixture &operator=(const Fixture &) = delete;
 };
@@ -64,9 +71,7 @@
 {
     fleet_->sendCrashingRequests(150ms);
     fleet_->runFor(9000ms);
-    BOOST_REQUIRE(fleet_->crashes().size() >= Threshold);
-    BOOST_TEST_MESSAGE(fleet_->crashes().size() << " crashes");
-    BOOST_TEST(fleet_->crashesAfter(fleet_->crashes()[Threshold - 1] + SpreadTime) <= MaxLateSendings);
+    checkLateCrashes();
     BOOST_TEST(fleet_->answersWith(503) > 0);
     BOOST_TEST(fleet_->ledger().violations().empty());
     BOOST_TEST(fleet_->ledger().successRateSince(std::chrono::steady_clock::now() - 3s) > 0.9);
@@ -86,9 +91,7 @@
 {
     fleet_->sendCrashingRequests(150ms);
     fleet_->runFor(6000ms);
-    BOOST_REQUIRE(fleet_->crashes().size() >= Threshold);
-    BOOST_TEST_MESSAGE(fleet_->crashes().size() << " crashes");
-    BOOST_TEST(fleet_->crashesAfter(fleet_->crashes()[Threshold - 1] + SpreadTime) <= MaxLateSendings);
+    checkLateCrashes();
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -101,9 +104,7 @@
 {
     fleet_->sendCrashingParts(150ms);
     fleet_->runFor(9000ms);
-    BOOST_REQUIRE(fleet_->crashes().size() >= Threshold);
-    BOOST_TEST_MESSAGE(fleet_->crashes().size() << " crashes");
-    BOOST_TEST(fleet_->crashesAfter(fleet_->crashes()[Threshold - 1] + SpreadTime) <= MaxLateSendings);
+    checkLateCrashes();
     BOOST_TEST(fleet_->answersWith(503) > 0);
     BOOST_TEST(fleet_->ledger().violations().empty());
     BOOST_TEST(fleet_->soundSuccessRateSince(std::chrono::steady_clock::now() - 3s) > 0.9);
