The register of crashes stays cheap while many endpoints fail

What callers would see: after losses by the hundred, as when a failure domain is cut off, each further one took a gateway milliseconds. Cause: all evidence was gathered and compared anew at each change, and a part that many requests have collects hundreds of crashes. At most 32 crashes are held against one suspect now, only evidence that changed is gathered again, and with more than 64 suspects decisions are made each 200 ms.

--- a/src/decide/blamedsuspects.cpp
+++ b/src/decide/blamedsuspects.cpp
@@ -11,17 +11,14 @@
 namespace
 {
 
-/// Crashes in a row from which on a suspect is compared with others.
-constexpr std::size_t SuspectedInARow = 2;
-
 /// True if the crashes leave open which of the two parts causes them: the other one was there at most of them.
 bool isAlternative(const CrashEvidence &other, const CrashEvidence &blamed)
 {
     if (other.suspect() == blamed.suspect() || !other.isPart() || !blamed.isPart() || other.wasAnswered() != blamed.wasAnswered()) {
         return false;
     }
-    const auto explained = other.endpoints();
-    const auto crashed = blamed.endpoints();
+    const auto &explained = other.endpoints();
+    const auto &crashed = blamed.endpoints();
     const auto common = std::count_if(crashed.begin(), crashed.end(), [&explained](auto endpoint) { return explained.contains(endpoint); });
     const auto rest = static_cast<std::ptrdiff_t>(crashed.size()) - common;
     return rest < common && rest < static_cast<std::ptrdiff_t>(CrashEvidence::BlamedInARow);
@@ -44,7 +41,7 @@
     std::set<IncarnationKey> endpoints;
     for (const auto &evidence : suspects) {
         if (evidence.isPart() && !evidence.wasAnswered()) {
-            endpoints.merge(evidence.endpoints());
+            endpoints.insert(evidence.endpoints().begin(), evidence.endpoints().end());
         }
     }
     return endpoints;
@@ -54,7 +51,6 @@
 
 std::vector<Blame> blamedSuspects(std::vector<CrashEvidence> suspects)
 {
-    std::erase_if(suspects, [](const auto &evidence) { return evidence.crashesInARow() < SuspectedInARow && !evidence.suffices(); });
     const auto underUnknownParts = crashesUnderUnknownParts(suspects);
     std::sort(suspects.begin(), suspects.end(), [](const auto &left, const auto &right) { return left.isLikelierThan(right); });
     std::set<IncarnationKey> explained;
@@ -65,7 +61,7 @@
             otherwiseExplained.insert(underUnknownParts.begin(), underUnknownParts.end());
         }
         if (evidence.suffices(otherwiseExplained)) {
-            explained.merge(evidence.endpoints());
+            explained.insert(evidence.endpoints().begin(), evidence.endpoints().end());
             blames.push_back({ evidence, alternativesTo(evidence, suspects) });
         }
     }
--- a/src/decide/blamedsuspects.h
+++ b/src/decide/blamedsuspects.h
@@ -7,7 +7,8 @@
 namespace cowsliphead
 {
 
-/// Returns the suspects whose crashes suffice, without those that a likelier suspect explains. Thread safety: any thread.
+/// Returns the suspects whose crashes suffice, without those that a likelier suspect explains. Precondition: all isSuspected(). Thread safety:
+/// any thread.
 std::vector<Blame> blamedSuspects(std::vector<CrashEvidence> suspects);
 
 } // namespace cowsliphead
--- a/src/decide/crashevidence.cpp
+++ b/src/decide/crashevidence.cpp
@@ -13,15 +13,9 @@
     , wasAnswered_(wasAnswered)
 {
     std::stable_sort(records_.begin(), records_.end(), [](const auto *left, const auto *right) { return left->crashedAt_ < right->crashedAt_; });
-}
-
-std::set<IncarnationKey> CrashEvidence::endpoints() const
-{
-    std::set<IncarnationKey> endpoints;
     for (const auto *record : records_) {
-        endpoints.insert(record->endpoint_);
+        endpoints_.insert(record->endpoint_);
     }
-    return endpoints;
 }
 
 bool CrashEvidence::suffices(const std::set<IncarnationKey> &explained) const
@@ -30,6 +24,11 @@
     return crashedApart(explained) || (!isKnownPart && crashesInARow(explained) >= BlamedInARow);
 }
 
+bool CrashEvidence::isSuspected() const
+{
+    return crashesInARow() >= SuspectedInARow || suffices();
+}
+
 bool CrashEvidence::crashedApart(const std::set<IncarnationKey> &explained) const
 {
     auto endpoints = explained;
@@ -72,7 +71,7 @@
 bool CrashEvidence::isLikelierThan(const CrashEvidence &other) const
 {
     const auto rank = [](const CrashEvidence &evidence) {
-        return std::tuple(!evidence.wasAnswered_, evidence.endpoints().size(), evidence.depth(), evidence.suspect_);
+        return std::tuple(!evidence.wasAnswered_, evidence.endpoints_.size(), evidence.depth(), evidence.suspect_);
     };
     return rank(*this) > rank(other);
 }
--- a/src/decide/crashevidence.h
+++ b/src/decide/crashevidence.h
@@ -41,7 +41,10 @@
         return records_;
     }
 
-    std::set<IncarnationKey> endpoints() const;
+    const std::set<IncarnationKey> &endpoints() const
+    {
+        return endpoints_;
+    }
 
     /// Crashes in a row that suffice to blame a suspect.
     static constexpr std::size_t BlamedInARow = 3;
@@ -51,6 +54,9 @@
     /// crashes do not count.
     bool suffices(const std::set<IncarnationKey> &explained = {}) const;
 
+    /// True if there are enough crashes to compare the suspect with others.
+    bool isSuspected() const;
+
     /// How many of the crashes followed one another: each at another endpoint, and under a request that was written after the crash before,
     /// so that endpoints which fail at the same moment count once. Crashes with a part count only under different requests, since those under
     /// a request that comes again speak against the request. explained: endpoints whose crashes do not count.
@@ -61,6 +67,8 @@
     bool isLikelierThan(const CrashEvidence &other) const;
 
 private:
+    static constexpr std::size_t SuspectedInARow = 2;
+
     /// Crashes at separate moments that suffice to blame a part of prompts although its requests ran at the same time.
     static constexpr std::size_t BlamedApart = 5;
 
@@ -75,6 +83,7 @@
 
     SuspectKey suspect_;
     std::vector<const CrashRecord *> records_;
+    std::set<IncarnationKey> endpoints_;
     bool wasAnswered_;
 };
 
--- a/src/decide/crashregister.cpp
+++ b/src/decide/crashregister.cpp
@@ -212,10 +212,11 @@
 {
     const RecordKey key{ record.endpoint_, record.request_ };
     crashesBySuspect_[suspect].insert(key);
-    if (isOpen(record, suspect)) {
-        openCrashes_[suspect].insert(key);
-    } else {
+    if (!isOpen(record, suspect)) {
         close(suspect, key);
+    } else if (auto &open = openCrashes_[suspect]; open.size() < MaxOpenCrashes) {
+        open.insert(key);
+        touched_.insert(suspect);
     }
     if (const auto answeredAt = answers_.lastOf(suspect)) {
         clear(suspect, *answeredAt, now);
@@ -241,6 +242,7 @@
     }
     auto &clearance = clearances_[suspect];
     clearance.answeredAt_ = answeredAt;
+    touched_.insert(suspect);
     changed(clearance, suspect, now);
     for (const auto *record : evidence.records()) {
         if (!isOpen(*record, suspect)) {
@@ -263,6 +265,7 @@
 {
     const auto open = openCrashes_.find(suspect);
     if (open != openCrashes_.end()) {
+        touched_.insert(suspect);
         open->second.erase(record);
         if (open->second.empty()) {
             openCrashes_.erase(open);
@@ -276,7 +279,6 @@
     change.version_ = ++version_;
     change.changedAt_ = now;
     changes_.emplace(version_, key);
-    isChanged_ = true;
 }
 
 CrashEvidence CrashRegister::evidenceOf(SuspectKey suspect, MonotonicTime now) const
@@ -294,16 +296,30 @@
     return { suspect, std::move(records), clearances_.contains(suspect) };
 }
 
+void CrashRegister::updateSuspected(MonotonicTime now)
+{
+    for (const auto suspect : std::exchange(touched_, {})) {
+        isDecisionDue_ = suspected_.erase(suspect) > 0 || isDecisionDue_;
+        auto evidence = evidenceOf(suspect, now);
+        if (evidence.isSuspected()) {
+            suspected_.emplace(suspect, std::move(evidence));
+            isDecisionDue_ = true;
+        }
+    }
+}
+
 void CrashRegister::reconsider(MonotonicTime now)
 {
-    if (!std::exchange(isChanged_, false)) {
+    updateSuspected(now);
+    const bool isTooSoon = suspected_.size() > MaxSuspectsAtOnce && now - decidedAt_ < DecisionInterval;
+    if (!isDecisionDue_ || isTooSoon) {
         return;
     }
+    isDecisionDue_ = false;
+    decidedAt_ = now;
     std::vector<CrashEvidence> suspects;
-    for (const auto &[suspect, crashes] : openCrashes_) {
-        if (crashes.size() > 1) {
-            suspects.push_back(evidenceOf(suspect, now));
-        }
+    for (const auto &[suspect, evidence] : suspected_) {
+        suspects.push_back(evidence);
     }
     const auto blames = blamedSuspects(std::move(suspects));
     std::erase_if(verdicts_, [now](const auto &item) { return now >= item.second.until_; });
@@ -394,7 +410,6 @@
 
 void CrashRegister::erase(const EntryKey &key)
 {
-    isChanged_ = true;
     if (const auto *record = std::get_if<RecordKey>(&key)) {
         const auto found = crashes_.find(*record);
         for (const auto suspect : suspectsOf(found->second.record_)) {
--- a/src/decide/crashregister.h
+++ b/src/decide/crashregister.h
@@ -79,6 +79,13 @@
     /// How long a change is told that leads to no quarantine.
     static constexpr std::chrono::seconds RecentTime{ 10 };
 
+    /// Crashes that are held against one suspect. A part that many requests have collects hundreds while all endpoints fail.
+    static constexpr std::size_t MaxOpenCrashes = 32;
+
+    /// With more suspects than this, as after a failure of many endpoints, decisions are made at intervals only.
+    static constexpr std::size_t MaxSuspectsAtOnce = 64;
+    static constexpr std::chrono::milliseconds DecisionInterval{ 200 };
+
     /// Changes in one message: a few kilobytes, which the smallest links carry beside their load.
     static constexpr std::size_t MaxReports = 64;
 
@@ -122,6 +129,7 @@
 
     /// Decides again who is to blame, if any evidence has changed.
     void reconsider(MonotonicTime now);
+    void updateSuspected(MonotonicTime now);
     void quarantine(const Blame &blame, MonotonicTime now);
     bool hasVerdict(SuspectKey suspect, MonotonicTime now) const;
     bool isNeeded(const EntryKey &key, MonotonicTime now) const;
@@ -134,7 +142,7 @@
     std::map<RecordKey, Crash> crashes_;
     std::map<SuspectKey, std::set<RecordKey>> crashesBySuspect_;
 
-    /// As crashesBySuspect_, without crashes that are refuted or from before the suspect's last answer.
+    /// As crashesBySuspect_, without crashes that are refuted or from before the suspect's last answer; at most MaxOpenCrashes each.
     std::map<SuspectKey, std::set<RecordKey>> openCrashes_;
 
     /// The last known answers to suspects that were there at crashes.
@@ -142,8 +150,13 @@
     RecentAnswers answers_;
     std::map<SuspectKey, Verdict> verdicts_;
 
-    /// True if evidence has changed since the last decision.
-    bool isChanged_ = false;
+    /// The suspects whose evidence has changed.
+    std::set<SuspectKey> touched_;
+
+    /// The evidence against all that isSuspected().
+    std::map<SuspectKey, CrashEvidence> suspected_;
+    bool isDecisionDue_ = false;
+    MonotonicTime decidedAt_;
 
     /// The entries in the order of their last changes.
     std::map<std::uint64_t, EntryKey> changes_;
