--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,5 +1,4 @@
 import os
-import socket
 import sys
 import threading
 import time
@@ -52,7 +51,7 @@
 
     def order():
         """Orders one after the other on a kept channel, until that is closed."""
-        with socket.create_connection(("127.0.0.1", gateway.front), 1) as channel:
+        with gateway.connect() as channel:
             channel.settimeout(3)
             reader = Reader(channel)
             answered = 0
@@ -85,7 +84,7 @@
     for _ in range(STREAMS):
         attempt = attempt_id()
         record(f"client: POST /verdict/1 attempt={attempt}")
-        with socket.create_connection(("127.0.0.1", gateway.front), 1) as channel:
+        with gateway.connect() as channel:
             channel.settimeout(9)
             channel.sendall(request_bytes("POST", "/verdict/1", [("X-Attempt-Id", attempt), ("X-Deadline-Ms", "8000"), ("X-Api-Key", KEY)], b"prompt"))
             try:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,5 +1,4 @@
 import os
-import socket
 import sys
 import time
 
@@ -49,7 +48,7 @@
         # The order and the one retry of the site's clients, on a new channel.
         for _ in range(2):
             attempt = attempt_id()
-            with socket.create_connection(("127.0.0.1", gateway.front), 1) as channel:
+            with gateway.connect() as channel:
                 channel.settimeout(3)
                 channel.sendall(request_bytes("POST", "/order/1", [("X-Attempt-Id", attempt), ("X-Deadline-Ms", "1000"), ("X-Api-Key", KEY)], order))
                 answer = Reader(channel).message()
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,5 +1,4 @@
 import os
-import socket
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
@@ -30,7 +29,7 @@
     lost = 0
     for number in range(CHANNELS):
         gateway = deployment.gateways[number % len(deployment.gateways)]
-        with socket.create_connection(("127.0.0.1", gateway.front), 1) as channel:
+        with gateway.connect() as channel:
             channel.settimeout(8)
             reader = Reader(channel)
             for prompt in (b"first question", b"how does a stream end"):
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -5,6 +5,7 @@
 import json
 import os
 import random
+import re
 import shutil
 import signal
 import socket
@@ -26,21 +27,16 @@
     """The case could not be carried out."""
 
 
-_taken_ports = set()
+def render(template, fields):
+    """Fills in the placeholders of a settings template that platform/settings.template uses: {{a.b}} and {{a.b|json}}."""
 
+    def value(match):
+        found = fields
+        for name in match[1].split("."):
+            found = found[int(name)] if isinstance(found, list) else found[name]
+        return json.dumps(found) if match[2] else str(found)
 
-def free_port():
-    """A port that nothing uses, below the range from which the system draws ports of outgoing channels."""
-    while True:
-        port = random.randrange(12000, 30000)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        if port not in _taken_ports:
-            _taken_ports.add(port)
-            return port
+    return re.sub(r"\{\{([A-Za-z0-9.]+)(\|json)?\}\}", value, template)
 
 
 class Record:
@@ -377,31 +373,47 @@
             "tenants": [{"name": name, "apiKeys": [key], "priority": 1} for name, key in KEYS.items()]}
 
 
+# The bounds of tks-bundles.
+BOUNDS = {"drainMs": 2000, "graceS": 8, "configMs": 2000, "revokeMs": 5000, "budgetSlack": 56, "leaseMs": 3000, "reportWindowS": 5, "usageLateS": 10}
+
+
 class Gateway:
-    """A gateway process, started with the command of the deploy file."""
+    """A gateway process on an address of its own, started with the command of the deploy file."""
 
     def __init__(self, number, deployment):
         self.name = f"front-{ZONES[number]}-1"
-        self.front = free_port()
-        self.ready = free_port()
+        self.ip = f"{deployment.network}.{number + 1}"
+        self._fields = {"nodeName": self.name, "zone": ZONES[number], "ip": self.ip, "internalPorts": [7660, 7675],
+                        "listen": {"front": f"{self.ip}:8405", "ready": f"{self.ip}:8406"}, "provider": {"address": deployment.store.address},
+                        "cloud": {"address": deployment.cloud.address}, "bounds": dict(BOUNDS)}
         self._settings = os.path.join(deployment.folder, self.name + ".settings")
         self._log = open(os.path.join(deployment.folder, self.name + ".log"), "w", encoding="utf-8")
-        with open(self._settings, "w", encoding="utf-8") as file:
-            json.dump({"instance": self.name, "failureDomain": ZONES[number], "callers": f"127.0.0.1:{self.front}",
-                       "readiness": f"127.0.0.1:{self.ready}", "store": deployment.store.address, "platform": deployment.cloud.address,
-                       "peer": f"127.0.0.1:{free_port()}", "metricsPort": free_port(), "keyWithdrawalMs": 5000, "configurationMs": 2000,
-                       "endpointLeaveMs": 2000, "stopGraceMs": 8000, "retryPercent": 20, "retryReserve": 56, "usageWindowMs": 5000,
-                       "usageReportMs": 10000, "leaseMs": 3000}, file)
+        self.write_settings()
         self.process = None
         self.start()
 
+    def write_settings(self, **bounds):
+        """Fills in the project's template, with other bounds if given."""
+        self._fields["bounds"].update(bounds)
+        with open(os.path.join(ROOT, "platform", "settings.template"), encoding="utf-8") as template:
+            text = render(template.read(), self._fields)
+        with open(self._settings, "w", encoding="utf-8") as file:
+            file.write(text)
+
     def start(self):
         self.process = subprocess.Popen([PROGRAM, "gateway"], cwd=ROOT, stdout=self._log, stderr=self._log,
                                         env={"PATH": os.environ["PATH"], "COWSLIPHEAD_SETTINGS": self._settings})
 
+    def hang_up(self):
+        self.process.send_signal(signal.SIGHUP)
+
+    def connect(self):
+        """A new channel of a client."""
+        return socket.create_connection((self.ip, 8405), 1)
+
     def is_ready(self):
         try:
-            with socket.create_connection(("127.0.0.1", self.ready), 1) as channel:
+            with socket.create_connection((self.ip, 8406), 1) as channel:
                 channel.settimeout(1)
                 channel.sendall(b"GET /api/readiness HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n")
                 return Reader(channel).head().first.split(" ")[1] == "200"
@@ -425,6 +437,7 @@
         if not os.access(PROGRAM, os.X_OK):
             raise CannotRun("target/cowsliphead is missing; run the build of deploy/system.toml first")
         self.folder = tempfile.mkdtemp(prefix="review-")
+        self.network = f"127.{random.randrange(1, 255)}.{random.randrange(255)}"
         self.store = Store()
         self.cloud = Cloud()
         self.store.put("op/config", configuration())
@@ -432,7 +445,8 @@
         self._count = gateways
 
     def start_gateways(self):
-        self.gateways = [Gateway(number, self) for number in range(self._count)]
+        for number in range(self._count):
+            self.gateways.append(Gateway(number, self))
         ends = time.monotonic() + 15
         while not all(gateway.is_ready() for gateway in self.gateways):
             if time.monotonic() > ends:
@@ -467,7 +481,12 @@
 def main(record_folder, case):
     """Runs case(deployment, record, is_disturbed), which returns True if the rule held. Exits with 0, 1 or 2."""
     record = Record(os.path.join(record_folder, "record.txt"))
-    signal.signal(signal.SIGALRM, lambda *_: (_ for _ in ()).throw(CannotRun("took longer than 110 s")))
+
+    def give_up(number, _):
+        raise CannotRun("took longer than 110 s" if number == signal.SIGALRM else "was stopped")
+
+    for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, give_up)
     signal.alarm(110)
     deployment = None
     code = 2
@@ -481,7 +500,8 @@
     except (OSError, EOFError, ValueError) as error:
         record(f"could not run: {error!r}")
     finally:
-        signal.alarm(0)
+        for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, signal.SIG_IGN)
         if deployment:
             deployment.end()
     sys.stdout.flush()
