--- a/review/5/case.py
+++ b/review/5/case.py
@@ -64,10 +64,12 @@
         gateway.process.kill()
         record(f"platform: {gateway.name} killed")
     restarting.start()
-    time.sleep(RESTART_DELAY_S + RECOVER_S)
-    after = served()
-    stop.set()
-    restarting.join()
+    try:
+        time.sleep(RESTART_DELAY_S + RECOVER_S)
+        after = served()
+    finally:
+        stop.set()
+        restarting.join()
     record(f"{RECOVER_S} s after the machines were back, {after} of {ORDERS} orders were served; a quarter is the least")
     return before < ORDERS / 4 or after >= ORDERS / 4
 
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -10,7 +10,6 @@
 import signal
 import socket
 import subprocess
-import sys
 import tempfile
 import threading
 import time
@@ -480,7 +479,10 @@
 
 def main(record_folder, case):
     """Runs case(deployment, record, is_disturbed), which returns True if the rule held. Exits with 0, 1 or 2."""
-    record = Record(os.path.join(record_folder, "record.txt"))
+    try:
+        record = Record(os.path.join(record_folder, "record.txt"))
+    except OSError:
+        os._exit(2)
 
     def give_up(number, _):
         raise CannotRun("took longer than 110 s" if number == signal.SIGALRM else "was stopped")
@@ -497,12 +499,11 @@
         code = 0 if held else 1
     except CannotRun as error:
         record(f"could not run: {error}")
-    except (OSError, EOFError, ValueError) as error:
+    except Exception as error:  # whatever it is, it shows nothing about the rule
         record(f"could not run: {error!r}")
     finally:
         for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
             signal.signal(number, signal.SIG_IGN)
         if deployment:
             deployment.end()
-    sys.stdout.flush()
-    os._exit(code)
+        os._exit(code)
