A stream may hold any text, also the one that ends streams of serve

Cause: SseFramer knew the last event of the product's own interface, and the gateway used it for streams of any text. Line ends were LF and CRLF only, so a stream with CR alone was one partial event; the identifier of a first line after a byte order mark was not seen.

Ruled out: the endpoint's last chunk ends the stream too early; the same streams with another text pass at any split.

Why it works: what ends a stream is a parameter of the framer now, and the gateway's answer is: nothing but the end of the response.

--- a/src/gateway/eventidtracker.cpp
+++ b/src/gateway/eventidtracker.cpp
@@ -1,5 +1,9 @@
 #include "gateway/eventidtracker.h"
 
+#include <utility>
+
+#include "serve/eventtext.h"
+
 namespace cowsliphead
 {
 
@@ -8,15 +12,18 @@
 
 constexpr std::string_view IdField = "id:";
 
+/// A stream may begin with it; it is no part of the first line.
+constexpr std::string_view ByteOrderMark = "\xEF\xBB\xBF";
+
 } // namespace
 
 void EventIdTracker::addEvents(std::string_view events)
 {
-    std::size_t start = 0;
-    while (start < events.size()) {
-        const auto end = std::min(events.find('\n', start), events.size());
-        auto line = events.substr(start, end - start);
-        start = end + 1;
+    if (!events.empty() && !std::exchange(hasBegun_, true) && events.starts_with(ByteOrderMark)) {
+        events.remove_prefix(ByteOrderMark.size());
+    }
+    while (!events.empty()) {
+        auto line = eventtext::takeLine(events);
         if (!line.starts_with(IdField)) {
             continue;
         }
@@ -24,9 +31,6 @@
         if (line.starts_with(' ')) {
             line.remove_prefix(1);
         }
-        if (line.ends_with('\r')) {
-            line.remove_suffix(1);
-        }
         lastId_ = line;
     }
 }
--- a/src/gateway/eventidtracker.h
+++ b/src/gateway/eventidtracker.h
@@ -21,6 +21,7 @@
 
 private:
     std::string lastId_;
+    bool hasBegun_ = false;
 };
 
 } // namespace cowsliphead
--- a/src/gateway/streamrelay.h
+++ b/src/gateway/streamrelay.h
@@ -6,6 +6,7 @@
 
 #include "gateway/eventidtracker.h"
 #include "gateway/streamprogress.h"
+#include "serve/endswithconnection.h"
 #include "serve/sseframer.h"
 
 namespace cowsliphead
@@ -45,7 +46,7 @@
     static constexpr std::size_t MaxEventBytes = 1U << 20U;
 
     CallerConnection &connection_;
-    SseFramer framer_;
+    SseFramer<EndsWithConnection> framer_;
     EventIdTracker eventIds_;
     std::size_t partialBytes_ = 0;
     bool hasBegun_ = false;
--- a/src/serve/answerstream.h
+++ b/src/serve/answerstream.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 
+#include "serve/endswithdoneevent.h"
 #include "serve/sseframer.h"
 
 namespace cowsliphead
@@ -32,7 +33,7 @@
     bool isComplete() const;
 
 private:
-    SseFramer framer_;
+    SseFramer<EndsWithDoneEvent> framer_;
 
     /// Replaces the identifiers of later attempts, so that all events of the answer carry the same one.
     std::string firstAttemptId_;
--- a/tests/serve/sseframertest.cpp
+++ b/tests/serve/sseframertest.cpp
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
 
+#include "serve/endswithdoneevent.h"
 #include "serve/sseframer.h"
 
 using namespace cowsliphead;
@@ -18,7 +19,7 @@
 
 RC_BOOST_PROP(is_emitted_in_complete_events, (const std::vector<std::uint8_t> &cuts))
 {
-    SseFramer framer;
+    SseFramer<EndsWithDoneEvent> framer;
     std::string emitted;
     std::size_t at = 0;
     for (const auto cut : cuts) {
@@ -41,7 +42,7 @@
 
 BOOST_AUTO_TEST_CASE(discards_that_event_and_counts_the_others)
 {
-    SseFramer framer;
+    SseFramer<EndsWithDoneEvent> framer;
     BOOST_TEST(framer.add("data: 1\n\ndata: 2\n") == "data: 1\n\n");
     framer.discardPartialEvent();
     BOOST_TEST(framer.add("data: 2\n\n") == "data: 2\n\n");
@@ -55,7 +56,7 @@
 
 BOOST_AUTO_TEST_CASE(is_truncated_there)
 {
-    SseFramer framer;
+    SseFramer<EndsWithDoneEvent> framer;
     BOOST_TEST(framer.add("data: [DONE]\n\ndata: surplus\n\n") == "data: [DONE]\n\n");
     BOOST_TEST(framer.add("data: surplus\n\n").empty());
     BOOST_TEST(framer.eventCount() == 0U);
