A caller's connection reports its end in a later iteration of the loop

Cause: CallerConnection::write() told its owner of a disconnect once more than its limit was queued. The owner destroyed the dispatch that was forwarding the data; back on the stack, the dispatch armed a freed timer.

Ruled out: a caller that leaves (its end comes from the loop, not from a send) and memory (8 MiB were queued).

Why it works: every end takes one path, which calls the owner from the loop with nothing of the connection on the stack. An answer that was completed meanwhile is not ended twice.

--- a/src/gateway/dispatchevents.h
+++ b/src/gateway/dispatchevents.h
@@ -10,7 +10,7 @@
 namespace cowsliphead
 {
 
-/// Callbacks of a dispatch. Each of them may destroy the dispatch.
+/// Callbacks of a dispatch. Only onEnd_ may destroy the dispatch.
 struct DispatchEvents {
     /// Called right before the request is written; false withholds the request.
     std::function<bool()> mayWrite_;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -69,7 +69,10 @@
     /// Cancels the request, since the caller has disconnected.
     void callerLeft()
     {
-        ended(0, "caller_left");
+        // The answer may have been completed after the caller had left.
+        if (onDone_) {
+            ended(0, "caller_left");
+        }
     }
 
     /// Sends the final response now, since the process is stopping.
--- a/src/http1/callerconnection.cpp
+++ b/src/http1/callerconnection.cpp
@@ -88,17 +88,15 @@
 
 void CallerConnection::handleDisconnect()
 {
-    if (state_ == State::Closed) {
-        return;
-    }
-    const bool wasAnswering = state_ == State::Answering;
-    closeNow();
-    if (wasAnswering) {
-        events_.onDisconnected_();
-    }
+    close(state_ == State::Answering);
 }
 
 void CallerConnection::closeNow()
+{
+    close(false);
+}
+
+void CallerConnection::close(bool isAnswerLost)
 {
     if (state_ == State::Closed) {
         return;
@@ -106,7 +104,13 @@
     state_ = State::Closed;
     timer_.cancel();
     bufferevent_disable(buffer_.get(), EV_READ | EV_WRITE);
-    loop_.defer([onClosed = events_.onClosed_] { onClosed(); });
+    // The receiver destroys what it was sending, and this may run within a call of the sender.
+    loop_.defer([events = events_, isAnswerLost] {
+        if (isAnswerLost) {
+            events.onDisconnected_();
+        }
+        events.onClosed_();
+    });
 }
 
 void CallerConnection::beginRequest()
@@ -131,6 +135,9 @@
         std::size_t consumed = 0;
         const auto outcome = parser_.parse({ bytes, size }, consumed);
         evbuffer_drain(input, consumed);
+        if (state_ == State::Closed) {
+            return;
+        }
         if (outcome == ParseOutcome::Malformed) {
             refuse(httpstatus::BadRequest);
         } else if (outcome == ParseOutcome::Stopped) {
--- a/src/http1/callerconnection.h
+++ b/src/http1/callerconnection.h
@@ -74,6 +74,7 @@
     void finishAnswer();
     void beginClosing();
     void closeNow();
+    void close(bool isAnswerLost);
     void handleDisconnect();
     void handleTimeout();
     void awaitRequest();
--- a/src/http1/callerconnectionevents.h
+++ b/src/http1/callerconnectionevents.h
@@ -12,7 +12,8 @@
     /// A request was read completely. The next one follows only after this one is answered.
     std::function<void(CallerRequest)> onRequest_;
 
-    /// The caller disconnected before its request was answered; nothing can be sent any more.
+    /// The caller disconnected before its request was answered; nothing can be sent any more. Called in a later iteration of the loop than the
+    /// call of the connection that noticed it, so the receiver may destroy the caller of that call.
     std::function<void()> onDisconnected_;
 
     /// A request was malformed, too large or too slow, so the connection refused it; called with the status code of the answer.
