A bound may be any number, and one without a meaning ends no process

Cause: the template made milliseconds of seconds by three zeros behind the text, the parser took whole numbers only, and one field without a meaning ended the process. A running gateway kept its old settings, so that the fault waited for the next start of all of them.

--- a/src/gateway/gatewaydaemonsettings.h
+++ b/src/gateway/gatewaydaemonsettings.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <vector>
+
 #include "duty/dutysettings.h"
 #include "gateway/gatewaysettings.h"
 #include "http1/socketaddress.h"
 #include "metrics/metricssettings.h"
+#include "records/inputerror.h"
 #include "relay/relaysettings.h"
 #include "traces/tracesettings.h"
 
@@ -23,6 +26,9 @@
 
     /// Address of the platform's API for duties.
     SocketAddress platform_;
+
+    /// Bounds of the file that have no meaning and are not in force.
+    std::vector<InputError> rejected_;
 };
 
 } // namespace cowsliphead
--- a/src/gateway/gatewayprocess.h
+++ b/src/gateway/gatewayprocess.h
@@ -15,9 +15,17 @@
 namespace cowsliphead
 {
 
+/// Logs the bounds of the settings file that are not in force. Thread safety: any thread.
+inline void logRejectedBounds(const std::string &file, const GatewayDaemonSettings &settings)
+{
+    for (const auto &error : settings.rejected_) {
+        logEvent(LogEvent::SettingRejected, { { "file", file }, { "error", error.describe() } });
+    }
+}
+
 /// Applies a changed settings file; if it cannot be read or parsed, the current settings stay in use. Thread safety: owner only.
 template <PlatformAdapter P>
-void reloadSettings(const std::string &file, std::string &textInUse, GatewayDaemon<P> &daemon)
+void reloadSettings(const std::string &file, std::string &textInUse, GatewayDaemonSettings &inForce, GatewayDaemon<P> &daemon)
 {
     const auto text = readFile(file);
     if (!text) {
@@ -31,11 +39,13 @@
         return;
     }
     textInUse = *text;
-    const auto settings = parseGatewaySettings(*text);
+    const auto settings = parseGatewaySettings(*text, inForce);
     if (!settings) {
         logEvent(LogEvent::SettingsNotReloaded, { { "file", file }, { "error", settings.error().describe() } });
         return;
     }
+    logRejectedBounds(file, *settings);
+    inForce = *settings;
     daemon.reload(*settings);
     logEvent(LogEvent::SettingsReloaded, { { "file", file } });
 }
@@ -47,19 +57,20 @@
 {
     /// The file may change without a signal; it is checked at this interval.
     constexpr std::chrono::milliseconds SettingsInterval{ 1000 };
-    const auto settings = loadSettings(file, parseGatewaySettings);
+    auto settings = loadSettings(file, [](const std::string &text) { return parseGatewaySettings(text); });
     if (!settings) {
         return exitcode::WrongInput;
     }
     auto textInUse = readFile(file).value_or(std::string());
     setLogInstance(settings->gateway_.instance_.value());
+    logRejectedBounds(file, *settings);
     GatewayDaemon<P> daemon;
     const auto port = daemon.start(*settings);
     if (!port) {
         std::cerr << "cowsliphead: cannot start: " << port.error().message() << "\n";
         return exitcode::Failed;
     }
-    stopSignal.wait([&] { reloadSettings(file, textInUse, daemon); }, SettingsInterval);
+    stopSignal.wait([&] { reloadSettings(file, textInUse, *settings, daemon); }, SettingsInterval);
     daemon.drain();
     return exitcode::Success;
 }
--- a/src/gateway/parsegatewaysettings.cpp
+++ b/src/gateway/parsegatewaysettings.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "gateway/boundreader.h"
 #include "http1/parsesocketaddress.h"
 #include "records/fieldreader.h"
 #include "records/jsontext.h"
@@ -15,8 +16,8 @@
 {
 
 constexpr std::uint64_t LargestPort = std::numeric_limits<std::uint16_t>::max();
-constexpr std::uint64_t LargestReserve = 1000000;
-constexpr std::uint64_t LargestPercent = 1000;
+constexpr double LargestReserve = 1000000;
+constexpr double LargestPercent = 1000;
 constexpr double Percent = 100.0;
 
 using ParseAddress = Result<SocketAddress> (*)(std::string_view);
@@ -66,36 +67,41 @@
     settings.gateway_.isTraced_ = settings.traces_.isEnabled();
 }
 
-void readBounds(FieldReader &fields, GatewayDaemonSettings &settings)
+/// Gives the durations of the settings file in milliseconds, or in seconds where the platform does so.
+void readBounds(const nlohmann::json &document, GatewayDaemonSettings &settings)
 {
+    BoundReader fields(document);
     auto &bounds = settings.gateway_.bounds_;
-    bounds.keyWithdrawal_ = fields.millisecondsOr("keyWithdrawalMs", bounds.keyWithdrawal_);
-    bounds.configuration_ = fields.millisecondsOr("configurationMs", bounds.configuration_);
-    bounds.stopGrace_ = fields.millisecondsOr("stopGraceMs", bounds.stopGrace_);
-    bounds.retryRatio_ = static_cast<double>(fields.numberOr("retryPercent", 20, 0, LargestPercent)) / Percent;
-    bounds.retryReserve_ = static_cast<double>(fields.numberOr("retryReserve", 0, 0, LargestReserve));
-    settings.relay_.endpointLeaveBound_ = fields.millisecondsOr("endpointLeaveMs", settings.relay_.endpointLeaveBound_);
-    settings.duty_.windowLength_ = fields.millisecondsOr("usageWindowMs", settings.duty_.windowLength_);
-    settings.duty_.reportDeadline_ = fields.millisecondsOr("usageReportMs", settings.duty_.reportDeadline_);
-    settings.duty_.leaseDuration_ = fields.millisecondsOr("leaseMs", settings.duty_.leaseDuration_);
-    settings.duty_.stopGrace_ = bounds.stopGrace_;
+    bounds.keyWithdrawal_ = fields.milliseconds("keyWithdrawalMs", bounds.keyWithdrawal_);
+    bounds.configuration_ = fields.milliseconds("configurationMs", bounds.configuration_);
+    bounds.stopGrace_ = fields.seconds("stopGraceS", fields.milliseconds("stopGraceMs", bounds.stopGrace_));
+    bounds.retryRatio_ = fields.number("retryPercent", bounds.retryRatio_ * Percent, LargestPercent) / Percent;
+    bounds.retryReserve_ = fields.number("retryReserve", bounds.retryReserve_, LargestReserve);
+    auto &relay = settings.relay_;
+    relay.endpointLeaveBound_ = fields.milliseconds("endpointLeaveMs", relay.endpointLeaveBound_);
+    auto &duty = settings.duty_;
+    duty.windowLength_ = fields.seconds("usageWindowS", fields.milliseconds("usageWindowMs", duty.windowLength_));
+    duty.reportDeadline_ = fields.seconds("usageReportS", fields.milliseconds("usageReportMs", duty.reportDeadline_));
+    duty.leaseDuration_ = fields.milliseconds("leaseMs", duty.leaseDuration_);
+    duty.stopGrace_ = bounds.stopGrace_;
+    settings.rejected_ = fields.rejected();
 }
 
 } // namespace
 
-tl::expected<GatewayDaemonSettings, InputError> parseGatewaySettings(const std::string &text)
+tl::expected<GatewayDaemonSettings, InputError> parseGatewaySettings(const std::string &text, const GatewayDaemonSettings &inForce)
 {
     const auto document = parseJsonText(text, ErrorCode::SettingsMalformed);
     if (!document) {
         return tl::unexpected(document.error());
     }
     FieldReader fields(*document, "", ErrorCode::SettingsMalformed);
-    GatewayDaemonSettings settings;
+    GatewayDaemonSettings settings = inForce;
     readIdentity(fields, settings);
     readAddresses(fields, settings);
     readPeer(fields, settings);
     readTraces(fields, settings);
-    readBounds(fields, settings);
+    readBounds(*document, settings);
     if (fields.firstError()) {
         return tl::unexpected(*fields.firstError());
     }
--- a/src/gateway/parsegatewaysettings.h
+++ b/src/gateway/parsegatewaysettings.h
@@ -10,8 +10,9 @@
 namespace cowsliphead
 {
 
-/// Parses a gateway's settings file, JSON with comments; unknown fields are ignored. Errors: SettingsMalformed, for invalid JSON or
-/// for the first invalid field. Thread safety: any thread.
-tl::expected<GatewayDaemonSettings, InputError> parseGatewaySettings(const std::string &text);
+/// Parses a gateway's settings file, JSON with comments; unknown fields are ignored. A bound that is absent or has no meaning stays as
+/// inForce has it; rejected_ names the latter. Errors: SettingsMalformed, for invalid JSON or for the first invalid field that is no bound.
+/// Thread safety: any thread.
+tl::expected<GatewayDaemonSettings, InputError> parseGatewaySettings(const std::string &text, const GatewayDaemonSettings &inForce = {});
 
 } // namespace cowsliphead
--- a/src/logs/logevent.h
+++ b/src/logs/logevent.h
@@ -14,6 +14,7 @@
     LinesOmitted = 105,
     SettingsReloaded = 106,
     SettingsNotReloaded = 107,
+    SettingRejected = 108,
 
     // 200 to 299: callers and requests
     AnswerResumed = 200,
--- a/src/operate/configcommand.cpp
+++ b/src/operate/configcommand.cpp
@@ -27,6 +27,19 @@
     return exitcode::Success;
 }
 
+/// As check(), for the settings of a gateway. A bound that the process would not use counts as wrong input, although the process starts.
+int checkGateway(const std::string &file, const std::string &text)
+{
+    const auto parse = [](const std::string &json) -> tl::expected<GatewayDaemonSettings, InputError> {
+        auto settings = parseGatewaySettings(json);
+        if (settings && !settings->rejected_.empty()) {
+            return tl::unexpected(settings->rejected_.front());
+        }
+        return settings;
+    };
+    return check(file, text, parse);
+}
+
 } // namespace
 
 int config(int argc, char **argv)
@@ -55,7 +68,7 @@
         return exitcode::WrongInput;
     }
     if (parsed.count("gateway") > 0) {
-        return check(file, *text, parseGatewaySettings);
+        return checkGateway(file, *text);
     }
     return check(file, *text, parseSettings);
 }
