All connections of a gateway share one limit for what they buffer

What callers saw, as other operators reported: a faulty endpoint sent bytes without end, and the machine that kept them ran out of memory; the requests of all its callers ended. Callers that read slowly were cut.

Cause: each limit was one connection's: 8 MiB of a body, 1 MiB of an event, 8 MiB not read, while the machine has one memory.

Tried first: the account alone, with a limit of 64 MiB.

Why it works: BufferBudget counts every buffer of the gateway's connections and ends the largest ones, from the loop and with a true outcome. Slow callers make their endpoints wait, so that a stream buffers 64 KiB.

--- a/src/gateway/callersession.h
+++ b/src/gateway/callersession.h
@@ -25,12 +25,19 @@
                       {
                           .onRequest_ = [this](CallerRequest request) { begin(std::move(request)); },
                           .onDisconnected_ = [this] { onCallerLeft(); },
+                          .onDrained_ =
+                              [this] {
+                                  if (exchange_) {
+                                      exchange_->callerDrained();
+                                  }
+                              },
                           .onRequestRefused_ =
                               [](int status) {
                                   logEvent(LogEvent::RequestMalformed, { { "status", std::uint64_t(status) } });
                               },
                           .onClosed_ = std::move(onClosed),
-                      })
+                      },
+                      &context.buffers_)
     {
     }
 
--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -30,6 +31,7 @@
         , plan_(std::move(plan))
         , events_(std::move(events))
         , noDataTimer_(context.loop_, [this] { onNoDataTimeout(); })
+        , share_(context.buffers_, [this] { abandon(failureName(ConnectionFailure::OverBudget)); })
     {
         ++endpoint_->running_;
         queuedTokens_ = plan_.promptTokens_;
@@ -63,6 +65,15 @@
                            ConnectTimeout);
     }
 
+    /// The caller has read most of what it was sent: continues to read a stream.
+    void callerDrained()
+    {
+        if (std::exchange(isPaused_, false) && connection_) {
+            connection_->resumeReading();
+            restartNoDataTimer();
+        }
+    }
+
     /// True once the request was written.
     bool isWritten() const
     {
@@ -120,7 +131,7 @@
 
     void restartNoDataTimer()
     {
-        if (plan_.noDataTimeout_.count() > 0) {
+        if (plan_.noDataTimeout_.count() > 0 && !isPaused_) {
             noDataTimer_.startOnce(plan_.noDataTimeout_);
         }
     }
@@ -161,18 +172,31 @@
             abandon("too_long");
             return;
         }
+        if (body_.size() + data.size() > body_.capacity()) {
+            body_.reserve(std::min(MaxBufferedBytes, 2 * (body_.size() + data.size())));
+        }
         body_.append(data);
+        share_.resize(body_.capacity());
     }
 
     /// Only whole events show that the endpoint makes progress.
     void onStreamData(std::string_view data)
     {
-        switch (events_.onData_(data)) {
+        const auto progress = events_.onData_(data);
+        partialEventBytes_ = progress == StreamProgress::Partial ? partialEventBytes_ + data.size() : data.size();
+        share_.resize(partialEventBytes_);
+        switch (progress) {
         case StreamProgress::Event:
             restartNoDataTimer();
             break;
         case StreamProgress::Partial:
             break;
+        case StreamProgress::Congested:
+            // The endpoint is not to blame for the silence that follows.
+            isPaused_ = true;
+            noDataTimer_.cancel();
+            connection_->pauseReading();
+            break;
         case StreamProgress::Oversized:
             abandon("too_long");
             break;
@@ -257,6 +281,13 @@
     ResponseMetadata response_;
     ResponseHead head_;
     std::string body_;
+
+    /// Bytes since the last whole event of a stream, at the most.
+    std::size_t partialEventBytes_ = 0;
+
+    /// What the body, or the incomplete event of a stream, occupies.
+    BufferShare share_;
+    bool isPaused_ = false;
     bool isWritten_ = false;
     bool isStreaming_ = false;
 };
--- a/src/gateway/endpointtable.cpp
+++ b/src/gateway/endpointtable.cpp
@@ -27,8 +27,9 @@
 
 } // namespace
 
-EndpointTable::EndpointTable(EventLoop &loop)
+EndpointTable::EndpointTable(EventLoop &loop, BufferBudget &buffers)
     : loop_(loop)
+    , buffers_(buffers)
 {
 }
 
@@ -187,7 +188,7 @@
         }
         connection->close();
     }
-    return std::make_shared<ClientConnection>(loop_, state.entry_.address_);
+    return std::make_shared<ClientConnection>(loop_, state.entry_.address_, &buffers_);
 }
 
 void EndpointTable::releaseConnection(EndpointState &state, std::shared_ptr<ClientConnection> connection, MonotonicTime now)
--- a/src/gateway/endpointtable.h
+++ b/src/gateway/endpointtable.h
@@ -17,6 +17,7 @@
 namespace cowsliphead
 {
 
+class BufferBudget;
 class EventLoop;
 struct ResponseMetadata;
 
@@ -24,8 +25,8 @@
 class EndpointTable
 {
 public:
-    /// Precondition: the loop outlives the table.
-    explicit EndpointTable(EventLoop &loop);
+    /// Precondition: the loop and the budget of its connections outlive the table.
+    EndpointTable(EventLoop &loop, BufferBudget &buffers);
     ~EndpointTable();
     EndpointTable(const EndpointTable &) = delete;
     EndpointTable &operator=(const EndpointTable &) = delete;
@@ -88,6 +89,7 @@
     void forgetOldest(MonotonicTime now);
 
     EventLoop &loop_;
+    BufferBudget &buffers_;
     std::map<EndpointId, std::shared_ptr<EndpointState>> states_;
 
     /// The last states of endpoints that are no longer listed.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -75,6 +75,14 @@
         }
     }
 
+    /// The caller has read most of what it was sent.
+    void callerDrained()
+    {
+        if (dispatch_) {
+            dispatch_->callerDrained();
+        }
+    }
+
     /// Sends the final response now, since the process is stopping.
     void onProcessStopping()
     {
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -17,6 +17,7 @@
 #include "gateway/gatewaysettings.h"
 #include "gateway/quarantinelog.h"
 #include "gateway/retryallowance.h"
+#include "http1/bufferbudget.h"
 #include "task/address.h"
 #include "task/eventloop.h"
 #include "traces/span.h"
@@ -37,7 +38,10 @@
     SystemClock clock_{};
     std::shared_ptr<const Configuration> configuration_{};
     ConfigurationAge age_{};
-    EndpointTable endpoints_{ loop_ };
+
+    /// What all connections to callers and endpoints buffer together.
+    BufferBudget buffers_{ loop_, settings_.bufferLimit_ };
+    EndpointTable endpoints_{ loop_, buffers_ };
     std::map<ServiceName, RetryAllowance> retryBudgets_{};
     std::size_t gatewayCount_ = 0;
     CrashRegister crashes_{};
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -46,7 +46,8 @@
                  { { "incarnation", incarnation.value() },
                    { "port", std::uint64_t(*port) },
                    { "peerPort", std::uint64_t(*peerPort) },
-                   { "metricsPort", std::uint64_t(*metricsPort) } });
+                   { "metricsPort", std::uint64_t(*metricsPort) },
+                   { "bufferLimit", std::uint64_t(settings.gateway_.bufferLimit_) } });
         return port;
     }
 
--- a/src/gateway/gatewayprocess.h
+++ b/src/gateway/gatewayprocess.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <utility>
 
+#include "gateway/bufferlimit.h"
 #include "gateway/gatewaydaemon.h"
 #include "gateway/parsegatewaysettings.h"
 #include "logs/logsetup.h"
@@ -57,6 +58,7 @@
 {
     /// The file may change without a signal; it is checked at this interval.
     constexpr std::chrono::milliseconds SettingsInterval{ 1000 };
+    returnLargeBuffers();
     auto settings = loadSettings(file, [](const std::string &text) { return parseGatewaySettings(text); });
     if (!settings) {
         return exitcode::WrongInput;
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include <cstddef>
+#include <optional>
+
 #include "core/failuredomain.h"
 #include "core/instanceid.h"
+#include "gateway/bufferlimit.h"
 #include "gateway/gatewaybounds.h"
 #include "http1/socketaddress.h"
 
@@ -21,6 +25,9 @@
 
     GatewayBounds bounds_;
 
+    /// Limit for the bytes that all connections buffer together.
+    std::size_t bufferLimit_ = bufferLimitOf(std::nullopt);
+
     /// Create spans for each request.
     bool isTraced_ = false;
 };
--- a/src/gateway/parsegatewaysettings.cpp
+++ b/src/gateway/parsegatewaysettings.cpp
@@ -16,6 +16,9 @@
 {
 
 constexpr std::uint64_t LargestPort = std::numeric_limits<std::uint16_t>::max();
+
+/// In megabytes.
+constexpr std::uint64_t LargestMemory = std::uint64_t(1) << 24U;
 constexpr double LargestReserve = 1000000;
 constexpr double LargestPercent = 1000;
 constexpr double Percent = 100.0;
@@ -59,6 +62,13 @@
     }
 }
 
+void readMemory(FieldReader &fields, GatewayDaemonSettings &settings)
+{
+    if (const auto megabytes = fields.numberOr("memoryMb", 0, 0, LargestMemory); megabytes > 0) {
+        settings.gateway_.bufferLimit_ = bufferLimitOf(megabytes << 20U);
+    }
+}
+
 void readTraces(FieldReader &fields, GatewayDaemonSettings &settings)
 {
     settings.traces_.file_ = fields.textOr("traceFile", {});
@@ -100,6 +110,7 @@
     readIdentity(fields, settings);
     readAddresses(fields, settings);
     readPeer(fields, settings);
+    readMemory(fields, settings);
     readTraces(fields, settings);
     readBounds(*document, settings);
     if (fields.firstError()) {
--- a/src/gateway/streamrelay.cpp
+++ b/src/gateway/streamrelay.cpp
@@ -30,6 +30,9 @@
     if (partialBytes_ > MaxEventBytes) {
         return StreamProgress::Oversized;
     }
+    if (connection_.isCongested()) {
+        return StreamProgress::Congested;
+    }
     return events.empty() ? StreamProgress::Partial : StreamProgress::Event;
 }
 
--- a/src/http1/callerconnection.cpp
+++ b/src/http1/callerconnection.cpp
@@ -25,14 +25,26 @@
 /// How long a closing connection waits for the caller to read the last answer and close its end. It is reset afterwards.
 constexpr std::chrono::milliseconds LingerTimeout{ 1000 };
 
-/// Limit for queued answer bytes. Beyond it the connection is closed, since the caller is not reading.
-constexpr std::size_t MaxUnsentBytes = std::size_t(8) << 20U;
+/// Queued answer bytes from which the sender is asked to wait for the caller.
+constexpr std::size_t CongestedBytes = std::size_t(64) << 10U;
+
+/// Queued answer bytes at which the sender may continue.
+constexpr std::size_t DrainedBytes = std::size_t(16) << 10U;
+
+/// Limit for queued answer bytes, above the longest whole answer. Beyond it the connection is closed.
+constexpr std::size_t MaxUnsentBytes = std::size_t(16) << 20U;
+
+/// Bytes after the current request that are read ahead.
+constexpr std::size_t MaxReadAhead = std::size_t(64) << 10U;
+
+/// Until when a caller returns whose request found no room.
+constexpr const char *RetryDelaySeconds = "0.5";
 
 constexpr int RequestHeadTooLarge = 431;
 
 } // namespace
 
-CallerConnection::CallerConnection(EventLoop &loop, int socket, const CallerConnectionLimits &limits, CallerConnectionEvents events)
+CallerConnection::CallerConnection(EventLoop &loop, int socket, const CallerConnectionLimits &limits, CallerConnectionEvents events, BufferBudget *budget)
     : loop_(loop)
     , limits_(limits)
     , events_(std::move(events))
@@ -41,12 +53,28 @@
     , timer_(loop, [this] { handleTimeout(); })
 {
     enableDeadPeerDetection(socket, DeadPeerTimeout);
+    limitKernelBuffers(socket);
+    if (budget != nullptr) {
+        bodyShare_.emplace(*budget, [this] { handleBodyRevoked(); });
+        requestShare_.emplace(*budget);
+        queueShare_.emplace(*budget, [this] { handleDisconnect(); });
+        evbuffer_add_cb(bufferevent_get_input(buffer_.get()), &CallerConnection::onBufferChanged, this);
+        evbuffer_add_cb(bufferevent_get_output(buffer_.get()), &CallerConnection::onBufferChanged, this);
+    }
+    bufferevent_setwatermark(buffer_.get(), EV_READ, 0, MaxReadAhead);
+    bufferevent_setwatermark(buffer_.get(), EV_WRITE, DrainedBytes, 0);
     bufferevent_setcb(buffer_.get(), &CallerConnection::onReadable, &CallerConnection::onWritten, &CallerConnection::onEvent, this);
     bufferevent_enable(buffer_.get(), EV_READ | EV_WRITE);
     timer_.startOnce(limits_.idleTimeout_);
 }
 
-CallerConnection::~CallerConnection() = default;
+CallerConnection::~CallerConnection()
+{
+    if (queueShare_) {
+        evbuffer_remove_cb(bufferevent_get_input(buffer_.get()), &CallerConnection::onBufferChanged, this);
+        evbuffer_remove_cb(bufferevent_get_output(buffer_.get()), &CallerConnection::onBufferChanged, this);
+    }
+}
 
 RequestParserEvents CallerConnection::parserEvents()
 {
@@ -73,9 +101,49 @@
 
 void CallerConnection::onWritten(bufferevent * /*buffer*/, void *self)
 {
-    auto &connection = *static_cast<CallerConnection *>(self);
-    if (connection.state_ == State::Closing) {
-        shutdown(bufferevent_getfd(connection.buffer_.get()), SHUT_WR);
+    static_cast<CallerConnection *>(self)->handleWritten();
+}
+
+void CallerConnection::handleWritten()
+{
+    if (state_ == State::Closing && unsentBytes() == 0) {
+        shutdown(bufferevent_getfd(buffer_.get()), SHUT_WR);
+        timer_.startOnce(LingerTimeout);
+    }
+    if (!std::exchange(awaitsDrain_, false)) {
+        return;
+    }
+    if (state_ == State::Answering) {
+        events_.onDrained_();
+    } else if (state_ == State::Reading) {
+        readAvailable();
+    }
+}
+
+void CallerConnection::onBufferChanged(evbuffer * /*buffer*/, const evbuffer_cb_info * /*change*/, void *self)
+{
+    static_cast<CallerConnection *>(self)->countBuffers();
+}
+
+void CallerConnection::countBuffers()
+{
+    queueShare_->resize(unsentBytes() + evbuffer_get_length(bufferevent_get_input(buffer_.get())));
+}
+
+std::size_t CallerConnection::unsentBytes() const
+{
+    return evbuffer_get_length(bufferevent_get_output(buffer_.get()));
+}
+
+bool CallerConnection::isCongested() const
+{
+    return awaitsDrain_;
+}
+
+void CallerConnection::handleBodyRevoked()
+{
+    if (state_ == State::Reading && request_) {
+        refuse(httpstatus::ServiceUnavailable);
     }
 }
 
@@ -128,6 +196,11 @@
     }
     while (state_ == State::Reading && evbuffer_get_length(input) > 0) {
         if (requestsBeingRead_ == 0) {
+            if (unsentBytes() > CongestedBytes) {
+                // The caller reads its answers before it gets another.
+                awaitsDrain_ = true;
+                return;
+            }
             beginRequest();
         }
         const auto size = evbuffer_get_contiguous_space(input);
@@ -149,6 +222,10 @@
             requestsBeingRead_ = 0;
             timer_.cancel();
             state_ = State::Answering;
+            if (requestShare_) {
+                requestShare_->resize(bodyShare_->size());
+                bodyShare_->resize(0);
+            }
             events_.onRequest_(std::move(*std::exchange(request_, std::nullopt)));
         } else if (request_) {
             timer_.startOnce(limits_.idleTimeout_);
@@ -186,15 +263,25 @@
         return false;
     }
     request_->body_.append(data);
+    if (bodyShare_) {
+        bodyShare_->resize(request_->body_.capacity());
+    }
     return true;
 }
 
 void CallerConnection::refuse(int status)
 {
     request_.reset();
+    if (bodyShare_) {
+        bodyShare_->resize(0);
+    }
     closesAfterAnswer_ = true;
     state_ = State::Answering;
-    respond(status, reasonPhrase(status), {}, {});
+    HttpHeaders headers;
+    if (status == httpstatus::ServiceUnavailable) {
+        headers.emplace_back("Retry-After", RetryDelaySeconds);
+    }
+    respond(status, reasonPhrase(status), std::move(headers), {});
     events_.onRequestRefused_(status);
 }
 
@@ -213,8 +300,10 @@
         return;
     }
     bufferevent_write(buffer_.get(), bytes.data(), bytes.size());
-    if (evbuffer_get_length(bufferevent_get_output(buffer_.get())) > MaxUnsentBytes) {
+    if (unsentBytes() > MaxUnsentBytes) {
         handleDisconnect();
+    } else if (unsentBytes() > CongestedBytes) {
+        awaitsDrain_ = true;
     }
 }
 
@@ -269,6 +358,9 @@
     if (state_ != State::Answering) {
         return;
     }
+    if (requestShare_) {
+        requestShare_->resize(0);
+    }
     if (closesAfterAnswer_) {
         beginClosing();
     } else {
@@ -279,9 +371,11 @@
 void CallerConnection::beginClosing()
 {
     state_ = State::Closing;
-    timer_.startOnce(LingerTimeout);
-    if (evbuffer_get_length(bufferevent_get_output(buffer_.get())) == 0) {
+    if (unsentBytes() == 0) {
         shutdown(bufferevent_getfd(buffer_.get()), SHUT_WR);
+        timer_.startOnce(LingerTimeout);
+    } else {
+        timer_.startOnce(limits_.idleTimeout_);
     }
 }
 
--- a/src/http1/callerconnection.h
+++ b/src/http1/callerconnection.h
@@ -7,22 +7,28 @@
 
 #include "http/httpheaders.h"
 #include "http1/buffereventdeleter.h"
+#include "http1/buffershare.h"
 #include "http1/callerconnectionevents.h"
 #include "http1/callerconnectionlimits.h"
 #include "http1/requestparser.h"
 #include "task/timer.h"
 
+struct evbuffer;
+struct evbuffer_cb_info;
+
 namespace cowsliphead
 {
 
+class BufferBudget;
 class EventLoop;
 
 /// A caller's connection: reads one request at a time and writes its answer. Thread safety: the loop's task only.
 class CallerConnection
 {
 public:
-    /// Takes ownership of the socket. Precondition: the loop outlives the connection.
-    CallerConnection(EventLoop &loop, int socket, const CallerConnectionLimits &limits, CallerConnectionEvents events);
+    /// Takes ownership of the socket. With a budget, what the connection buffers counts there: a revoked body that is being read is refused with
+    /// 503, and a connection with revoked unsent bytes is closed. Precondition: the loop and the budget outlive the connection.
+    CallerConnection(EventLoop &loop, int socket, const CallerConnectionLimits &limits, CallerConnectionEvents events, BufferBudget *budget = nullptr);
     ~CallerConnection();
     CallerConnection(const CallerConnection &) = delete;
     CallerConnection &operator=(const CallerConnection &) = delete;
@@ -49,6 +55,9 @@
     /// Too late for the header if the head was sent.
     void announceClose();
 
+    /// True while the caller reads more slowly than data is sent: the sender stops until onDrained_.
+    bool isCongested() const;
+
     /// True if no request is being read or answered.
     bool isIdle() const;
 
@@ -63,11 +72,16 @@
     static void onReadable(bufferevent *buffer, void *self);
     static void onWritten(bufferevent *buffer, void *self);
     static void onEvent(bufferevent *buffer, short what, void *self);
+    static void onBufferChanged(evbuffer *buffer, const evbuffer_cb_info *change, void *self);
 
     RequestParserEvents parserEvents();
     bool handleHead(RequestHead head);
     bool handleBody(std::string_view data);
     void readAvailable();
+    void handleWritten();
+    void handleBodyRevoked();
+    std::size_t unsentBytes() const;
+    void countBuffers();
     void beginRequest();
     void refuse(int status);
     void write(std::string_view bytes);
@@ -82,6 +96,15 @@
     EventLoop &loop_;
     CallerConnectionLimits limits_;
     CallerConnectionEvents events_;
+
+    /// The body that is being read.
+    std::optional<BufferShare> bodyShare_;
+
+    /// The body of the request that is being answered. It cannot be given back before the answer.
+    std::optional<BufferShare> requestShare_;
+
+    /// Bytes that the caller has not read, and bytes after its request.
+    std::optional<BufferShare> queueShare_;
     std::unique_ptr<bufferevent, BufferEventDeleter> buffer_;
     RequestParser parser_;
     Timer timer_;
@@ -94,6 +117,9 @@
     bool closesAfterAnswer_ = false;
     bool isHeadRequest_ = false;
     bool isBodyless_ = false;
+
+    /// The caller is to be told, or its next request read, once it has read most of what was sent.
+    bool awaitsDrain_ = false;
 };
 
 } // namespace cowsliphead
--- a/src/http1/callerconnectionevents.h
+++ b/src/http1/callerconnectionevents.h
@@ -16,6 +16,9 @@
     /// call of the connection that noticed it, so the receiver may destroy the caller of that call.
     std::function<void()> onDisconnected_;
 
+    /// After CallerConnection::isCongested() the caller has read most of what was sent: the sender may continue.
+    std::function<void()> onDrained_ = [] {};
+
     /// A request was malformed, too large or too slow, so the connection refused it; called with the status code of the answer.
     std::function<void(int)> onRequestRefused_;
 
--- a/src/http1/clientconnection.cpp
+++ b/src/http1/clientconnection.cpp
@@ -47,7 +47,7 @@
 
 } // namespace
 
-ClientConnection::ClientConnection(EventLoop &loop, SocketAddress address)
+ClientConnection::ClientConnection(EventLoop &loop, SocketAddress address, BufferBudget *budget)
     : loop_(loop)
     , address_(std::move(address))
     , parser_({
@@ -56,6 +56,9 @@
       })
     , connectTimer_(loop, [this] { fail(ConnectionFailure::NotConnected); })
 {
+    if (budget != nullptr) {
+        share_.emplace(*budget, [this] { fail(ConnectionFailure::OverBudget); });
+    }
 }
 
 ClientConnection::~ClientConnection() = default;
@@ -89,7 +92,7 @@
     state_ = State::Connecting;
     connectTimer_.startOnce(timeout);
     buffer_.reset(bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS));
-    bufferevent_setcb(buffer_.get(), &ClientConnection::onReadable, nullptr, &ClientConnection::onEvent, this);
+    bufferevent_setcb(buffer_.get(), &ClientConnection::onReadable, &ClientConnection::onWritten, &ClientConnection::onEvent, this);
     const auto name = toSockaddr(address_);
     if (bufferevent_socket_connect(buffer_.get(), reinterpret_cast<const sockaddr *>(&name), sizeof name) != 0) {
         loop_.defer([weak = weak_from_this()] {
@@ -104,6 +107,36 @@
 {
     isRequestWritten_ = true;
     bufferevent_write(buffer_.get(), bytes.data(), bytes.size());
+    countBuffers();
+}
+
+void ClientConnection::pauseReading()
+{
+    if (state_ == State::Open && !std::exchange(isPaused_, true)) {
+        bufferevent_disable(buffer_.get(), EV_READ);
+        countBuffers();
+    }
+}
+
+void ClientConnection::resumeReading()
+{
+    if (state_ == State::Open && std::exchange(isPaused_, false)) {
+        bufferevent_enable(buffer_.get(), EV_READ);
+        countBuffers();
+    }
+}
+
+void ClientConnection::countBuffers()
+{
+    if (!share_) {
+        return;
+    }
+    if (state_ == State::Closed) {
+        share_->resize(0);
+        return;
+    }
+    const auto unsent = evbuffer_get_length(bufferevent_get_output(buffer_.get()));
+    share_->resize(unsent + parser_.headMemory() + (isPaused_ ? ReceiveBufferSize : 0));
 }
 
 void ClientConnection::close()
@@ -112,6 +145,7 @@
         return;
     }
     state_ = State::Closed;
+    countBuffers();
     connectTimer_.cancel();
     // Destroy both in a later iteration of the loop: the events may own this connection, and this may run inside a callback of the buffer.
     const std::shared_ptr<bufferevent> buffer(buffer_.release(), BufferEventDeleter());
@@ -128,6 +162,11 @@
     connection->readAvailable();
 }
 
+void ClientConnection::onWritten(bufferevent * /*buffer*/, void *self)
+{
+    static_cast<ClientConnection *>(self)->countBuffers();
+}
+
 void ClientConnection::onEvent(bufferevent * /*buffer*/, short what, void *self)
 {
     const auto connection = static_cast<ClientConnection *>(self)->shared_from_this();
@@ -146,6 +185,7 @@
     connectTimer_.cancel();
     state_ = State::Open;
     enableDeadPeerDetection(bufferevent_getfd(buffer_.get()), DeadPeerTimeout);
+    limitKernelBuffers(bufferevent_getfd(buffer_.get()));
     bufferevent_enable(buffer_.get(), EV_READ | EV_WRITE);
     const auto events = events_;
     events->onOpen_();
@@ -178,6 +218,7 @@
         }
         extraBytes_ -= std::min(extraBytes_, size - consumed);
         evbuffer_drain(input, consumed);
+        countBuffers();
         if (extraBytes_ > MaxExtraBytes) {
             fail(ConnectionFailure::TooLong);
         } else if (outcome == ParseOutcome::Complete) {
@@ -224,6 +265,7 @@
     if (isInterim_ || answerHandling_ == AnswerHandling::Discard) {
         return;
     }
+    resumeReading();
     const bool isOutputEmpty = evbuffer_get_length(bufferevent_get_output(buffer_.get())) == 0;
     const bool hasUnreadInput = evbuffer_get_length(bufferevent_get_input(buffer_.get())) > 0;
     mayReuse_ = mayReuse_ && parser_.keepsAlive() && isOutputEmpty && !hasUnreadInput;
--- a/src/http1/clientconnection.h
+++ b/src/http1/clientconnection.h
@@ -3,10 +3,12 @@
 #include <chrono>
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 #include "core/time.h"
 #include "http1/buffereventdeleter.h"
+#include "http1/buffershare.h"
 #include "http1/clientconnectionevents.h"
 #include "http1/responseparser.h"
 #include "http1/socketaddress.h"
@@ -15,13 +17,16 @@
 namespace cowsliphead
 {
 
+class BufferBudget;
 class EventLoop;
 
 /// A connection to a server that carries one request at a time. Thread safety: the loop's task only.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection>
 {
 public:
-    ClientConnection(EventLoop &loop, SocketAddress address);
+    /// With a budget, what the connection buffers counts there; if that is revoked, the request fails. Precondition: the loop and the budget
+    /// outlive the connection.
+    ClientConnection(EventLoop &loop, SocketAddress address, BufferBudget *budget = nullptr);
     ~ClientConnection();
     ClientConnection(const ClientConnection &) = delete;
     ClientConnection &operator=(const ClientConnection &) = delete;
@@ -33,6 +38,12 @@
     /// Writes the request. Precondition: called once per request, from within onOpen_.
     void write(std::string_view bytes);
 
+    /// Stops reading the answer until resumeReading(), so that the server has to wait. Data that was received before may still follow.
+    void pauseReading();
+
+    /// Continues to read. No effect unless pauseReading() was called.
+    void resumeReading();
+
     /// Closes the connection; no event follows.
     void close();
 
@@ -48,6 +59,7 @@
     };
 
     static void onReadable(bufferevent *buffer, void *self);
+    static void onWritten(bufferevent *buffer, void *self);
     static void onEvent(bufferevent *buffer, short what, void *self);
 
     void connect(std::chrono::milliseconds timeout);
@@ -55,6 +67,7 @@
     bool handleHead(const ResponseHead &head);
     bool handleBody(std::string_view data);
     void readAvailable();
+    void countBuffers();
     void handleMessageComplete();
     void handleConnectionEnd(short what);
     void fail(ConnectionFailure failure);
@@ -65,6 +78,9 @@
 
     /// Shared so that a callback can keep it alive while it ends its own request.
     std::shared_ptr<ClientConnectionEvents> events_;
+
+    /// The unsent part of the request, the head that is being read, and what the kernel may receive while reading is paused.
+    std::optional<BufferShare> share_;
     std::unique_ptr<bufferevent, BufferEventDeleter> buffer_;
     ResponseParser parser_;
     Timer connectTimer_;
@@ -77,6 +93,7 @@
     bool isRequestWritten_ = false;
     bool isInterim_ = false;
     bool mayReuse_ = true;
+    bool isPaused_ = false;
     std::chrono::milliseconds idleTimeout_{ 0 };
     MonotonicTime reusableUntil_;
 };
--- a/src/http1/connectionfailure.h
+++ b/src/http1/connectionfailure.h
@@ -10,6 +10,7 @@
     TimedOut, ///< The timeout of the call expired.
     Malformed, ///< The bytes received are not a response.
     TooLong, ///< More bytes were received than any response has.
+    OverBudget, ///< The connections of the process together buffer more than they may.
 };
 
 /// Returns the name used in logs. Thread safety: any thread.
@@ -24,6 +25,8 @@
         return "timed_out";
     case ConnectionFailure::TooLong:
         return "too_long";
+    case ConnectionFailure::OverBudget:
+        return "over_budget";
     case ConnectionFailure::Malformed:
         break;
     }
--- a/src/http1/headercollector.h
+++ b/src/http1/headercollector.h
@@ -37,6 +37,12 @@
         return size_;
     }
 
+    /// Memory that the collected fields occupy, in bytes. A field without a value occupies far more than it has bytes.
+    std::size_t memory() const
+    {
+        return size_ + headers_.capacity() * sizeof(HttpHeaders::value_type);
+    }
+
     /// Returns the collected fields and resets the collector.
     HttpHeaders takeHeaders()
     {
--- a/src/http1/responseparser.cpp
+++ b/src/http1/responseparser.cpp
@@ -79,6 +79,11 @@
 
 ResponseParser::~ResponseParser() = default;
 
+std::size_t ResponseParser::headMemory() const
+{
+    return headers_.memory() + head_.reason_.size();
+}
+
 bool ResponseParser::keepsAlive() const
 {
     return keepsAlive_;
--- a/src/http1/responseparser.h
+++ b/src/http1/responseparser.h
@@ -28,6 +28,9 @@
     /// Handles an orderly end of the connection. Returns Complete if it ends a response without a length.
     ParseOutcome finish();
 
+    /// Memory that the current head occupies so far, in bytes.
+    std::size_t headMemory() const;
+
     /// True if the connection stays open after the message that was parsed last.
     bool keepsAlive() const;
 
--- a/src/http1/socketoptions.cpp
+++ b/src/http1/socketoptions.cpp
@@ -23,6 +23,12 @@
 
 } // namespace
 
+void limitKernelBuffers(int socket)
+{
+    setOption(socket, SOL_SOCKET, SO_RCVBUF, ReceiveBufferSize);
+    setOption(socket, SOL_SOCKET, SO_SNDBUF, SendBufferSize);
+}
+
 void enableDeadPeerDetection(int socket, std::chrono::milliseconds timeout)
 {
     const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(timeout).count();
--- a/src/logs/logevent.h
+++ b/src/logs/logevent.h
@@ -15,6 +15,7 @@
     SettingsReloaded = 106,
     SettingsNotReloaded = 107,
     SettingRejected = 108,
+    BufferRevoked = 109,
 
     // 200 to 299: callers and requests
     AnswerResumed = 200,
--- a/src/serve/eventtext.cpp
+++ b/src/serve/eventtext.cpp
@@ -1,5 +1,7 @@
 #include "serve/eventtext.h"
 
+#include <algorithm>
+
 namespace cowsliphead::eventtext
 {
 
@@ -8,41 +10,21 @@
 
 constexpr std::string_view DataField = "data:";
 
-/// Position after the line that begins at this position, or npos if the line is incomplete.
-std::size_t endOfLine(std::string_view text, std::size_t from)
-{
-    const auto end = text.find_first_of("\r\n", from);
-    if (end == std::string_view::npos) {
-        return end;
-    }
-    return text.substr(end).starts_with("\r\n") ? end + 2 : end + 1;
-}
-
 } // namespace
 
-std::string_view takeLine(std::string_view &text)
+std::size_t findLineEnd(std::string_view text, std::size_t from)
 {
-    const auto line = text.substr(0, text.find_first_of("\r\n"));
-    const auto end = endOfLine(text, 0);
-    text.remove_prefix(end == std::string_view::npos ? text.size() : end);
-    return line;
+    const auto end = std::find_if(text.begin() + std::ptrdiff_t(from), text.end(), [](char character) { return character == '\n' || character == '\r'; });
+    return std::size_t(end - text.begin());
 }
 
-std::size_t endOfEvent(std::string_view text, std::size_t from)
+std::string_view takeLine(std::string_view &text)
 {
-    bool usesLoneCr = false;
-    for (auto end = endOfLine(text, from); end != std::string_view::npos; end = endOfLine(text, from)) {
-        const bool isEmptyLine = text[from] == '\r' || text[from] == '\n';
-        const bool endsWithCr = text[end - 1] == '\r';
-        if (isEmptyLine) {
-            // The LF of this CR may still follow.
-            const bool isHalf = endsWithCr && end == text.size() && !usesLoneCr;
-            return isHalf ? std::string_view::npos : end;
-        }
-        usesLoneCr = endsWithCr;
-        from = end;
-    }
-    return std::string_view::npos;
+    const auto line = text.substr(0, findLineEnd(text, 0));
+    text.remove_prefix(line.size());
+    const std::size_t endSize = text.starts_with("\r\n") ? 2 : 1;
+    text.remove_prefix(std::min(endSize, text.size()));
+    return line;
 }
 
 std::optional<std::string_view> firstData(std::string_view event)
--- a/src/serve/sseframer.h
+++ b/src/serve/sseframer.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "serve/eventboundary.h"
 #include "serve/eventtext.h"
 #include "serve/streamend.h"
 
@@ -23,12 +24,22 @@
     {
         pending_.erase(0, emittedBytes_);
         emittedBytes_ = 0;
+        if (pending_.empty() && pending_.capacity() > MaxKeptCapacity) {
+            pending_.shrink_to_fit();
+        }
+        if (hasEnded_) {
+            return {};
+        }
+        auto searchedBytes = pending_.size();
         pending_.append(data);
-        auto end = eventtext::endOfEvent(pending_, 0);
-        while (end != std::string::npos && !hasEnded_) {
-            count(std::string_view(pending_).substr(emittedBytes_, end - emittedBytes_));
-            emittedBytes_ = end;
-            end = eventtext::endOfEvent(pending_, end);
+        while (!hasEnded_) {
+            const auto size = boundary_.find(std::string_view(pending_).substr(searchedBytes));
+            if (size == std::string_view::npos) {
+                break;
+            }
+            searchedBytes += size;
+            count(std::string_view(pending_).substr(emittedBytes_, searchedBytes - emittedBytes_));
+            emittedBytes_ = searchedBytes;
         }
         return std::string_view(pending_).substr(0, emittedBytes_);
     }
@@ -36,7 +47,8 @@
     /// Discards an incomplete event.
     void discardPartialEvent()
     {
-        pending_.clear();
+        pending_ = {};
+        boundary_ = {};
         emittedBytes_ = 0;
     }
 
@@ -53,6 +65,9 @@
     }
 
 private:
+    /// A longer buffer is given back after the event that needed it.
+    static constexpr std::size_t MaxKeptCapacity = 65536;
+
     void count(std::string_view event)
     {
         hasEnded_ = End::isLast(event);
@@ -62,6 +77,7 @@
     /// The bytes that add() returned last, followed by the incomplete event.
     std::string pending_;
     std::size_t emittedBytes_ = 0;
+    EventBoundary boundary_;
     std::uint64_t eventCount_ = 0;
     bool hasEnded_ = false;
 };
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -1,5 +1,11 @@
 #include "gatewayfixture.h"
 
+#include <boost/test/unit_test.hpp>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include "http1/messagewriter.h"
 
 using namespace cowsliphead;
@@ -41,6 +47,37 @@
     gateway_.receive(ConfigurationConfirmed{ SystemClock().now() - configurationAge });
 }
 
+GatewayFixture::~GatewayFixture()
+{
+    for (const int caller : sockets_) {
+        ::close(caller);
+    }
+}
+
+int GatewayFixture::connectUnreadingCaller(const std::string &bytes)
+{
+    const int caller = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockets_.push_back(caller);
+    const int window = 65536;
+    BOOST_REQUIRE(::setsockopt(caller, SOL_SOCKET, SO_RCVBUF, &window, sizeof window) == 0);
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_port = htons(port_);
+    name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    BOOST_REQUIRE(::connect(caller, reinterpret_cast<const sockaddr *>(&name), sizeof name) == 0);
+    BOOST_REQUIRE(::fcntl(caller, F_SETFL, O_NONBLOCK) == 0);
+    BOOST_REQUIRE(::send(caller, bytes.data(), bytes.size(), 0) == ssize_t(bytes.size()));
+    return caller;
+}
+
+std::string GatewayFixture::requestText(const std::string &path, const std::string &attemptId, const std::string &body)
+{
+    return requestBytes({ "POST",
+                          path,
+                          { { "Host", "host" }, { "X-Api-Key", "key-1" }, { "X-Attempt-Id", attemptId }, { "Content-Length", std::to_string(body.size()) } } })
+        + body;
+}
+
 GatewaySettings GatewayFixture::settings(std::chrono::milliseconds stopGrace)
 {
     GatewaySettings result;
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -36,6 +36,12 @@
     /// Sends a request, closes the connection after an endpoint has received it, and runs the loop for a short time.
     void sendRequestAndDisconnect(const std::string &path);
 
+    /// Connects a caller that sends these bytes and reads nothing. Returns its socket, which the fixture closes at its end.
+    int connectUnreadingCaller(const std::string &bytes);
+
+    /// The bytes of a request that a caller sends.
+    static std::string requestText(const std::string &path, const std::string &attemptId, const std::string &body = {});
+
     /// Publishes the list of endpoints once more, as it was.
     void publish();
 
@@ -53,6 +59,10 @@
     /// Starts the drain and runs the loop for this time.
     void drainFor(std::chrono::milliseconds time);
 
+    ~GatewayFixture();
+    GatewayFixture(const GatewayFixture &) = delete;
+    GatewayFixture &operator=(const GatewayFixture &) = delete;
+
     int startedRequests_ = 0;
     std::vector<cowsliphead::Span> spans_;
 
@@ -68,5 +78,6 @@
     Gateway gateway_;
     std::uint16_t port_ = 0;
     int requestCount_ = 0;
+    std::vector<int> sockets_;
     std::uint64_t incarnation_ = 1;
 };
