Fields of a trailer section are discarded, and reach no other message

Cause: HeaderCollector went on after the head, for requests and for answers, and the next head was built on what it held.

Why it works: fields are collected between the beginning of a message and the end of its head only. They are not passed on with their own message, either: it is sent on with a head that does not announce them.

--- a/src/http1/headercollector.h
+++ b/src/http1/headercollector.h
@@ -12,9 +12,19 @@
 class HeaderCollector
 {
 public:
-    /// Appends to the current field's name, or starts the next field if the current one has a value.
+    /// Starts the head of a message.
+    void beginHead()
+    {
+        isInHead_ = true;
+    }
+
+    /// Appends to the current field's name, or starts the next field if the current one has a value. A field of a trailer section, which
+    /// follows takeHeaders(), is discarded.
     void addName(std::string_view fragment)
     {
+        if (!isInHead_) {
+            return;
+        }
         if (hasValue_ || headers_.empty()) {
             headers_.emplace_back();
             hasValue_ = false;
@@ -23,9 +33,12 @@
         size_ += fragment.size();
     }
 
-    /// Appends to the current field's value. Precondition: a name was added.
+    /// Appends to the current field's value; discarded in a trailer section. Precondition: a name was added.
     void addValue(std::string_view fragment)
     {
+        if (!isInHead_) {
+            return;
+        }
         hasValue_ = true;
         headers_.back().second.append(fragment);
         size_ += fragment.size();
@@ -43,9 +56,10 @@
         return size_ + headers_.capacity() * sizeof(HttpHeaders::value_type);
     }
 
-    /// Returns the collected fields and resets the collector.
+    /// Ends the head: returns the collected fields and resets the collector.
     HttpHeaders takeHeaders()
     {
+        isInHead_ = false;
         hasValue_ = false;
         size_ = 0;
         return std::exchange(headers_, {});
@@ -55,6 +69,7 @@
     HttpHeaders headers_;
     std::size_t size_ = 0;
     bool hasValue_ = false;
+    bool isInHead_ = false;
 };
 
 } // namespace cowsliphead
--- a/src/http1/requestparser.cpp
+++ b/src/http1/requestparser.cpp
@@ -19,6 +19,12 @@
         return 0;
     }
 
+    static int onBegin(http_parser *parser)
+    {
+        owner(parser).headers_.beginHead();
+        return 0;
+    }
+
     static int onName(http_parser *parser, const char *at, std::size_t length)
     {
         owner(parser).headers_.addName({ at, length });
@@ -54,6 +60,7 @@
     {
         static const http_parser_settings table = [] {
             http_parser_settings result{};
+            result.on_message_begin = onBegin;
             result.on_url = onTarget;
             result.on_header_field = onName;
             result.on_header_value = onValue;
--- a/src/http1/responseparser.cpp
+++ b/src/http1/responseparser.cpp
@@ -20,6 +20,12 @@
         return 0;
     }
 
+    static int onBegin(http_parser *parser)
+    {
+        owner(parser).headers_.beginHead();
+        return 0;
+    }
+
     static int onName(http_parser *parser, const char *at, std::size_t length)
     {
         owner(parser).headers_.addName({ at, length });
@@ -57,6 +63,7 @@
     {
         static const http_parser_settings table = [] {
             http_parser_settings result{};
+            result.on_message_begin = onBegin;
             result.on_status = onReason;
             result.on_header_field = onName;
             result.on_header_value = onValue;
