What a caller's connection buffers is counted in a type of its own

CallerConnection had three shares and the callbacks of two buffers among its own state; CallerBuffers has them now.

Found in the read of the whole change: once requests in progress alone exceeded the limit, every connection with a byte in a buffer would have been ended, one after the other, to no gain. Buffers of less than 16 KiB are left alone (leaves_small_shares_to_those_who_use_them). The release of a KV cache is not in the account any more: its connection may outlive the gateway's budget at the end of the process. A caller that sends 600 KB of requests ahead gets an answer to each (gets_an_answer_to_each_of_them, not run on the code before).

--- a/src/gateway/boundreader.cpp
+++ b/src/gateway/boundreader.cpp
@@ -1,7 +1,6 @@
 #include "gateway/boundreader.h"
 
 #include <charconv>
-#include <cmath>
 #include <sstream>
 
 #include <nlohmann/json.hpp>
--- a/src/gateway/releasecache.h
+++ b/src/gateway/releasecache.h
@@ -19,7 +19,7 @@
 {
     constexpr std::chrono::milliseconds ConnectTimeout{ 300 };
     constexpr std::chrono::milliseconds CallTimeout{ 1000 };
-    const auto connection = std::make_shared<ClientConnection>(context.loop_, handle.engine_, &context.buffers_);
+    const auto connection = std::make_shared<ClientConnection>(context.loop_, handle.engine_);
     // The events own the timer, and the connection owns the events until it is closed.
     const auto timer = std::make_shared<Timer>(context.loop_, [weak = std::weak_ptr(connection)] {
         if (const auto late = weak.lock()) {
--- a/src/http1/buffershare.cpp
+++ b/src/http1/buffershare.cpp
@@ -8,6 +8,14 @@
 namespace cowsliphead
 {
 
+namespace
+{
+
+/// To end a smaller buffer's owner frees too little to be worth it.
+constexpr std::size_t SmallestRevoked = std::size_t(16) << 10U;
+
+} // namespace
+
 BufferShare::BufferShare(BufferBudget &budget, std::function<void()> onRevoked)
     : budget_(budget)
     , onRevoked_(onRevoked ? std::make_shared<std::function<void()>>(std::move(onRevoked)) : nullptr)
@@ -42,7 +50,7 @@
 
 std::size_t BufferShare::revocableSize() const
 {
-    return onRevoked_ && !isRevoked_ ? size_ : 0;
+    return onRevoked_ && !isRevoked_ && size_ >= SmallestRevoked ? size_ : 0;
 }
 
 void BufferShare::revoke()
--- a/src/http1/buffershare.h
+++ b/src/http1/buffershare.h
@@ -14,7 +14,7 @@
 {
 public:
     /// onRevoked is called in a later iteration of the loop than the call that exceeded the budget; the owner then frees its buffer. A share
-    /// without it is never revoked. Precondition: the budget outlives the share.
+    /// without it, or of less than 16 KiB, is never revoked. Precondition: the budget outlives the share.
     explicit BufferShare(BufferBudget &budget, std::function<void()> onRevoked = nullptr);
     ~BufferShare();
     BufferShare(const BufferShare &) = delete;
@@ -28,7 +28,7 @@
 private:
     friend class BufferBudget;
 
-    /// Zero if the share cannot be revoked or was revoked before.
+    /// Zero if the share cannot be revoked, was revoked before or is small.
     std::size_t revocableSize() const;
     void revoke();
 
--- a/src/http1/callerconnection.cpp
+++ b/src/http1/callerconnection.cpp
@@ -49,18 +49,13 @@
     , limits_(limits)
     , events_(std::move(events))
     , buffer_(bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE))
+    , buffers_(
+          buffer_.get(), budget, [this] { handleBodyRevoked(); }, [this] { handleDisconnect(); })
     , parser_(parserEvents())
     , timer_(loop, [this] { handleTimeout(); })
 {
     enableDeadPeerDetection(socket, DeadPeerTimeout);
     limitKernelBuffers(socket);
-    if (budget != nullptr) {
-        bodyShare_.emplace(*budget, [this] { handleBodyRevoked(); });
-        requestShare_.emplace(*budget);
-        queueShare_.emplace(*budget, [this] { handleDisconnect(); });
-        evbuffer_add_cb(bufferevent_get_input(buffer_.get()), &CallerConnection::onBufferChanged, this);
-        evbuffer_add_cb(bufferevent_get_output(buffer_.get()), &CallerConnection::onBufferChanged, this);
-    }
     bufferevent_setwatermark(buffer_.get(), EV_READ, 0, MaxReadAhead);
     bufferevent_setwatermark(buffer_.get(), EV_WRITE, DrainedBytes, 0);
     bufferevent_setcb(buffer_.get(), &CallerConnection::onReadable, &CallerConnection::onWritten, &CallerConnection::onEvent, this);
@@ -68,13 +63,7 @@
     timer_.startOnce(limits_.idleTimeout_);
 }
 
-CallerConnection::~CallerConnection()
-{
-    if (queueShare_) {
-        evbuffer_remove_cb(bufferevent_get_input(buffer_.get()), &CallerConnection::onBufferChanged, this);
-        evbuffer_remove_cb(bufferevent_get_output(buffer_.get()), &CallerConnection::onBufferChanged, this);
-    }
-}
+CallerConnection::~CallerConnection() = default;
 
 RequestParserEvents CallerConnection::parserEvents()
 {
@@ -106,7 +95,7 @@
 
 void CallerConnection::handleWritten()
 {
-    if (state_ == State::Closing && unsentBytes() == 0) {
+    if (state_ == State::Closing && buffers_.unsentBytes() == 0) {
         shutdown(bufferevent_getfd(buffer_.get()), SHUT_WR);
         timer_.startOnce(LingerTimeout);
     }
@@ -120,21 +109,6 @@
     }
 }
 
-void CallerConnection::onBufferChanged(evbuffer * /*buffer*/, const evbuffer_cb_info * /*change*/, void *self)
-{
-    static_cast<CallerConnection *>(self)->countBuffers();
-}
-
-void CallerConnection::countBuffers()
-{
-    queueShare_->resize(unsentBytes() + evbuffer_get_length(bufferevent_get_input(buffer_.get())));
-}
-
-std::size_t CallerConnection::unsentBytes() const
-{
-    return evbuffer_get_length(bufferevent_get_output(buffer_.get()));
-}
-
 bool CallerConnection::isCongested() const
 {
     return awaitsDrain_;
@@ -196,7 +170,7 @@
     }
     while (state_ == State::Reading && evbuffer_get_length(input) > 0) {
         if (requestsBeingRead_ == 0) {
-            if (unsentBytes() > CongestedBytes) {
+            if (buffers_.unsentBytes() > CongestedBytes) {
                 // The caller reads its answers before it gets another.
                 awaitsDrain_ = true;
                 return;
@@ -222,10 +196,7 @@
             requestsBeingRead_ = 0;
             timer_.cancel();
             state_ = State::Answering;
-            if (requestShare_) {
-                requestShare_->resize(bodyShare_->size());
-                bodyShare_->resize(0);
-            }
+            buffers_.bodyComplete();
             events_.onRequest_(std::move(*std::exchange(request_, std::nullopt)));
         } else if (request_) {
             timer_.startOnce(limits_.idleTimeout_);
@@ -263,18 +234,14 @@
         return false;
     }
     request_->body_.append(data);
-    if (bodyShare_) {
-        bodyShare_->resize(request_->body_.capacity());
-    }
+    buffers_.setBody(request_->body_.capacity());
     return true;
 }
 
 void CallerConnection::refuse(int status)
 {
     request_.reset();
-    if (bodyShare_) {
-        bodyShare_->resize(0);
-    }
+    buffers_.setBody(0);
     closesAfterAnswer_ = true;
     state_ = State::Answering;
     HttpHeaders headers;
@@ -300,9 +267,9 @@
         return;
     }
     bufferevent_write(buffer_.get(), bytes.data(), bytes.size());
-    if (unsentBytes() > MaxUnsentBytes) {
+    if (buffers_.unsentBytes() > MaxUnsentBytes) {
         handleDisconnect();
-    } else if (unsentBytes() > CongestedBytes) {
+    } else if (buffers_.unsentBytes() > CongestedBytes) {
         awaitsDrain_ = true;
     }
 }
@@ -358,9 +325,7 @@
     if (state_ != State::Answering) {
         return;
     }
-    if (requestShare_) {
-        requestShare_->resize(0);
-    }
+    buffers_.requestAnswered();
     if (closesAfterAnswer_) {
         beginClosing();
     } else {
@@ -371,7 +336,7 @@
 void CallerConnection::beginClosing()
 {
     state_ = State::Closing;
-    if (unsentBytes() == 0) {
+    if (buffers_.unsentBytes() == 0) {
         shutdown(bufferevent_getfd(buffer_.get()), SHUT_WR);
         timer_.startOnce(LingerTimeout);
     } else {
--- a/src/http1/callerconnection.h
+++ b/src/http1/callerconnection.h
@@ -7,15 +7,12 @@
 
 #include "http/httpheaders.h"
 #include "http1/buffereventdeleter.h"
-#include "http1/buffershare.h"
+#include "http1/callerbuffers.h"
 #include "http1/callerconnectionevents.h"
 #include "http1/callerconnectionlimits.h"
 #include "http1/requestparser.h"
 #include "task/timer.h"
 
-struct evbuffer;
-struct evbuffer_cb_info;
-
 namespace cowsliphead
 {
 
@@ -72,7 +69,6 @@
     static void onReadable(bufferevent *buffer, void *self);
     static void onWritten(bufferevent *buffer, void *self);
     static void onEvent(bufferevent *buffer, short what, void *self);
-    static void onBufferChanged(evbuffer *buffer, const evbuffer_cb_info *change, void *self);
 
     RequestParserEvents parserEvents();
     bool handleHead(RequestHead head);
@@ -80,8 +76,6 @@
     void readAvailable();
     void handleWritten();
     void handleBodyRevoked();
-    std::size_t unsentBytes() const;
-    void countBuffers();
     void beginRequest();
     void refuse(int status);
     void write(std::string_view bytes);
@@ -96,16 +90,8 @@
     EventLoop &loop_;
     CallerConnectionLimits limits_;
     CallerConnectionEvents events_;
-
-    /// The body that is being read.
-    std::optional<BufferShare> bodyShare_;
-
-    /// The body of the request that is being answered. It cannot be given back before the answer.
-    std::optional<BufferShare> requestShare_;
-
-    /// Bytes that the caller has not read, and bytes after its request.
-    std::optional<BufferShare> queueShare_;
     std::unique_ptr<bufferevent, BufferEventDeleter> buffer_;
+    CallerBuffers buffers_;
     RequestParser parser_;
     Timer timer_;
     State state_ = State::Reading;
--- a/tests/gateway/buffersofmanyrequeststest.cpp
+++ b/tests/gateway/buffersofmanyrequeststest.cpp
@@ -158,6 +158,35 @@
     BOOST_TEST(taken < std::size_t(16) << 20U);
 }
 
+// Guards against a connection that stops reading ahead and does not begin again.
+BOOST_AUTO_TEST_CASE(gets_an_answer_to_each_of_them)
+{
+    constexpr std::size_t Count = 300;
+    addEndpoint({ { CompleteResponse } });
+    const int caller = connectUnreadingCaller(requestText("/once/x", "first"));
+    std::string unsent;
+    for (std::size_t number = 1; number < Count; ++number) {
+        unsent += requestText("/once/x", "more", std::string(2000, 'b'));
+    }
+    std::string received;
+    std::string buffer(65536, '\0');
+    const auto answers = [&received] {
+        std::size_t count = 0;
+        for (auto at = received.find("\r\n\r\nbody"); at != std::string::npos; at = received.find("\r\n\r\nbody", at + 1)) {
+            ++count;
+        }
+        return count;
+    };
+    for (int round = 0; round < 1500 && answers() < Count; ++round) {
+        const auto sent = ::send(caller, unsent.data(), unsent.size(), MSG_NOSIGNAL);
+        unsent.erase(0, sent > 0 ? std::size_t(sent) : 0);
+        run(2ms);
+        const auto size = ::recv(caller, buffer.data(), buffer.size(), 0);
+        received.append(buffer, 0, size > 0 ? std::size_t(size) : 0);
+    }
+    BOOST_TEST(answers() == Count);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
