--- a/tests/gateway/parsegatewaysettingstest.cpp
+++ b/tests/gateway/parsegatewaysettingstest.cpp
@@ -31,6 +31,15 @@
     BOOST_TEST(settings->gateway_.bounds_.stopGrace_.count() == 8000);
 }
 
+BOOST_AUTO_TEST_CASE(limit_what_connections_buffer_to_a_share_of_the_memory)
+{
+    constexpr std::size_t Megabyte = std::size_t(1) << 20U;
+    BOOST_TEST(parseGatewaySettings(settingsWith(R"(, "memoryMb": 64)"))->gateway_.bufferLimit_ == 16 * Megabyte);
+    BOOST_TEST(parseGatewaySettings(settingsWith(R"(, "memoryMb": 160)"))->gateway_.bufferLimit_ == 32 * Megabyte);
+    BOOST_TEST(parseGatewaySettings(settingsWith(R"(, "memoryMb": 512)"))->gateway_.bufferLimit_ == 32 * Megabyte);
+    BOOST_TEST(parseGatewaySettings(settingsWith(""))->gateway_.bufferLimit_ <= 32 * Megabyte);
+}
+
 BOOST_AUTO_TEST_CASE(may_contain_unknown_fields)
 {
     BOOST_TEST(parseGatewaySettings(settingsWith(R"(, "later": [1, 2])")).has_value());
