--- a/src/fleet/configuration.cpp
+++ b/src/fleet/configuration.cpp
@@ -1,5 +1,7 @@
 #include "fleet/configuration.h"
 
+#include <algorithm>
+
 namespace cowsliphead
 {
 
@@ -16,4 +18,10 @@
     return best;
 }
 
+bool Configuration::usesAdaptiveServing() const
+{
+    return std::any_of(
+        services_.begin(), services_.end(), [](const auto &service) { return service.second.engine_ && service.second.engine_->hasCompactCache(); });
+}
+
 } // namespace cowsliphead
--- a/src/fleet/configuration.h
+++ b/src/fleet/configuration.h
@@ -32,6 +32,10 @@
     /// Returns the route with the longest path prefix that matches this host and target, or null if none matches. Thread safety: may be
     /// called concurrently while nothing modifies the object.
     const Route *findRoute(const std::string &host, const std::string &target) const;
+
+    /// True if the gateways share what they learn of endpoints, place requests by expected time, and decide at admission which requests are
+    /// served: with an engine service whose KV cache is compact. Thread safety: as findRoute().
+    bool usesAdaptiveServing() const;
 };
 
 } // namespace cowsliphead
--- a/src/fleet/route.h
+++ b/src/fleet/route.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -27,6 +28,9 @@
     /// An answer within this time counts as on time.
     std::chrono::milliseconds targetLatency_{ 0 };
 
+    /// The longest pause between two events of a stream that counts as on time; zero if the configuration gives none.
+    std::chrono::milliseconds longestPause_{ 0 };
+
     /// 0 is the most urgent.
     int priority_ = 0;
 
@@ -44,6 +48,17 @@
     {
         return kind_ == RouteKind::Idempotent || (kind_ == RouteKind::Streaming && isResumable_);
     }
+
+    /// How long a caller of a stream waits for an event before it leaves. Thread safety: as mayRunAgain().
+    std::chrono::milliseconds patience() const
+    {
+        return std::max({ MinPatience, PatiencePerTarget * targetLatency_, PatiencePerPause * longestPause_ });
+    }
+
+private:
+    static constexpr std::chrono::milliseconds MinPatience{ 2000 };
+    static constexpr int PatiencePerTarget = 4;
+    static constexpr int PatiencePerPause = 8;
 };
 
 } // namespace cowsliphead
--- a/tests/platform/platformfleetcodectest.cpp
+++ b/tests/platform/platformfleetcodectest.cpp
@@ -161,6 +161,30 @@
     BOOST_TEST(configuration->limits_.maxBodyBytes_ == 2000U);
 }
 
+/// Guards against adaptive serving on deployments whose KV caches are costly to move.
+BOOST_AUTO_TEST_CASE(uses_adaptive_serving_only_with_a_compact_kv_cache)
+{
+    const auto usesAdaptiveServing = [](const std::string &engine) {
+        const auto text = R"({"version":1,"routes":[],"services":[{"name":"s"},{"name":"t","engine":{"slots":12)" + engine + "}}]}";
+        return PlatformFleetCodec::decodeConfiguration({ "op/config", text, 1, false })->usesAdaptiveServing();
+    };
+    BOOST_TEST(usesAdaptiveServing(R"(,"kvTokenBytes":18432,"linkMbps":110000.0)"));
+    BOOST_TEST(!usesAdaptiveServing(R"(,"kvTokenBytes":327680,"linkMbps":1900000.0)"));
+    BOOST_TEST(!usesAdaptiveServing(""));
+}
+
+BOOST_AUTO_TEST_CASE(gives_the_patience_of_callers_of_a_stream)
+{
+    const auto patienceOf = [](const std::string &route) {
+        const auto text =
+            R"({"version":1,"routes":[{"hostname":"h","prefix":"/","kind":"streaming","timeoutMs":6000,"service":"s",)" + route + R"(}],"services":[]})";
+        return PlatformFleetCodec::decodeConfiguration({ "op/config", text, 1, false })->routes_[0].patience();
+    };
+    BOOST_TEST((patienceOf(R"("targetLatencyMs":600,"gapAimMs":150.0)") == std::chrono::milliseconds(2400)));
+    BOOST_TEST((patienceOf(R"("targetLatencyMs":300,"gapAimMs":150)") == std::chrono::milliseconds(2000)));
+    BOOST_TEST((patienceOf(R"("targetLatencyMs":400,"gapAimMs":500)") == std::chrono::milliseconds(4000)));
+}
+
 BOOST_AUTO_TEST_CASE(with_a_route_of_unknown_kind_treats_it_as_not_repeatable)
 {
     const auto configuration = PlatformFleetCodec::decodeConfiguration(
