--- a/src/fleet/enginespec.h
+++ b/src/fleet/enginespec.h
@@ -32,7 +32,7 @@
 
 private:
     /// Above this, the bytes that fetches move cost more than the reading that they save.
-    static constexpr std::uint64_t MaxCompactTokenBytes = 64 * 1024;
+    static constexpr std::uint64_t MaxCompactTokenBytes = 65536;
 };
 
 } // namespace cowsliphead
