Split the relay's behaviour and the codec of its messages into parts

Both files were about to grow by the exchange of endpoint state and retries. Wire forms and their conversions now stand in src/relay/wire, one type a file. The dialogues of the relay task with the store, the relays of other failure domains, its members and its target are types of their own over a shared RelayContext. Behaviour is unchanged.

--- /dev/null
+++ b/src/relay/relaycontext.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <utility>
+
+#include "core/clock.h"
+#include "core/time.h"
+#include "fleet/registry.h"
+#include "relay/domainmembers.h"
+#include "relay/fleetsize.h"
+#include "relay/fleetstate.h"
+#include "relay/loadboard.h"
+#include "relay/quarantinerelay.h"
+#include "relay/relaylinks.h"
+#include "relay/relayselection.h"
+#include "relay/relaysettings.h"
+#include "relay/usagerelay.h"
+
+namespace cowsliphead
+{
+
+/// State shared by the parts of a relay task. Thread safety: the loop's task only.
+template <RangedStore S, FleetCodec Codec, Clock C>
+struct RelayContext {
+    EventLoop &loop_;
+    const C &clock_;
+    RelaySettings settings_;
+    GatewayMember self_;
+    RelayLinks links_;
+
+    UsageRelay usage_{ self_.incarnation_, links_.memberCounts_, links_.countsStored_ };
+    QuarantineRelay<S, C> quarantine_{ loop_, clock_, self_.incarnation_, links_.crashReports_ };
+
+    /// Absent without peers.
+    std::optional<RelaySelection> selection_{};
+    FleetState<Codec> state_{};
+    LoadBoard board_{};
+    DomainMembers members_{};
+    FleetSize fleetSize_{};
+
+    /// Number of gateways in the failure domain.
+    std::size_t domainSize_ = 1;
+
+    /// The number of gateways that was published last.
+    std::size_t gateways_ = 0;
+
+    /// This gateway's load.
+    EndpointLoads local_{};
+
+    /// The newest configuration was confirmed by a read sent at this time.
+    std::optional<MonotonicTime> confirmedAt_{};
+
+    bool isRelay() const
+    {
+        return selection_ && selection_->role() == RelayRole::Relay;
+    }
+
+    /// Publishes configuration and endpoints if they changed.
+    void publishIf(bool isChanged)
+    {
+        if (isChanged) {
+            links_.snapshots_.send(state_.snapshot());
+        }
+    }
+
+    /// The newest configuration was confirmed by a read sent at askedAt.
+    void confirmed(MonotonicTime askedAt)
+    {
+        if (!confirmedAt_ || askedAt > *confirmedAt_) {
+            confirmedAt_ = askedAt;
+        }
+        links_.configurationConfirmations_.send({ askedAt });
+    }
+
+    /// gateways is zero while unknown. total includes own, which was this gateway's load when the total was made.
+    void publishFleet(const EndpointLoads &total, const EndpointLoads &own, std::size_t gateways)
+    {
+        links_.loads_.send({ differenceOf(total, own) });
+        if (gateways > 0 && std::exchange(gateways_, gateways) != gateways) {
+            links_.gatewayCounts_.send({ gateways });
+        }
+    }
+};
+
+} // namespace cowsliphead
--- /dev/null
+++ b/src/relay/wire/wireversion.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+
+#include "peer/messagepack.h"
+#include "relay/textversion.h"
+
+namespace cowsliphead
+{
+
+/// Wire form of TextVersion.
+struct WireVersion {
+    std::uint64_t revision_ = 0;
+    std::uint64_t digest_ = 0;
+
+    MSGPACK_DEFINE_ARRAY(revision_, digest_)
+};
+
+/// Thread safety: any thread.
+inline WireVersion toWire(const TextVersion &version)
+{
+    return { version.revision_, version.digest_ };
+}
+
+/// Thread safety: any thread.
+inline TextVersion fromWire(const WireVersion &wire)
+{
+    return { wire.revision_, wire.digest_ };
+}
+
+} // namespace cowsliphead
