Relays share observations and failures of endpoints, and a pool of unused retries

Queries and answers of relays carry three more fields (b, i, p; the format stays 3). ObservationBoard, FailureBoard and RetryPool decide without I/O; ObservationUpdates selects what is sent to one receiver; RetryDepositLedger assigns each deposited retry to one relay, since a gateway that returned to a former relay would otherwise deposit the same retry with two. The pool stays empty until a relay has read the entries of the relays twice, because the first read at a fleet's start finds only some failure domains.

--- a/src/relay/domainexchange.h
+++ b/src/relay/domainexchange.h
@@ -1,12 +1,15 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <vector>
 
 #include "core/failuredomain.h"
 #include "core/time.h"
+#include "relay/observationreceivers.h"
 #include "relay/relayconnections.h"
 #include "relay/relaycontext.h"
 #include "relay/relayentry.h"
@@ -32,6 +35,7 @@
     /// The store names the relays of all failure domains.
     void setRelays(const std::vector<RelayEntry> &entries)
     {
+        ++entryReads_;
         relays_.clear();
         for (const auto &entry : entries) {
             if (entry.relay_.domain_ != context_.self_.domain_) {
@@ -50,6 +54,18 @@
         context_.fleetSize_.record(gateways, now);
     }
 
+    /// Returns how many retries of each service the pool of this failure domain may hold: its part of what the pools of all failure domains
+    /// hold. Zero until the failure domains are known: when a fleet starts, the first read finds the relays of only some of them.
+    std::uint64_t retryPoolLimit() const
+    {
+        constexpr int SettledReads = 2;
+        if (entryReads_ < SettledReads) {
+            return 0;
+        }
+        const auto domains = static_cast<double>(relays_.size() + 1);
+        return static_cast<std::uint64_t>(std::max(context_.local_.retryPoolLimit_, 0.0) / domains);
+    }
+
     /// Asks the other relays if the interval has passed.
     void ask(MonotonicTime now)
     {
@@ -75,6 +91,8 @@
         answer.loads_ = context_.board_.domainTotal(now);
         answer.gateways_ = context_.members_.size();
         answer.crashes_ = context_.quarantine_.answer(query.crashes_);
+        answer.observations_ = receivers_.updatesFor(query.from_.incarnation_, now, [&] { return context_.observations_.domainTotal(now); });
+        answer.failures_ = context_.failures_.domainTotal(now);
     }
 
     /// A gateway of another failure domain has answered.
@@ -84,6 +102,8 @@
         context_.quarantine_.answered(peer, answer.from_.incarnation_, answer.crashes_);
         if (answer.status_.isRelay_) {
             context_.board_.reportDomain(domain, answer.loads_, answer.gateways_, now);
+            context_.observations_.report({ domain, {} }, answer.observations_, now);
+            context_.failures_.report({ domain, {} }, answer.failures_, now);
         } else if (answer.status_.redirect_) {
             relays_[domain] = *answer.status_.redirect_;
         }
@@ -97,6 +117,10 @@
     RelayConnections &connections_;
     std::map<FailureDomain, PeerAddress> relays_;
     MonotonicTime askedAt_;
+    ObservationReceivers receivers_;
+
+    /// How often the entries of the relays were read.
+    int entryReads_ = 0;
 };
 
 } // namespace cowsliphead
--- a/src/relay/relayanswer.h
+++ b/src/relay/relayanswer.h
@@ -6,10 +6,13 @@
 #include <vector>
 
 #include "relay/crashanswer.h"
+#include "relay/endpointfailure.h"
 #include "relay/endpointload.h"
+#include "relay/endpointobservation.h"
 #include "relay/endpointupdate.h"
 #include "relay/gatewaymember.h"
 #include "relay/relaystatus.h"
+#include "relay/retrygrant.h"
 #include "relay/textupdate.h"
 #include "usage/countsstored.h"
 
@@ -48,6 +51,16 @@
     std::vector<CountsStored> stored_;
 
     CrashAnswer crashes_;
+
+    /// What changed, since it was sent to the asking gateway last, of the observations of the fleet without that gateway; of the failure domain
+    /// if a relay asks.
+    EndpointObservations observations_{};
+
+    /// All recent failures that the gateways of the fleet without the asking one saw; those of the failure domain if a relay asks.
+    EndpointFailures failures_{};
+
+    /// What the answering relay has granted to the asking gateway, for each service that the query named.
+    RetryGrants retryGrants_{};
 };
 
 } // namespace cowsliphead
--- a/src/relay/relaybehaviour.h
+++ b/src/relay/relaybehaviour.h
@@ -16,7 +16,7 @@
 #include "relay/addresstext.h"
 #include "relay/domainexchange.h"
 #include "relay/fleetreader.h"
-#include "relay/memberanswers.h"
+#include "relay/memberexchange.h"
 #include "relay/relayconnections.h"
 #include "relay/relaycontext.h"
 #include "relay/relayentrycalls.h"
@@ -117,7 +117,7 @@
             return;
         }
         const auto now = context_.clock_.now();
-        context_.local_ = std::move(load.loads_);
+        context_.local_ = std::move(load);
         if (context_.isRelay()) {
             reportOwnLoad(now);
         }
@@ -126,11 +126,12 @@
 
     void reportOwnLoad(MonotonicTime now)
     {
-        context_.board_.reportGateway(context_.self_.incarnation_, context_.local_, now);
+        context_.retryPool_.setLimit(domains_.retryPoolLimit());
+        auto load = members_.exchangeOwn(now);
         context_.selection_->mergeMembers(context_.members_.members());
         context_.domainSize_ = context_.members_.size();
         domains_.recordFleetSize(now);
-        context_.publishFleet(context_.board_.fleetTotal(now), context_.local_, context_.fleetSize_.value(now));
+        context_.publishFleet(std::move(load), context_.fleetSize_.value(now));
         domains_.ask(now);
     }
 
@@ -171,6 +172,7 @@
             reader_.start();
         } else {
             context_.usage_.ceasedToBeRelay();
+            context_.retryPool_.clear();
             reader_.stop();
         }
     }
@@ -222,7 +224,7 @@
     RelayConnections connections_;
     DomainExchange<S, Codec, C> domains_;
     TargetExchange<S, Codec, C> target_;
-    MemberAnswers<S, Codec, C> members_;
+    MemberExchange<S, Codec, C> members_;
     Timer tick_;
 };
 
--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -8,13 +8,17 @@
 #include "core/time.h"
 #include "fleet/registry.h"
 #include "relay/domainmembers.h"
+#include "relay/failureboard.h"
 #include "relay/fleetsize.h"
 #include "relay/fleetstate.h"
 #include "relay/loadboard.h"
+#include "relay/observationboard.h"
 #include "relay/quarantinerelay.h"
 #include "relay/relaylinks.h"
 #include "relay/relayselection.h"
 #include "relay/relaysettings.h"
+#include "relay/retrydepositledger.h"
+#include "relay/retrypool.h"
 #include "relay/usagerelay.h"
 
 namespace cowsliphead
@@ -36,6 +40,9 @@
     std::optional<RelaySelection> selection_{};
     FleetState<Codec> state_{};
     LoadBoard board_{};
+    ObservationBoard observations_{};
+    FailureBoard failures_{};
+    RetryPool retryPool_{};
     DomainMembers members_{};
     FleetSize fleetSize_{};
 
@@ -45,8 +52,9 @@
     /// The number of gateways that was published last.
     std::size_t gateways_ = 0;
 
-    /// This gateway's load.
-    EndpointLoads local_{};
+    /// This gateway's load, and the relays that its deposits of retries are assigned to.
+    LocalLoad local_{};
+    RetryDepositLedger deposits_{};
 
     /// The newest configuration was confirmed by a read sent at this time.
     std::optional<MonotonicTime> confirmedAt_{};
@@ -73,10 +81,10 @@
         links_.configurationConfirmations_.send({ askedAt });
     }
 
-    /// gateways is zero while unknown. total includes own, which was this gateway's load when the total was made.
-    void publishFleet(const EndpointLoads &total, const EndpointLoads &own, std::size_t gateways)
+    /// gateways is zero while unknown.
+    void publishFleet(FleetLoad load, std::size_t gateways)
     {
-        links_.loads_.send({ differenceOf(total, own) });
+        links_.loads_.send(std::move(load));
         if (gateways > 0 && std::exchange(gateways_, gateways) != gateways) {
             links_.gatewayCounts_.send({ gateways });
         }
--- a/src/relay/relayquery.h
+++ b/src/relay/relayquery.h
@@ -5,8 +5,11 @@
 #include <vector>
 
 #include "relay/crashquery.h"
+#include "relay/endpointfailure.h"
 #include "relay/endpointload.h"
+#include "relay/endpointobservation.h"
 #include "relay/gatewaymember.h"
+#include "relay/retrydeposit.h"
 #include "relay/textversion.h"
 #include "usage/membercounts.h"
 
@@ -41,6 +44,15 @@
     std::vector<MemberCounts> counts_{};
 
     CrashQuery crashes_{};
+
+    /// What changed of the sender's observations since it sent them last.
+    EndpointObservations observations_{};
+
+    /// All recent failures that the sender saw.
+    EndpointFailures failures_{};
+
+    /// What the sender has deposited with the asked relay.
+    RetryDeposits retryDeposits_{};
 };
 
 } // namespace cowsliphead
--- a/src/relay/targetexchange.h
+++ b/src/relay/targetexchange.h
@@ -2,11 +2,14 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <utility>
 
 #include "core/result.h"
 #include "core/time.h"
 #include "logs/log.h"
 #include "relay/addresstext.h"
+#include "relay/observationboard.h"
+#include "relay/observationupdates.h"
 #include "relay/relayconnections.h"
 #include "relay/relaycontext.h"
 #include "relay/relaymessagecodec.h"
@@ -44,10 +47,13 @@
         query.endpoints_ = needsWholeTexts_ ? TextVersion{} : context_.state_.endpointVersion();
         query.membersOf_ = membersOf_;
         query.members_ = membersVersion_;
-        query.loads_ = context_.local_;
+        query.loads_ = context_.local_.loads_;
         query.counts_ = context_.usage_.takeForQuery();
         query.crashes_ = context_.quarantine_.queryFor(*target);
-        sentLoads_ = context_.local_;
+        query.observations_ = observationsFor(*target, now);
+        query.failures_ = context_.local_.failures_;
+        query.retryDeposits_ = context_.deposits_.reportTo(*target, context_.local_.retryDeposits_);
+        sentLoads_ = context_.local_.loads_;
         sentEndpoints_ = query.endpoints_;
         connections_.ask(*target, relaymessagecodec::encode(query), now);
     }
@@ -56,6 +62,7 @@
     void answered(const PeerAddress &peer, const RelayAnswer &answer, MonotonicTime askedAt, MonotonicTime now)
     {
         applyUpdates(peer, answer, askedAt);
+        takeObservations(answer, now);
         // The answering gateway counts the age until it answers, which is not before it was asked.
         if (answer.configurationAge_ && answer.configuration_ != 0 && answer.configuration_ == context_.state_.configurations().revision()) {
             context_.confirmed(askedAt - *answer.configurationAge_);
@@ -72,11 +79,40 @@
         }
         context_.selection_->answered(peer, answer.status_, now);
         if (answer.status_.isFit_) {
-            context_.publishFleet(answer.loads_, sentLoads_, answer.gateways_);
+            context_.publishFleet({ differenceOf(answer.loads_, sentLoads_),
+                                    received_.fleetWithout(context_.self_.incarnation_, now),
+                                    answer.failures_,
+                                    answer.from_.incarnation_,
+                                    answer.retryGrants_ },
+                                  answer.gateways_);
         }
     }
 
 private:
+    /// A relay that did not answer may not have got the last observations, and another one has none.
+    EndpointObservations observationsFor(const PeerAddress &target, MonotonicTime now)
+    {
+        if (isAwaitingAnswer_ || asked_ != target) {
+            updates_.reset();
+        }
+        if (asked_ != target) {
+            answeredBy_ = {};
+        }
+        isAwaitingAnswer_ = true;
+        asked_ = target;
+        return updates_.isDue(now) ? updates_.take(context_.local_.observations_, now) : EndpointObservations();
+    }
+
+    void takeObservations(const RelayAnswer &answer, MonotonicTime now)
+    {
+        isAwaitingAnswer_ = false;
+        const auto before = std::exchange(answeredBy_, answer.from_.incarnation_);
+        if (!answer.status_.isRelay_ || (!before.isEmpty() && before != answeredBy_)) {
+            updates_.reset();
+        }
+        received_.report({ context_.self_.domain_, {} }, answer.observations_, now);
+    }
+
     void applyUpdates(const PeerAddress &peer, const RelayAnswer &answer, MonotonicTime askedAt)
     {
         bool isChanged = false;
@@ -119,6 +155,15 @@
     EndpointLoads sentLoads_;
     TextVersion sentEndpoints_;
 
+    /// The gateway that was asked last, and its process as of its last answer.
+    PeerAddress asked_;
+    InstanceId answeredBy_;
+    bool isAwaitingAnswer_ = false;
+
+    /// This gateway's observations that the relay has, and those of the others that it has sent.
+    ObservationUpdates updates_;
+    ObservationBoard received_;
+
     /// An update could not be applied.
     bool needsWholeTexts_ = false;
 };
--- a/src/relay/wire/wireanswer.cpp
+++ b/src/relay/wire/wireanswer.cpp
@@ -35,6 +35,9 @@
     wire.crashesVersion_ = answer.crashes_.version_;
     wire.sightings_ = allToWire<WireSighting>(answer.crashes_.reports_.sightings_);
     wire.clearances_ = allToWire<WireClearance>(answer.crashes_.reports_.clearances_);
+    wire.observations_ = allToWire<WireObservation>(answer.observations_);
+    wire.failures_ = allToWire<WireFailure>(answer.failures_);
+    wire.retryGrants_ = allToWire<WireRetryGrant>(answer.retryGrants_);
     return wire;
 }
 
@@ -47,6 +50,18 @@
     if (!loads) {
         return tl::unexpected(loads.error());
     }
+    auto observations = observationsFromWire(wire.observations_);
+    if (!observations) {
+        return tl::unexpected(observations.error());
+    }
+    auto failures = failuresFromWire(wire.failures_);
+    if (!failures) {
+        return tl::unexpected(failures.error());
+    }
+    auto retryGrants = retryGrantsFromWire(wire.retryGrants_);
+    if (!retryGrants) {
+        return tl::unexpected(retryGrants.error());
+    }
     RelayAnswer answer;
     answer.from_ = fromWire(wire.from_);
     answer.status_ = RelayStatus{ wire.isRelay_, wire.isFit_, wire.isStoreLost_, wire.isLeaving_, optionalFromWire<PeerAddress>(wire.redirect_) };
@@ -65,6 +80,9 @@
     answer.loads_ = std::move(*loads);
     answer.stored_ = allFromWire<CountsStored>(wire.stored_);
     answer.crashes_ = { wire.crashesVersion_, { allFromWire<CrashSighting>(wire.sightings_), allFromWire<CrashClearance>(wire.clearances_) } };
+    answer.observations_ = std::move(*observations);
+    answer.failures_ = std::move(*failures);
+    answer.retryGrants_ = std::move(*retryGrants);
     return answer;
 }
 
--- a/src/relay/wire/wireanswer.h
+++ b/src/relay/wire/wireanswer.h
@@ -9,8 +9,11 @@
 #include "relay/wire/wireaddress.h"
 #include "relay/wire/wireclearance.h"
 #include "relay/wire/wireendpointupdate.h"
+#include "relay/wire/wirefailure.h"
 #include "relay/wire/wireload.h"
 #include "relay/wire/wiremember.h"
+#include "relay/wire/wireobservation.h"
+#include "relay/wire/wireretrygrant.h"
 #include "relay/wire/wiresighting.h"
 #include "relay/wire/wirestored.h"
 #include "relay/wire/wireupdate.h"
@@ -42,6 +45,9 @@
     std::uint64_t crashesVersion_ = 0;
     std::vector<WireSighting> sightings_;
     std::vector<WireClearance> clearances_;
+    std::vector<WireObservation> observations_;
+    std::vector<WireFailure> failures_;
+    std::vector<WireRetryGrant> retryGrants_;
 
     MSGPACK_DEFINE_MAP(MSGPACK_NVP("z", format_),
                        MSGPACK_NVP("f", from_),
@@ -62,7 +68,10 @@
                        MSGPACK_NVP("w", stored_),
                        MSGPACK_NVP("n", crashesVersion_),
                        MSGPACK_NVP("q", sightings_),
-                       MSGPACK_NVP("j", clearances_))
+                       MSGPACK_NVP("j", clearances_),
+                       MSGPACK_NVP("b", observations_),
+                       MSGPACK_NVP("i", failures_),
+                       MSGPACK_NVP("p", retryGrants_))
 };
 
 /// Thread safety: any thread.
--- a/src/relay/wire/wirelist.h
+++ b/src/relay/wire/wirelist.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace cowsliphead
@@ -40,4 +41,20 @@
     return wire.empty() ? std::nullopt : std::optional<Item>(fromWire(wire.front()));
 }
 
+/// True if the keys ascend, so that none occurs twice. Thread safety: any thread.
+template <typename Item, typename KeyOf>
+bool isStrictlyAscending(const std::vector<Item> &items, KeyOf keyOf)
+{
+    const auto isOutOfOrder = [&keyOf](const Item &left, const Item &right) { return keyOf(left) >= keyOf(right); };
+    return std::adjacent_find(items.begin(), items.end(), isOutOfOrder) == items.end();
+}
+
+/// True if no key occurs twice, in any order. Thread safety: any thread.
+template <typename Item, typename KeyOf>
+bool hasEachKeyOnce(const std::vector<Item> &items, KeyOf keyOf)
+{
+    std::set<decltype(keyOf(items.front()))> keys;
+    return std::all_of(items.begin(), items.end(), [&](const Item &item) { return keys.insert(keyOf(item)).second; });
+}
+
 } // namespace cowsliphead
--- a/src/relay/wire/wirequery.cpp
+++ b/src/relay/wire/wirequery.cpp
@@ -25,7 +25,10 @@
              query.crashes_.knownOf_.value(),
              query.crashes_.knownVersion_,
              allToWire<WireSighting>(query.crashes_.reports_.sightings_),
-             allToWire<WireClearance>(query.crashes_.reports_.clearances_) };
+             allToWire<WireClearance>(query.crashes_.reports_.clearances_),
+             allToWire<WireObservation>(query.observations_),
+             allToWire<WireFailure>(query.failures_),
+             allToWire<WireRetryDeposit>(query.retryDeposits_) };
 }
 
 Result<RelayQuery> fromWire(const WireQuery &wire)
@@ -37,6 +40,18 @@
     if (!loads) {
         return tl::unexpected(loads.error());
     }
+    auto observations = observationsFromWire(wire.observations_);
+    if (!observations) {
+        return tl::unexpected(observations.error());
+    }
+    auto failures = failuresFromWire(wire.failures_);
+    if (!failures) {
+        return tl::unexpected(failures.error());
+    }
+    auto retryDeposits = retryDepositsFromWire(wire.retryDeposits_);
+    if (!retryDeposits) {
+        return tl::unexpected(retryDeposits.error());
+    }
     auto counts = allFromWire<MemberCounts>(wire.counts_);
     for (auto &member : counts) {
         member.gateway_ = InstanceId(wire.from_.incarnation_);
@@ -52,7 +67,10 @@
         wire.members_,
         std::move(*loads),
         std::move(counts),
-        { InstanceId(wire.crashesOf_), wire.crashesVersion_, { allFromWire<CrashSighting>(wire.sightings_), allFromWire<CrashClearance>(wire.clearances_) } }
+        { InstanceId(wire.crashesOf_), wire.crashesVersion_, { allFromWire<CrashSighting>(wire.sightings_), allFromWire<CrashClearance>(wire.clearances_) } },
+        std::move(*observations),
+        std::move(*failures),
+        std::move(*retryDeposits),
     };
 }
 
--- a/src/relay/wire/wirequery.h
+++ b/src/relay/wire/wirequery.h
@@ -9,8 +9,11 @@
 #include "relay/wire/wireaddress.h"
 #include "relay/wire/wireclearance.h"
 #include "relay/wire/wirecounts.h"
+#include "relay/wire/wirefailure.h"
 #include "relay/wire/wireload.h"
 #include "relay/wire/wiremember.h"
+#include "relay/wire/wireobservation.h"
+#include "relay/wire/wireretrydeposit.h"
 #include "relay/wire/wiresighting.h"
 #include "relay/wire/wireversion.h"
 
@@ -34,6 +37,9 @@
     std::uint64_t crashesVersion_ = 0;
     std::vector<WireSighting> sightings_;
     std::vector<WireClearance> clearances_;
+    std::vector<WireObservation> observations_;
+    std::vector<WireFailure> failures_;
+    std::vector<WireRetryDeposit> retryDeposits_;
 
     MSGPACK_DEFINE_MAP(MSGPACK_NVP("z", format_),
                        MSGPACK_NVP("f", from_),
@@ -49,7 +55,10 @@
                        MSGPACK_NVP("k", crashesOf_),
                        MSGPACK_NVP("n", crashesVersion_),
                        MSGPACK_NVP("q", sightings_),
-                       MSGPACK_NVP("j", clearances_))
+                       MSGPACK_NVP("j", clearances_),
+                       MSGPACK_NVP("b", observations_),
+                       MSGPACK_NVP("i", failures_),
+                       MSGPACK_NVP("p", retryDeposits_))
 };
 
 /// Thread safety: any thread.
