--- a/src/relay/domainexchange.h
+++ b/src/relay/domainexchange.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "core/failuredomain.h"
@@ -35,7 +36,9 @@
     /// The store names the relays of all failure domains.
     void setRelays(const std::vector<RelayEntry> &entries)
     {
-        ++entryReads_;
+        const auto now = context_.clock_.now();
+        firstReadAt_ = firstReadAt_.value_or(now);
+        areDomainsKnown_ = areDomainsKnown_ || now - *firstReadAt_ >= SettleTime;
         relays_.clear();
         for (const auto &entry : entries) {
             if (entry.relay_.domain_ != context_.self_.domain_) {
@@ -55,11 +58,10 @@
     }
 
     /// Returns how many retries of each service the pool of this failure domain may hold: its part of what the pools of all failure domains
-    /// hold. Zero until the failure domains are known: when a fleet starts, the first read finds the relays of only some of them.
+    /// hold. Zero until the failure domains are known.
     std::uint64_t retryPoolLimit() const
     {
-        constexpr int SettledReads = 2;
-        if (entryReads_ < SettledReads) {
+        if (!areDomainsKnown_) {
             return 0;
         }
         const auto domains = static_cast<double>(relays_.size() + 1);
@@ -113,14 +115,19 @@
     /// The bytes of these queries cross failure domains.
     static constexpr std::chrono::milliseconds Interval{ 300 };
 
+    /// When a fleet starts, the first reads of the entries find the relays of only some failure domains. Relays read them again every five
+    /// seconds.
+    static constexpr std::chrono::seconds SettleTime{ 3 };
+
     Context &context_;
     RelayConnections &connections_;
     std::map<FailureDomain, PeerAddress> relays_;
     MonotonicTime askedAt_;
     ObservationReceivers receivers_;
 
-    /// How often the entries of the relays were read.
-    int entryReads_ = 0;
+    /// When the entries of the relays were read first, and whether they were read again after SettleTime.
+    std::optional<MonotonicTime> firstReadAt_;
+    bool areDomainsKnown_ = false;
 };
 
 } // namespace cowsliphead
