Failures of endpoints are sent when they are new, decisive or a second old

FailureUpdates selects them for each receiver, which keeps them until they expire; so FailureBoard joins partial reports now, and a failure ends by its age alone.

--- a/src/relay/domainexchange.h
+++ b/src/relay/domainexchange.h
@@ -10,7 +10,7 @@
 
 #include "core/failuredomain.h"
 #include "core/time.h"
-#include "relay/observationreceivers.h"
+#include "relay/endpointstatereceivers.h"
 #include "relay/relayconnections.h"
 #include "relay/relaycontext.h"
 #include "relay/relayentry.h"
@@ -93,8 +93,11 @@
         answer.loads_ = context_.board_.domainTotal(now);
         answer.gateways_ = context_.members_.size();
         answer.crashes_ = context_.quarantine_.answer(query.crashes_);
-        answer.observations_ = receivers_.updatesFor(query.from_.incarnation_, now, [&] { return context_.observations_.domainTotal(now); });
-        answer.failures_ = context_.failures_.domainTotal(now);
+        auto &updates = receivers_.updatesFor(query.from_.incarnation_, now);
+        if (updates.observations_.isDue(now)) {
+            answer.observations_ = updates.observations_.take(context_.observations_.domainTotal(now), now);
+        }
+        answer.failures_ = updates.failures_.take(context_.failures_.domainTotal(now), now);
     }
 
     /// A gateway of another failure domain has answered.
@@ -123,7 +126,7 @@
     RelayConnections &connections_;
     std::map<FailureDomain, PeerAddress> relays_;
     MonotonicTime askedAt_;
-    ObservationReceivers receivers_;
+    EndpointStateReceivers receivers_;
 
     /// When the entries of the relays were read first, and whether they were read again after SettleTime.
     std::optional<MonotonicTime> firstReadAt_;
--- a/src/relay/failureboard.cpp
+++ b/src/relay/failureboard.cpp
@@ -1,26 +1,21 @@
 #include "relay/failureboard.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace cowsliphead
 {
 
 void FailureBoard::report(const LoadReporter &reporter, const EndpointFailures &failures, MonotonicTime now)
 {
-    std::erase_if(reports_, [now](const auto &item) {
-        return std::all_of(item.second.begin(), item.second.end(), [now](const Seen &seen) { return now - seen.at_ >= Lifetime; });
-    });
-    if (failures.empty()) {
-        reports_.erase(reporter);
-        return;
+    for (auto &[known, report] : reports_) {
+        std::erase_if(report, [now](const auto &item) { return now - item.second.at_ >= Lifetime; });
     }
-    auto &report = reports_[reporter];
-    report.clear();
+    std::erase_if(reports_, [](const auto &item) { return item.second.empty(); });
     for (const auto &failure : failures) {
-        report.push_back({ failure, now - failure.age_ });
+        auto &seen = reports_[reporter][{ failure.endpoint_, failure.kind_ }];
+        seen = { failure, std::max(seen.at_, now - failure.age_) };
         if (reporter.isMember()) {
-            report.back().failure_.gateways_ = 1;
+            seen.failure_.gateways_ = 1;
         }
     }
 }
@@ -38,16 +33,16 @@
 template <typename IsCounted>
 EndpointFailures FailureBoard::total(MonotonicTime now, IsCounted isCounted) const
 {
-    std::map<std::pair<IncarnationKey, EndpointFailureKind>, Seen> sums;
+    std::map<Key, Seen> sums;
     for (const auto &[reporter, report] : reports_) {
         if (!isCounted(reporter)) {
             continue;
         }
-        for (const auto &seen : report) {
+        for (const auto &[key, seen] : report) {
             if (now - seen.at_ >= Lifetime) {
                 continue;
             }
-            const auto [sum, isNew] = sums.try_emplace({ seen.failure_.endpoint_, seen.failure_.kind_ }, seen);
+            const auto [sum, isNew] = sums.try_emplace(key, seen);
             if (!isNew) {
                 sum->second.failure_.gateways_ += seen.failure_.gateways_;
                 sum->second.at_ = std::max(sum->second.at_, seen.at_);
--- a/src/relay/failureboard.h
+++ b/src/relay/failureboard.h
@@ -2,7 +2,7 @@
 
 #include <chrono>
 #include <map>
-#include <vector>
+#include <utility>
 
 #include "core/time.h"
 #include "relay/endpointfailure.h"
@@ -11,8 +11,8 @@
 namespace cowsliphead
 {
 
-/// The recent failures of endpoints that a relay knows. A report replaces the one before of the same reporter; a failure is forgotten some
-/// time after it was seen. Thread safety: owner task only.
+/// The recent failures of endpoints that a relay knows. A report replaces what the same reporter reported before of the same failures; a failure
+/// is forgotten some time after it was seen. Thread safety: owner task only.
 class FailureBoard
 {
 public:
@@ -28,6 +28,8 @@
 private:
     static constexpr std::chrono::seconds Lifetime{ 3 };
 
+    using Key = std::pair<IncarnationKey, EndpointFailureKind>;
+
     struct Seen {
         EndpointFailure failure_;
         MonotonicTime at_;
@@ -36,7 +38,7 @@
     template <typename IsCounted>
     EndpointFailures total(MonotonicTime now, IsCounted isCounted) const;
 
-    std::map<LoadReporter, std::vector<Seen>> reports_;
+    std::map<LoadReporter, std::map<Key, Seen>> reports_;
 };
 
 } // namespace cowsliphead
--- a/src/relay/memberexchange.h
+++ b/src/relay/memberexchange.h
@@ -3,7 +3,7 @@
 #include <chrono>
 
 #include "core/time.h"
-#include "relay/observationreceivers.h"
+#include "relay/endpointstatereceivers.h"
 #include "relay/observationupdates.h"
 #include "relay/relayanswer.h"
 #include "relay/relaycontext.h"
@@ -59,8 +59,11 @@
         }
         answer.gateways_ = context_.fleetSize_.value(now);
         answer.loads_ = context_.board_.fleetTotal(now);
-        answer.observations_ = receivers_.updatesFor(asking, now, [&] { return context_.observations_.fleetWithout(asking, now); });
-        answer.failures_ = context_.failures_.fleetWithout(asking, now);
+        auto &updates = receivers_.updatesFor(asking, now);
+        if (updates.observations_.isDue(now)) {
+            answer.observations_ = updates.observations_.take(context_.observations_.fleetWithout(asking, now), now);
+        }
+        answer.failures_ = updates.failures_.take(context_.failures_.fleetWithout(asking, now), now);
         answer.retryGrants_ = context_.retryPool_.exchange(asking, query.retryDeposits_, now);
     }
 
@@ -86,7 +89,7 @@
     }
 
     Context &context_;
-    ObservationReceivers receivers_;
+    EndpointStateReceivers receivers_;
 
     /// What this process's own gateway has reported.
     ObservationUpdates ownUpdates_;
--- a/src/relay/relayanswer.h
+++ b/src/relay/relayanswer.h
@@ -56,7 +56,7 @@
     /// if a relay asks.
     EndpointObservations observations_{};
 
-    /// All recent failures that the gateways of the fleet without the asking one saw; those of the failure domain if a relay asks.
+    /// The same of the recent failures.
     EndpointFailures failures_{};
 
     /// What the answering relay has granted to the asking gateway, for each service that the query named.
--- a/src/relay/targetexchange.h
+++ b/src/relay/targetexchange.h
@@ -8,6 +8,7 @@
 #include "core/time.h"
 #include "logs/log.h"
 #include "relay/addresstext.h"
+#include "relay/failureboard.h"
 #include "relay/observationboard.h"
 #include "relay/observationupdates.h"
 #include "relay/relayconnections.h"
@@ -62,7 +63,7 @@
     void answered(const PeerAddress &peer, const RelayAnswer &answer, MonotonicTime askedAt, MonotonicTime now)
     {
         applyUpdates(peer, answer, askedAt);
-        takeObservations(answer, now);
+        takeEndpointState(answer, now);
         // The answering gateway counts the age until it answers, which is not before it was asked.
         if (answer.configurationAge_ && answer.configuration_ != 0 && answer.configuration_ == context_.state_.configurations().revision()) {
             context_.confirmed(askedAt - *answer.configurationAge_);
@@ -80,8 +81,8 @@
         context_.selection_->answered(peer, answer.status_, now);
         if (answer.status_.isFit_) {
             context_.publishFleet({ differenceOf(answer.loads_, sentLoads_),
-                                    received_.fleetWithout(context_.self_.incarnation_, now),
-                                    answer.failures_,
+                                    receivedObservations_.fleetWithout(context_.self_.incarnation_, now),
+                                    receivedFailures_.fleetWithout(context_.self_.incarnation_, now),
                                     answer.from_.incarnation_,
                                     answer.retryGrants_ },
                                   answer.gateways_);
@@ -103,14 +104,15 @@
         return updates_.isDue(now) ? updates_.take(context_.local_.observations_, now) : EndpointObservations();
     }
 
-    void takeObservations(const RelayAnswer &answer, MonotonicTime now)
+    void takeEndpointState(const RelayAnswer &answer, MonotonicTime now)
     {
         isAwaitingAnswer_ = false;
         const auto before = std::exchange(answeredBy_, answer.from_.incarnation_);
         if (!answer.status_.isRelay_ || (!before.isEmpty() && before != answeredBy_)) {
             updates_.reset();
         }
-        received_.report({ context_.self_.domain_, {} }, answer.observations_, now);
+        receivedObservations_.report({ context_.self_.domain_, {} }, answer.observations_, now);
+        receivedFailures_.report({ context_.self_.domain_, {} }, answer.failures_, now);
     }
 
     void applyUpdates(const PeerAddress &peer, const RelayAnswer &answer, MonotonicTime askedAt)
@@ -160,9 +162,10 @@
     InstanceId answeredBy_;
     bool isAwaitingAnswer_ = false;
 
-    /// This gateway's observations that the relay has, and those of the others that it has sent.
+    /// This gateway's observations that the relay has, and what it has sent of the others.
     ObservationUpdates updates_;
-    ObservationBoard received_;
+    ObservationBoard receivedObservations_;
+    FailureBoard receivedFailures_;
 
     /// An update could not be applied.
     bool needsWholeTexts_ = false;
