--- a/src/relay/relaybehaviour.h
+++ b/src/relay/relaybehaviour.h
@@ -111,7 +111,7 @@
         return std::clamp(IntervalPerMember * static_cast<int>(context_.domainSize_), MinInterval, MaxInterval);
     }
 
-    void handle(LocalLoad load)
+    void handle(LocalLoad &&load)
     {
         if (!context_.selection_) {
             return;
