--- a/src/relay/targetexchange.h
+++ b/src/relay/targetexchange.h
@@ -33,7 +33,7 @@
     {
     }
 
-    /// Asks the target, if there is one and it has answered the query before.
+    /// Asks the target, if there is one and no query to it is under way.
     void ask(MonotonicTime now)
     {
         const auto &target = context_.selection_->target();
