Reading speeds of engines, from what all gateways have observed

Placement by expected time needs the speed at which each engine reads prompts, and a gateway uses any given engine only every ten seconds. EngineSpeeds sums the decaying observations of this gateway and of the others; EndpointTable::speeds() gives access to it. Nothing records observations yet.

--- a/src/gateway/endpointtable.cpp
+++ b/src/gateway/endpointtable.cpp
@@ -58,6 +58,18 @@
     }
     states_ = std::move(states);
     forgetOldest(now);
+    updateEngines();
+}
+
+void EndpointTable::updateEngines()
+{
+    std::map<EndpointKey, ServiceName> engines;
+    for (const auto &[id, state] : states_) {
+        if (state->entry_.stage_ != EngineStage::None) {
+            engines.emplace(state->key_, state->entry_.service_);
+        }
+    }
+    speeds_.setEngines(std::move(engines));
 }
 
 std::shared_ptr<EndpointState> EndpointTable::stateOf(const EndpointEntry &entry) const
@@ -210,6 +222,16 @@
     return health_;
 }
 
+EngineSpeeds &EndpointTable::speeds()
+{
+    return speeds_;
+}
+
+const EngineSpeeds &EndpointTable::speeds() const
+{
+    return speeds_;
+}
+
 std::uint64_t EndpointTable::countOf(EngineStage stage) const
 {
     return static_cast<std::uint64_t>(std::count_if(states_.begin(), states_.end(), [stage](const auto &item) { return item.second->entry_.stage_ == stage; }));
--- a/src/gateway/endpointtable.h
+++ b/src/gateway/endpointtable.h
@@ -10,6 +10,7 @@
 #include "core/servicename.h"
 #include "core/time.h"
 #include "decide/endpointhealth.h"
+#include "decide/enginespeeds.h"
 #include "gateway/endpointstate.h"
 #include "gateway/placement.h"
 #include "http1/clientconnection.h"
@@ -70,6 +71,10 @@
     /// Endpoints that failed recently.
     EndpointHealth &health();
 
+    /// How fast the engines read prompts.
+    EngineSpeeds &speeds();
+    const EngineSpeeds &speeds() const;
+
     /// Number of engines of this stage, over all services.
     std::uint64_t countOf(EngineStage stage) const;
 
@@ -87,6 +92,7 @@
     /// The state of this incarnation of the endpoint, or a new one.
     std::shared_ptr<EndpointState> stateOf(const EndpointEntry &entry) const;
     void forgetOldest(MonotonicTime now);
+    void updateEngines();
 
     EventLoop &loop_;
     BufferBudget &buffers_;
@@ -95,6 +101,7 @@
     /// The last states of endpoints that are no longer listed.
     std::map<EndpointId, FormerEndpoint> former_;
     EndpointHealth health_;
+    EngineSpeeds speeds_;
 };
 
 } // namespace cowsliphead
