Gateways share what they see of endpoints, and avoid those that fail for others

38 engines crashed within 4 s and cost 3,757 failed connects and 819 answers 421, because each of 59 gateways finds a crash by itself. A gateway now records how fast engines read prompts, and which incarnations of endpoints it cannot reach, close a connection unanswered or were replaced. It tells both in its answer to LoadQuery and takes the same of the others from FleetLoad. A failed or refused request counts in the latency ratio as one that took the target latency. All of it depends on Configuration::usesAdaptiveServing().

Measured: test_gateway and test_decide pass, also test_logs, test_fleet and test_relay.

--- a/src/gateway/attemptresult.h
+++ b/src/gateway/attemptresult.h
@@ -22,6 +22,12 @@
     /// Set if the connection failed.
     std::optional<ConnectionFailure> failure_{};
 
+    /// The head of a response had arrived.
+    bool isAnswerBegun_ = false;
+
+    /// Another endpoint answered at this one's address.
+    bool isReplaced_ = false;
+
     /// True if the endpoint closed the connection with the request in hand, as it does when it crashes.
     bool isClosedByEndpoint() const
     {
--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -97,6 +97,12 @@
         return writtenAt_;
     }
 
+    /// Tokens that the endpoint had yet to read when the request was written, with those of the request, as far as they were known.
+    std::uint64_t tokensUntilRead() const
+    {
+        return tokensUntilRead_;
+    }
+
     EndpointState &endpoint() const
     {
         return *endpoint_;
@@ -121,6 +127,8 @@
         }
         isWritten_ = true;
         writtenAt_ = context_.clock_.now();
+        const auto others = endpoint_->loadOfOthers(writtenAt_).value_or(EndpointLoad{});
+        tokensUntilRead_ = endpoint_->prefillQueue_.tokens() + others.promptTokens_;
         auto head = D::endpointRequest(plan_.head_, plan_.metadata_);
         if (!plan_.body_.empty() || plan_.head_.method_ != "GET") {
             head.headers_.emplace_back("Content-Length", std::to_string(plan_.body_.size()));
@@ -214,13 +222,19 @@
             context_.endpoints_.releaseConnection(*endpoint_, std::move(connection), context_.clock_.now());
         }
         const auto result = endOfResponse();
-        end({ result, std::move(head_), std::move(body_), result == AttemptEnd::Lost ? "not_genuine" : "" });
+        const bool isReplaced = result == AttemptEnd::NotExecuted && isFromAnother();
+        end({ result, std::move(head_), std::move(body_), result == AttemptEnd::Lost ? "not_genuine" : "", {}, true, isReplaced });
+    }
+
+    /// True if another endpoint answers at this one's address.
+    bool isFromAnother() const
+    {
+        return response_.isMisdirected_ && !response_.answeredBy_.isEmpty() && response_.answeredBy_ != endpoint_->entry_.id_;
     }
 
     bool isNotExecuted() const
     {
-        const bool isFromAnother = !response_.answeredBy_.isEmpty() && response_.answeredBy_ != endpoint_->entry_.id_;
-        return response_.isNotExecuted_ || (response_.isMisdirected_ && isFromAnother);
+        return response_.isNotExecuted_ || isFromAnother();
     }
 
     AttemptEnd endOfResponse() const
@@ -259,7 +273,7 @@
     void fail(const char *reason, std::optional<ConnectionFailure> failure = std::nullopt)
     {
         connection_.reset();
-        end({ isWritten_ ? AttemptEnd::Lost : AttemptEnd::NotOffered, {}, {}, reason, failure });
+        end({ isWritten_ ? AttemptEnd::Lost : AttemptEnd::NotOffered, {}, {}, reason, failure, head_.status_ != 0 });
     }
 
     void end(AttemptResult result)
@@ -278,6 +292,7 @@
     std::shared_ptr<ClientConnection> connection_;
     MonotonicTime writtenAt_;
     std::uint64_t queuedTokens_ = 0;
+    std::uint64_t tokensUntilRead_ = 0;
     ResponseMetadata response_;
     ResponseHead head_;
     std::string body_;
--- a/src/gateway/endpointoutcome.cpp
+++ b/src/gateway/endpointoutcome.cpp
@@ -1,10 +1,58 @@
 #include "gateway/endpointoutcome.h"
 
+#include <optional>
+
+#include "gateway/attemptresult.h"
+#include "gateway/dispatchplan.h"
 #include "gateway/gatewaycontext.h"
 
 namespace cowsliphead::endpointoutcome
 {
 
+namespace
+{
+
+/// What the failure tells other gateways of the endpoint; nothing for one that may concern only this request or this gateway.
+std::optional<EndpointFailureKind> sharedFailure(const AttemptResult &result)
+{
+    if (result.isReplaced_) {
+        return EndpointFailureKind::Replaced;
+    }
+    if (result.end_ == AttemptEnd::NotOffered && result.failure_ == ConnectionFailure::NotConnected) {
+        return EndpointFailureKind::Unreachable;
+    }
+    if (result.isClosedByEndpoint() && !result.isAnswerBegun_) {
+        return EndpointFailureKind::ClosedUnanswered;
+    }
+    return std::nullopt;
+}
+
+const char *nameOf(EndpointFailureKind kind)
+{
+    switch (kind) {
+    case EndpointFailureKind::Unreachable:
+        return "unreachable";
+    case EndpointFailureKind::ClosedUnanswered:
+        return "closed_unanswered";
+    case EndpointFailureKind::Replaced:
+        break;
+    }
+    return "replaced";
+}
+
+void share(GatewayContext &context, EndpointState &endpoint, const AttemptResult &result)
+{
+    const auto now = context.clock_.now();
+    if (const auto kind = sharedFailure(result)) {
+        context.metrics_.endpointFailures_.increment({ { "kind", nameOf(*kind) } });
+        context.endpoints_.sawFailure(endpoint, *kind, now);
+    } else if (result.end_ == AttemptEnd::NotExecuted || result.end_ == AttemptEnd::Failed || result.end_ == AttemptEnd::Unproven) {
+        context.endpoints_.endAvoidance(endpoint, now);
+    }
+}
+
+} // namespace
+
 void answered(GatewayContext &context, const EndpointId &endpoint, std::chrono::nanoseconds responseTime, std::chrono::milliseconds target)
 {
     const auto state = context.endpoints_.find(endpoint);
@@ -17,19 +65,36 @@
 void succeeded(GatewayContext &context, const EndpointId &endpoint)
 {
     context.endpoints_.health().answered(endpoint);
+    if (const auto state = context.endpoints_.find(endpoint)) {
+        context.endpoints_.endAvoidance(*state, context.clock_.now());
+    }
+}
+
+void promptRead(GatewayContext &context, const EndpointState &engine, std::uint64_t tokens, std::chrono::milliseconds time)
+{
+    if (context.usesAdaptiveServing()) {
+        context.endpoints_.speeds().promptRead(engine.key_, tokens, time, context.clock_.now());
+    }
+    succeeded(context, engine.entry_.id_);
 }
 
-void failed(GatewayContext &context, const DispatchPlan &plan, AttemptEnd end, bool isWithheld)
+void failed(GatewayContext &context, EndpointState &endpoint, const DispatchPlan &plan, const AttemptResult &result, bool isWithheld)
 {
-    const auto &endpoint = plan.metadata_.endpoint_;
+    const auto &id = plan.metadata_.endpoint_;
     const auto now = context.clock_.now();
     // An endpoint may refuse a request with a KV cache because it cannot fetch the cache, which does not count as a failure of the
     // endpoint.
-    const bool hasCacheSource = !plan.metadata_.cacheSource_.empty();
-    if (end == AttemptEnd::Lost || (end == AttemptEnd::NotOffered && !isWithheld)) {
-        context.endpoints_.health().crashed(endpoint, now);
-    } else if (end == AttemptEnd::NotExecuted && !hasCacheSource) {
-        context.endpoints_.health().refused(endpoint, now);
+    const bool isRefusalOfCache = result.end_ == AttemptEnd::NotExecuted && !plan.metadata_.cacheSource_.empty();
+    if (result.end_ == AttemptEnd::Lost || (result.end_ == AttemptEnd::NotOffered && !isWithheld)) {
+        context.endpoints_.health().crashed(id, now);
+    } else if (result.end_ == AttemptEnd::NotExecuted && !isRefusalOfCache) {
+        context.endpoints_.health().refused(id, now);
+    }
+    if (context.usesAdaptiveServing() && !isWithheld) {
+        share(context, endpoint, result);
+        if (!isRefusalOfCache) {
+            endpoint.latencyRatio_.addFailure();
+        }
     }
 }
 
--- a/src/gateway/endpointoutcome.h
+++ b/src/gateway/endpointoutcome.h
@@ -1,13 +1,16 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
-#include "gateway/attemptend.h"
-#include "gateway/dispatchplan.h"
+#include "core/endpointid.h"
 
 namespace cowsliphead
 {
 
+struct AttemptResult;
+struct DispatchPlan;
+struct EndpointState;
 struct GatewayContext;
 
 /// Updates the state of an endpoint from the outcome of a dispatch.
@@ -21,9 +24,13 @@
 /// The endpoint sent a complete response, or more of a stream. Thread safety: the context's task only.
 void succeeded(GatewayContext &context, const EndpointId &endpoint);
 
-/// The dispatch ended without a response to forward. isWithheld: the gateway did not write the request. Thread safety: the context's task
-/// only.
-void failed(GatewayContext &context, const DispatchPlan &plan, AttemptEnd end, bool isWithheld);
+/// The engine answered that it has read a prompt. tokens: what it had yet to read when the prompt was sent. time: since then. Thread safety: the
+/// context's task only.
+void promptRead(GatewayContext &context, const EndpointState &engine, std::uint64_t tokens, std::chrono::milliseconds time);
+
+/// The dispatch to the endpoint ended without a response to forward. isWithheld: the gateway did not write the request. Thread safety: the
+/// context's task only.
+void failed(GatewayContext &context, EndpointState &endpoint, const DispatchPlan &plan, const AttemptResult &result, bool isWithheld);
 
 } // namespace endpointoutcome
 
--- a/src/gateway/endpointstate.h
+++ b/src/gateway/endpointstate.h
@@ -8,6 +8,7 @@
 
 #include "core/time.h"
 #include "decide/endpointpause.h"
+#include "decide/incarnationkey.h"
 #include "fleet/endpointentry.h"
 #include "gateway/latencyratio.h"
 #include "gateway/prefillqueue.h"
@@ -22,6 +23,7 @@
 struct EndpointState {
     EndpointEntry entry_;
     EndpointKey key_ = 0;
+    IncarnationKey incarnation_{};
 
     /// Requests of this gateway that the endpoint is processing.
     std::uint32_t running_ = 0;
--- a/src/gateway/endpointtable.cpp
+++ b/src/gateway/endpointtable.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "decide/crashkeys.h"
 #include "gateway/responsemetadata.h"
 #include "logs/log.h"
 
@@ -45,6 +46,7 @@
         auto state = stateOf(entry);
         state->entry_ = entry;
         state->key_ = endpointKeyOf(entry.id_);
+        state->incarnation_ = crashkeys::ofEndpoint(entry.id_, entry.incarnation_);
         state->isListed_ = true;
         states.emplace(entry.id_, std::move(state));
     }
@@ -59,6 +61,7 @@
     states_ = std::move(states);
     forgetOldest(now);
     updateEngines();
+    updateAvoidance(now);
 }
 
 void EndpointTable::updateEngines()
@@ -98,13 +101,13 @@
 placement::Candidates EndpointTable::candidates(const ServiceName &service, EngineStage stage, const std::set<EndpointId> &excluded, MonotonicTime now)
 {
     placement::Candidates healthy;
-    placement::Candidates avoided;
+    placement::Candidates failed;
     for (const auto &[id, state] : states_) {
         if (state->entry_.service_ == service && state->entry_.stage_ == stage && !excluded.contains(id) && state->mayDispatch(now)) {
-            (health_.isAvoided(id, now) ? avoided : healthy).push_back(state.get());
+            (health_.isAvoided(id, now) ? failed : healthy).push_back(state.get());
         }
     }
-    return healthy.empty() ? avoided : healthy;
+    return healthy.empty() ? failed : avoided_.withoutAvoided(healthy);
 }
 
 std::optional<std::chrono::milliseconds> EndpointTable::timeUntilReturn(const ServiceName &service, MonotonicTime now) const
@@ -222,6 +225,36 @@
     return health_;
 }
 
+void EndpointTable::sawFailure(const EndpointState &state, EndpointFailureKind kind, MonotonicTime now)
+{
+    avoided_.sawFailure(state, kind, now);
+    updateAvoidance(now);
+}
+
+void EndpointTable::endAvoidance(const EndpointState &state, MonotonicTime now)
+{
+    avoided_.answered(state, now);
+    if (avoided_.contains(state)) {
+        updateAvoidance(now);
+    }
+}
+
+void EndpointTable::setFailuresOfOthers(const EndpointFailures &failures, MonotonicTime now)
+{
+    avoided_.setFailuresOfOthers(failures, now);
+    updateAvoidance(now);
+}
+
+void EndpointTable::updateAvoidance(MonotonicTime now)
+{
+    avoided_.update(states_, now);
+}
+
+const AvoidedEndpoints &EndpointTable::avoided() const
+{
+    return avoided_;
+}
+
 EngineSpeeds &EndpointTable::speeds()
 {
     return speeds_;
--- a/src/gateway/endpointtable.h
+++ b/src/gateway/endpointtable.h
@@ -11,6 +11,7 @@
 #include "core/time.h"
 #include "decide/endpointhealth.h"
 #include "decide/enginespeeds.h"
+#include "gateway/avoidedendpoints.h"
 #include "gateway/endpointstate.h"
 #include "gateway/placement.h"
 #include "http1/clientconnection.h"
@@ -36,8 +37,8 @@
     /// FormerLifetime, since the same incarnation may be listed again.
     void update(const std::vector<EndpointEntry> &entries, MonotonicTime now);
 
-    /// Returns the endpoints of the service and stage that are not excluded and may get a request. Endpoints that failed recently are returned only if there is
-    /// no other.
+    /// Returns the endpoints of the service and stage that are not excluded and may get a request. Endpoints that failed recently, here or
+    /// at several gateways, are returned only if there is no other, or rarely as a trial.
     placement::Candidates candidates(const ServiceName &service, EngineStage stage, const std::set<EndpointId> &excluded, MonotonicTime now);
 
     /// Returns shared ownership, since a running dispatch may outlive the endpoint's entry. Null if the endpoint is not listed.
@@ -71,6 +72,20 @@
     /// Endpoints that failed recently.
     EndpointHealth &health();
 
+    /// This gateway saw the endpoint fail; several gateways that see it avoid it together.
+    void sawFailure(const EndpointState &state, EndpointFailureKind kind, MonotonicTime now);
+
+    /// The endpoint answered, so that it is not avoided any longer.
+    void endAvoidance(const EndpointState &state, MonotonicTime now);
+
+    /// Replaces the failures that the other gateways have seen.
+    void setFailuresOfOthers(const EndpointFailures &failures, MonotonicTime now);
+
+    /// Ends the avoidance of endpoints whose failures were seen too long ago.
+    void updateAvoidance(MonotonicTime now);
+
+    const AvoidedEndpoints &avoided() const;
+
     /// How fast the engines read prompts.
     EngineSpeeds &speeds();
     const EngineSpeeds &speeds() const;
@@ -101,6 +116,7 @@
     /// The last states of endpoints that are no longer listed.
     std::map<EndpointId, FormerEndpoint> former_;
     EndpointHealth health_;
+    AvoidedEndpoints avoided_;
     EngineSpeeds speeds_;
 };
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -176,7 +176,7 @@
                 attempts_.prefillFailed();
             }
             logDispatch(result);
-            endpointoutcome::failed(context_, dispatch_->plan(), result.end_, withholdReason_.has_value());
+            endpointoutcome::failed(context_, engine, dispatch_->plan(), result, withholdReason_.has_value());
         }
         dispatch_.reset();
         if (withholdReason_) {
@@ -193,7 +193,7 @@
         engine.prefillQueue_.addMeasurement(dispatch_->plan().promptTokens_, duration, now);
         cache_ = CacheHandle{ engine.entry_.address_, handle };
         requestlog::promptRead(dispatch_->plan(), router_->sharedParts(), metadata_.sharedTokens(), duration);
-        endpointoutcome::succeeded(context_, engine.entry_.id_);
+        endpointoutcome::promptRead(context_, engine, dispatch_->tokensUntilRead(), duration);
     }
 
     bool chargeRetryBudget()
@@ -268,7 +268,7 @@
 
     void runEnded(AttemptResult result)
     {
-        const auto &endpoint = dispatch_->endpoint();
+        auto &endpoint = dispatch_->endpoint();
         const bool isWritten = dispatch_->isWritten();
         if (response_.relay().hasPartialEvent() && result.end_ == AttemptEnd::Answered) {
             // The stream ended in the middle of an event.
@@ -286,7 +286,7 @@
             recordResponse();
             crashes_.answered(endpoint.entry_, dispatch_->writtenAt());
         } else {
-            endpointoutcome::failed(context_, dispatch_->plan(), result.end_, withholdReason_.has_value());
+            endpointoutcome::failed(context_, endpoint, dispatch_->plan(), result, withholdReason_.has_value());
             logDispatch(result);
         }
         trace_.dispatchEnded(dispatch_->plan(), attemptEndName(result.end_));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "fleet/fleetsnapshot.h"
 #include "fleet/gatewaycount.h"
 #include "gateway/callersession.h"
+#include "gateway/fleetexchange.h"
 #include "gateway/gatewaycontext.h"
 #include "gateway/readinessserver.h"
 #include "http1/listener.h"
@@ -87,7 +88,7 @@
 
     void handle(const FleetLoad &load)
     {
-        context_.endpoints_.setLoadOfOthers(load.loads_, context_.clock_.now());
+        fleetexchange::take(context_, load);
     }
 
     void handle(const CrashReports &reports)
@@ -98,7 +99,7 @@
 
     void handle(const LoadQuery &query)
     {
-        query.answerTo_.send({ context_.endpoints_.localLoads() });
+        query.answerTo_.send(fleetexchange::localLoad(context_));
     }
 
     /// Applies changed bounds to later checks. Nothing that was decided under the old bounds is revised; a drain that has begun keeps its
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -63,6 +63,12 @@
         return found->second;
     }
 
+    /// False until there is a configuration.
+    bool usesAdaptiveServing() const
+    {
+        return configuration_ && configuration_->usesAdaptiveServing();
+    }
+
     /// Tells the other gateways what has changed in crashes_, if anything has. Call it after each change.
     void crashesChanged()
     {
--- a/src/gateway/latencyratio.h
+++ b/src/gateway/latencyratio.h
@@ -17,6 +17,13 @@
         value_ += Weight * (std::min(ratio, Largest) - value_);
     }
 
+    /// A request failed, or was refused. It counts as answered after the target latency, or as late as the recent ones if that is later, so that an
+    /// endpoint that fails fast does not seem to be idle.
+    void addFailure()
+    {
+        value_ += Weight * std::max(1.0 - value_, 0.0);
+    }
+
     double value() const
     {
         return std::max(value_, Smallest);
--- a/src/logs/logevent.h
+++ b/src/logs/logevent.h
@@ -37,6 +37,8 @@
     EndpointsUpdated = 303,
     EndpointPaused = 304,
     EndpointPauseMalformed = 305,
+    EndpointAvoided = 306,
+    EndpointAvoidanceEnded = 307,
 
     // 400 to 499: records and their distribution
     RecordsAdvanced = 400,
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "decide/crashkeys.h"
 #include "http1/messagewriter.h"
 
 using namespace cowsliphead;
@@ -148,6 +149,30 @@
     publish();
 }
 
+void GatewayFixture::useAdaptiveServing()
+{
+    const ServiceName name("engines");
+    auto adaptive = std::make_shared<Configuration>(*configuration_);
+    adaptive->revision_ = 2;
+    adaptive->services_.emplace(name, ServiceSpec{ name, 100, EngineSpec{ .cacheTokenBytes_ = 18432 }, std::nullopt });
+    configuration_ = std::move(adaptive);
+    publish();
+}
+
+LocalLoad GatewayFixture::localLoad()
+{
+    LocalLoad result;
+    gateway_.receive(LoadQuery{ Address<LocalLoad>([&result](LocalLoad load) { result = std::move(load); }) });
+    return result;
+}
+
+void GatewayFixture::reportFailure(EndpointFailureKind kind, std::uint32_t gateways)
+{
+    FleetLoad load;
+    load.failures_ = { { crashkeys::ofEndpoint(EndpointId("endpoint-0"), incarnation_), kind, gateways, 0ms } };
+    gateway_.receive(load);
+}
+
 void GatewayFixture::run(std::chrono::milliseconds time)
 {
     Timer end(loop_, [this] { loop_.stop(); });
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -54,6 +54,15 @@
     /// From now on the list names new incarnations of all endpoints.
     void restartEndpoints();
 
+    /// From now on the configuration has a further service, whose engines have a compact KV cache.
+    void useAdaptiveServing();
+
+    /// What the gateway tells the others.
+    cowsliphead::LocalLoad localLoad();
+
+    /// Tells the gateway what the others have seen of the first endpoint.
+    void reportFailure(cowsliphead::EndpointFailureKind kind, std::uint32_t gateways);
+
     void run(std::chrono::milliseconds time);
 
     /// Starts the drain and runs the loop for this time.
