Requests wait for a retry that another gateway lends, and failed connects pause instead of ending them

335 requests were refused after one arrival that had not run, because their gateway's share of the retries was used up while others had unused ones; 66 were refused after four failed connects within 4 ms. RetryAllowance now gives what does not fit into its share to the pools of the relays and takes their grants; a request that finds no retry waits up to 300 ms for one, and after four failed connects in a row it pauses for 50 ms. A retry whose connection could not be opened is given back. A 503 still states only what is certain: after a wait, a request that may have run ends with 502. Only with adaptive serving.

Measured: test_gateway passes. Deposits that are under way when a relay's connection breaks are at most one exchange's.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -20,6 +20,7 @@
 #include "gateway/requestlog.h"
 #include "gateway/requestrouter.h"
 #include "gateway/requesttrace.h"
+#include "gateway/retrywait.h"
 #include "http/httpheaders.h"
 
 namespace cowsliphead
@@ -40,6 +41,7 @@
         , deadline_(context.loop_, [this] { deadlineReached(); })
         , crashes_(context, request_, metadata_, admitted_)
         , response_(context, connection, request_.arrivedAt_)
+        , retryWait_(context.loop_)
         , trace_(context, headerValue(request_.head_.headers_, "traceparent"))
     {
     }
@@ -141,6 +143,10 @@
     {
         if (crashes_.quarantineLeft()) {
             endWithError(ErrorCode::RequestQuarantined);
+        } else if (context_.usesAdaptiveServing() && attempts_.shouldPause()) {
+            pause();
+        } else if (context_.usesAdaptiveServing() && attempts_.nextIsRetry() && !context_.retryBudgetOf(service_).hasRetryLeft()) {
+            waitForRetry();
         } else if (!cache_ && router_->shouldPrefill()) {
             prefill();
         } else {
@@ -148,6 +154,35 @@
         }
     }
 
+    /// Endpoints that cannot be reached are found out within a few hundred milliseconds; attempts meanwhile only add load.
+    void pause()
+    {
+        attempts_.paused();
+        if (elapsed() >= timeLimit_ / 2) {
+            endWithError(ErrorCode::EndpointUnavailable);
+            return;
+        }
+        retryWait_.start(
+            RetryWait::ConnectPause, [] { return false; }, [this](bool /*isReady*/) { dispatchNext(); });
+    }
+
+    /// Another gateway may have a retry left, or the next requests here bring one.
+    void waitForRetry()
+    {
+        const auto limit = std::min(RetryWait::MaxWait, timeLeft() / 2);
+        retryWait_.start(
+            limit,
+            [this] { return context_.retryBudgetOf(service_).hasRetryLeft(); },
+            [this](bool isReady) {
+                context_.metrics_.retryWaits_.increment({ { "service", service_.value() }, { "got", isReady ? "yes" : "no" } });
+                if (isReady) {
+                    dispatchNext();
+                } else {
+                    endWithError(ErrorCode::RetryBudgetSpent);
+                }
+            });
+    }
+
     void prefill()
     {
         if (!chargeRetryBudget()) {
@@ -167,6 +202,7 @@
     void prefillEnded(const AttemptResult &result)
     {
         trace_.dispatchEnded(dispatch_->plan(), attemptEndName(result.end_));
+        settleRetry();
         auto &engine = dispatch_->endpoint();
         const auto handle = result.head_.status_ == httpstatus::Ok ? D::readHandle(result.body_) : failure(ErrorCode::EndpointRefused);
         if (handle) {
@@ -198,16 +234,25 @@
 
     bool chargeRetryBudget()
     {
-        if (!attempts_.nextIsRetry()) {
+        if (!attempts_.nextIsRetry() || isRetryCharged_) {
             return true;
         }
         if (!context_.retryBudgetOf(service_).spend()) {
             return false;
         }
         context_.metrics_.retries_.increment({ { "service", service_.value() } });
+        isRetryCharged_ = context_.usesAdaptiveServing();
         return true;
     }
 
+    /// A retry counts only once an endpoint receives the request.
+    void settleRetry()
+    {
+        if (std::exchange(isRetryCharged_, false) && !dispatch_->isWritten()) {
+            context_.retryBudgetOf(service_).refund();
+        }
+    }
+
     void run()
     {
         auto *chosen = router_->chooseEndpoint(cache_.has_value());
@@ -291,6 +336,7 @@
         }
         trace_.dispatchEnded(dispatch_->plan(), attemptEndName(result.end_));
         attempts_.ended(result.end_);
+        settleRetry();
         lastEndpoint_ = endpoint.entry_.id_.value();
         if (result.end_ == AttemptEnd::NotExecuted && cache_) {
             releaseUnusedCache();
@@ -305,7 +351,9 @@
             endWithError(*withholdReason_);
             return;
         }
-        auto step = nextStep(result.end_, attempts_.progress(route(), context_.retryBudgetOf(service_)));
+        // An answer that could be forwarded does not wait for a retry.
+        const bool mayWait = context_.usesAdaptiveServing() && result.end_ != AttemptEnd::Failed;
+        auto step = nextStep(result.end_, attempts_.progress(route(), context_.retryBudgetOf(service_), mayWait));
         if (step == NextStep::ForwardResponse && response_.relay().hasBegun() && result.end_ == AttemptEnd::Failed) {
             step = NextStep::Fail;
         }
@@ -427,6 +475,7 @@
     void ended(int status, const char *reason)
     {
         deadline_.cancel();
+        retryWait_.cancel();
         const bool isCacheUnused = cache_ && !response_.relay().hasBegun() && !attempts_.mayHaveRun() && status != httpstatus::Ok;
         if (isCacheUnused) {
             releaseUnusedCache();
@@ -485,11 +534,15 @@
     std::optional<KeyCheck> keyCheck_;
     CrashTracker crashes_;
     CallerResponse<D> response_;
+    RetryWait retryWait_;
     RequestTrace trace_;
     std::string lastEndpoint_;
     RequestAttempts attempts_;
     bool isUsageCounted_ = false;
 
+    /// The budget was charged for the dispatch that is under way or comes next.
+    bool isRetryCharged_ = false;
+
     /// Why the request was not written although a connection was open.
     std::optional<ErrorCode> withholdReason_;
 };
--- a/src/gateway/requestattempts.h
+++ b/src/gateway/requestattempts.h
@@ -39,7 +39,20 @@
     /// True if another endpoint may run the request if the current dispatch is lost.
     bool mayRunOnAnotherEndpoint(const Route &route) const;
 
-    RequestProgress progress(const Route &route, const RetryAllowance &retryBudget) const;
+    /// mayWait: the request may wait for a retry if the budget has none.
+    RequestProgress progress(const Route &route, const RetryAllowance &retryBudget, bool mayWait = false) const;
+
+    /// True if connections could not be opened so often in a row that the request should pause before the next attempt.
+    bool shouldPause() const
+    {
+        return failedConnectsInARow_ >= MaxFailedConnects;
+    }
+
+    /// The request has paused.
+    void paused()
+    {
+        failedConnectsInARow_ = 0;
+    }
 
     /// Number of endpoints that the request was dispatched to.
     std::uint32_t dispatches() const
@@ -60,13 +73,14 @@
     }
 
 private:
-    /// Failed connection attempts after which a request that has reached no endpoint needs the retry budget.
+    /// Failed connection attempts after which a request that has reached no endpoint needs the retry budget, or pauses if it may wait.
     static constexpr std::uint32_t MaxFailedConnects = 4;
 
     std::uint32_t dispatches_ = 0;
     std::uint32_t arrivals_ = 0;
     std::uint32_t runs_ = 0;
     std::uint32_t failedConnects_ = 0;
+    std::uint32_t failedConnectsInARow_ = 0;
 };
 
 } // namespace cowsliphead
--- a/src/gateway/retryallowance.cpp
+++ b/src/gateway/retryallowance.cpp
@@ -1,6 +1,7 @@
 #include "gateway/retryallowance.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cowsliphead
 {
@@ -48,7 +49,51 @@
 
 void RetryAllowance::requestArrived()
 {
-    available_ = std::min(maxRetries_, available_ + ratio_);
+    add(ratio_);
+}
+
+void RetryAllowance::add(double retries)
+{
+    const double total = available_ + retries;
+    available_ = std::min(maxRetries_, total);
+    surplus_ += total - available_;
+    if (isDepositUnderway_ || surplus_ >= MaxSurplus) {
+        surplus_ -= std::floor(surplus_);
+    }
+}
+
+double RetryAllowance::poolPart(double reserve)
+{
+    return reserve * (1 - UsedPart);
+}
+
+std::uint64_t RetryAllowance::deposit()
+{
+    if (!isDepositUnderway_ && surplus_ >= 1) {
+        deposited_ += static_cast<std::uint64_t>(surplus_);
+        surplus_ -= std::floor(surplus_);
+        isDepositUnderway_ = true;
+    }
+    return deposited_;
+}
+
+void RetryAllowance::depositArrived()
+{
+    isDepositUnderway_ = false;
+}
+
+void RetryAllowance::takeGrants(const InstanceId &relay, std::uint64_t total)
+{
+    if (relay == grantedBy_ && total > granted_) {
+        add(static_cast<double>(total - granted_));
+    }
+    granted_ = relay == grantedBy_ ? std::max(granted_, total) : total;
+    grantedBy_ = relay;
+}
+
+void RetryAllowance::refund()
+{
+    add(1);
 }
 
 bool RetryAllowance::hasRetryLeft() const
--- a/src/gateway/retryallowance.h
+++ b/src/gateway/retryallowance.h
@@ -1,12 +1,17 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
+
+#include "core/instanceid.h"
 
 namespace cowsliphead
 {
 
 /// This gateway's share of the retry budget, the retries that all gateways together may send to a service. Each share depends only on the
-/// number of gateways, so the total stays within the bound without communication between them. Thread safety: owner task only.
+/// number of gateways, so the total stays within the bound without communication between them. Beyond that, what does not fit into one share
+/// can be lent to other gateways through the pools of the relays, which hold the part of the bound that the shares leave. Thread safety: owner
+/// task only.
 class RetryAllowance
 {
 public:
@@ -20,6 +25,22 @@
 
     void requestArrived();
 
+    /// The part of the reserve that the shares leave for the pools.
+    static double poolPart(double reserve);
+
+    /// Gives what does not fit into the share to the pool, once the previous deposit has arrived there. Returns all that was given so far, in whole
+    /// retries.
+    std::uint64_t deposit();
+
+    /// A relay has answered since the last deposit().
+    void depositArrived();
+
+    /// total: all that the relay has granted to this gateway from its pool. Of a relay that was not the last one, it shows only what later ones add.
+    void takeGrants(const InstanceId &relay, std::uint64_t total);
+
+    /// Gives back what spend() took, since no endpoint has received the request.
+    void refund();
+
     /// Takes one retry. Returns false if none is left.
     bool spend();
 
@@ -27,11 +48,28 @@
     bool hasRetryLeft() const;
 
 private:
+    /// Limits what reaches the pools after the period of the requests that it comes from. A busy gateway adds less between two queries.
+    static constexpr double MaxSurplus = 4;
+
+    void add(double retries);
+
     double ratio_;
     double reserve_;
     std::size_t gateways_;
     double maxRetries_;
     double available_;
+
+    /// What did not fit into the share and was not given to the pool yet.
+    double surplus_ = 0;
+    std::uint64_t deposited_ = 0;
+
+    /// Until a relay has answered, whole retries are dropped instead of deposited later. The fraction is kept: otherwise many gateways would complete
+    /// a retry with their next request.
+    bool isDepositUnderway_ = false;
+
+    /// The relay that granted last, and its total.
+    InstanceId grantedBy_;
+    std::uint64_t granted_ = 0;
 };
 
 } // namespace cowsliphead
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -173,6 +173,27 @@
     gateway_.receive(load);
 }
 
+void GatewayFixture::limitRetries()
+{
+    GatewayBounds bounds;
+    bounds.retryRatio_ = 0;
+    bounds.retryReserve_ = 0;
+    gateway_.receive(bounds);
+}
+
+void GatewayFixture::grantRetryAfter(std::chrono::milliseconds time)
+{
+    grant_ = std::make_unique<Timer>(loop_, [this] {
+        const InstanceId relay("relay");
+        gateway_.receive(FleetLoad{ .loads_ = {}, .grantedBy_ = relay });
+        const auto deposits = localLoad().retryDeposits_;
+        BOOST_REQUIRE(deposits.size() == 1U);
+        BOOST_TEST(deposits.front().isWanted_);
+        gateway_.receive(FleetLoad{ .loads_ = {}, .grantedBy_ = relay, .retryGrants_ = { { deposits.front().service_, 1 } } });
+    });
+    grant_->startOnce(time);
+}
+
 void GatewayFixture::run(std::chrono::milliseconds time)
 {
     Timer end(loop_, [this] { loop_.stop(); });
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -63,6 +63,12 @@
     /// Tells the gateway what the others have seen of the first endpoint.
     void reportFailure(cowsliphead::EndpointFailureKind kind, std::uint32_t gateways);
 
+    /// Leaves the gateway a single retry, whatever arrives.
+    void limitRetries();
+
+    /// Lets the relay grant the gateway a retry after this time.
+    void grantRetryAfter(std::chrono::milliseconds time);
+
     void run(std::chrono::milliseconds time);
 
     /// Starts the drain and runs the loop for this time.
@@ -89,4 +95,5 @@
     int requestCount_ = 0;
     std::vector<int> sockets_;
     std::uint64_t incarnation_ = 1;
+    std::unique_ptr<cowsliphead::Timer> grant_;
 };
