Replay of an endpoint that closes each connection at once

443 of 568 answers with status 502 came from a plain endpoint that ended each request within 5 ms and looked idle.

--- a/tests/gateway/manyfailurestest.cpp
+++ b/tests/gateway/manyfailurestest.cpp
@@ -17,33 +17,42 @@
 namespace
 {
 
-const ServiceName Service("engines");
+const ServiceName Service("service");
 constexpr int Gateways = 59;
-constexpr int Engines = 112;
-constexpr int LostEngines = 38;
 
-/// The gateways of a deployment whose engines disappear all at once, in virtual time. The relays are replaced by a sum over all gateways that each of
-/// them gets with a delay.
+/// Some endpoints of a deployment fail, all in the same way.
+struct Failure {
+    EndpointFailureKind kind_ = EndpointFailureKind::Unreachable;
+    int endpoints_ = 0;
+    int failing_ = 0;
+    int requestsPerSecond_ = 0;
+
+    /// Attempts of a request that fails.
+    int maxAttempts_ = 1;
+};
+
+/// The gateways of the deployment, in virtual time. The relays are replaced by a sum over all gateways that each of them gets with a delay. Without
+/// the exchange, a failure does not count as a late answer either, as before.
 class Fleet
 {
 public:
-    explicit Fleet(bool isShared)
-        : isShared_(isShared)
+    Fleet(const Failure &failure, bool isShared)
+        : failure_(failure)
+        , isShared_(isShared)
     {
         for (int number = 0; number < Gateways; ++number) {
             tables_.push_back(std::make_unique<EndpointTable>(loop_, buffers_));
         }
     }
 
-    /// Lists this many engines at all gateways, without the first ones.
+    /// Lists the endpoints at all gateways, without the first ones.
     void list(int without)
     {
         std::vector<EndpointEntry> entries;
-        for (int number = without; number < Engines; ++number) {
+        for (int number = without; number < failure_.endpoints_; ++number) {
             EndpointEntry entry;
-            entry.id_ = EndpointId("engine-" + std::to_string(number));
+            entry.id_ = EndpointId("endpoint-" + std::to_string(number));
             entry.service_ = Service;
-            entry.stage_ = EngineStage::Decode;
             entry.slots_ = 12;
             entries.push_back(entry);
         }
@@ -52,14 +61,13 @@
         }
     }
 
-    /// Sends requests, 600 each second. The first engines do not accept connections if areLost is set.
-    void run(std::chrono::milliseconds time, bool areLost)
+    /// Sends requests. Those to the first endpoints fail if isFailing is set.
+    void run(std::chrono::milliseconds time, bool isFailing)
     {
         constexpr auto Step = 5ms;
-        constexpr int RequestsPerStep = 3;
         for (auto elapsed = 0ms; elapsed < time; elapsed += Step) {
-            for (int request = 0; request < RequestsPerStep; ++request) {
-                send(*tables_[random_() % tables_.size()], areLost);
+            for (dueRequests_ += std::chrono::duration<double>(Step).count() * failure_.requestsPerSecond_; dueRequests_ >= 1; dueRequests_ -= 1) {
+                send(*tables_[random_() % tables_.size()], isFailing);
             }
             clock_.advance(Step);
             if (elapsed % ExchangeInterval == 0ms) {
@@ -68,35 +76,37 @@
         }
     }
 
-    int failedConnects_ = 0;
+    int failures_ = 0;
     int unserved_ = 0;
 
 private:
     static constexpr auto ExchangeInterval = 250ms;
-    static constexpr auto ServiceTime = 400ms;
-    static constexpr int MaxAttempts = 4;
+    static constexpr auto ServiceTime = 100ms;
+    static constexpr auto TargetLatency = 300ms;
 
-    void send(EndpointTable &table, bool areLost)
+    void send(EndpointTable &table, bool isFailing)
     {
         while (!running_.empty() && running_.front().first <= clock_.now()) {
             --running_.front().second->running_;
             running_.pop_front();
         }
         std::set<EndpointId> tried;
-        for (int attempt = 0; attempt < MaxAttempts; ++attempt) {
-            const auto candidates = table.candidates(Service, EngineStage::Decode, tried, clock_.now());
+        for (int attempt = 0; attempt < failure_.maxAttempts_; ++attempt) {
+            const auto candidates = table.candidates(Service, EngineStage::None, tried, clock_.now());
             auto *chosen = placement::leastLoaded(candidates, FailureDomain(), clock_.now(), random_);
-            const bool isLost = areLost && std::stoi(chosen->entry_.id_.value().substr(std::string("engine-").size())) < LostEngines;
             tried.insert(chosen->entry_.id_);
-            if (!isLost) {
+            if (!isFailing || std::stoi(chosen->entry_.id_.value().substr(std::string("endpoint-").size())) >= failure_.failing_) {
+                chosen->latencyRatio_.addAnswer(ServiceTime, TargetLatency);
                 ++chosen->running_;
                 running_.emplace_back(clock_.now() + ServiceTime, table.find(chosen->entry_.id_));
                 return;
             }
-            ++failedConnects_;
+            ++failures_;
             table.health().crashed(chosen->entry_.id_, clock_.now());
-            table.sawFailure(*chosen, EndpointFailureKind::Unreachable, clock_.now());
-            chosen->latencyRatio_.addFailure();
+            table.sawFailure(*chosen, failure_.kind_, clock_.now());
+            if (isShared_) {
+                chosen->latencyRatio_.addFailure();
+            }
         }
         ++unserved_;
     }
@@ -128,25 +138,38 @@
         }
     }
 
+    Failure failure_;
     bool isShared_;
     EventLoop loop_;
     BufferBudget buffers_{ loop_, 1U << 20U };
     VirtualClock clock_;
+    double dueRequests_ = 0;
     std::mt19937_64 random_{ 20261206 };
     std::vector<std::unique_ptr<EndpointTable>> tables_;
     std::deque<std::pair<MonotonicTime, std::shared_ptr<EndpointState>>> running_;
 };
 
-/// Lets 38 engines disappear while they stay listed for four seconds.
+/// Lets 38 of 112 engines disappear while they stay listed for four seconds. Returns the failed connects and the requests not served.
 std::pair<int, int> failedConnects(bool isShared)
 {
-    Fleet fleet(isShared);
+    const Failure failure{ EndpointFailureKind::Unreachable, 112, 38, 600, 4 };
+    Fleet fleet(failure, isShared);
     fleet.list(0);
     fleet.run(2s, false);
     fleet.run(4s, true);
-    fleet.list(LostEngines);
+    fleet.list(failure.failing_);
     fleet.run(1s, true);
-    return { fleet.failedConnects_, fleet.unserved_ };
+    return { fleet.failures_, fleet.unserved_ };
+}
+
+/// One of three endpoints closes each connection at once for a minute. Returns the requests that it ended.
+int lostRequests(bool isShared)
+{
+    Fleet fleet({ EndpointFailureKind::ClosedUnanswered, 3, 1, 160, 1 }, isShared);
+    fleet.list(0);
+    fleet.run(2s, false);
+    fleet.run(60s, true);
+    return fleet.unserved_;
 }
 
 } // namespace
@@ -165,3 +188,16 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(an_endpoint_that_closes_each_connection_at_once)
+
+BOOST_AUTO_TEST_CASE(ends_few_requests_if_the_gateways_tell_each_other)
+{
+    const int alone = lostRequests(false);
+    const int shared = lostRequests(true);
+    BOOST_TEST_MESSAGE("lost requests: " << alone << " alone, " << shared << " shared");
+    BOOST_TEST(shared < 100);
+    BOOST_TEST(alone > 100);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
