--- a/src/decide/enginespeeds.cpp
+++ b/src/decide/enginespeeds.cpp
@@ -55,7 +55,7 @@
     updateMedians();
 }
 
-void EngineSpeeds::setObservationsOfOthers(EndpointObservations observations, MonotonicTime now)
+void EngineSpeeds::setObservationsOfOthers(const EndpointObservations &observations, MonotonicTime now)
 {
     others_.clear();
     for (const auto &observation : observations) {
--- a/src/decide/enginespeeds.h
+++ b/src/decide/enginespeeds.h
@@ -23,7 +23,7 @@
     void promptRead(EndpointKey engine, std::uint64_t tokens, std::chrono::nanoseconds time, MonotonicTime now);
 
     /// Replaces what the other gateways have observed.
-    void setObservationsOfOthers(EndpointObservations observations, MonotonicTime now);
+    void setObservationsOfOthers(const EndpointObservations &observations, MonotonicTime now);
 
     /// What this gateway has observed.
     EndpointObservations observations(MonotonicTime now) const;
