--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -30,6 +31,9 @@
     /// Adds an endpoint of the only service. It answers requests with the scripts in order, and repeats the last one.
     RawEndpoint &addEndpoint(std::vector<RawEndpoint::Script> scripts);
 
+    /// Adds an engine of the further service. Precondition: useAdaptiveServing() was called.
+    RawEndpoint &addEngine(cowsliphead::EngineStage stage, std::vector<RawEndpoint::Script> scripts);
+
     /// Sends a request and waits until the response has ended.
     Answer sendRequest(const std::string &path, cowsliphead::HttpHeaders headers = { { "X-Api-Key", "key-1" } }, const std::string &method = "GET");
 
@@ -54,12 +58,15 @@
     /// From now on the list names new incarnations of all endpoints.
     void restartEndpoints();
 
-    /// From now on the configuration has a further service, whose engines have a compact KV cache.
+    /// From now on the configuration has a further service, whose engines have a compact KV cache, and a route to it.
     void useAdaptiveServing();
 
     /// What the gateway tells the others.
     cowsliphead::LocalLoad localLoad();
 
+    /// Tells the gateway that the first endpoint has yet to read these tokens for the others.
+    void reportPromptTokens(std::uint64_t tokens);
+
     /// Tells the gateway what the others have seen of the first endpoint.
     void reportFailure(cowsliphead::EndpointFailureKind kind, std::uint32_t gateways);
 
@@ -90,6 +97,9 @@
     cowsliphead::EventLoop loop_;
     std::shared_ptr<cowsliphead::Configuration> configuration_;
     std::vector<std::unique_ptr<RawEndpoint>> endpoints_;
+
+    /// The stages of the endpoints that are engines, by their index.
+    std::map<std::size_t, cowsliphead::EngineStage> stages_;
     Gateway gateway_;
     std::uint16_t port_ = 0;
     int requestCount_ = 0;
