--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "decide/crashkeys.h"
 #include "http1/messagewriter.h"
 
 using namespace cowsliphead;
@@ -16,14 +17,14 @@
 
 constexpr auto MaxResponseTime = 3000ms;
 
-Route route(const std::string &prefix, RouteKind kind)
+Route route(const std::string &prefix, RouteKind kind, const std::string &service = "service")
 {
     Route result;
     result.name_ = prefix;
     result.host_ = "host";
     result.prefix_ = prefix;
     result.kind_ = kind;
-    result.shares_ = { { ServiceName("service"), 1 } };
+    result.shares_ = { { ServiceName(service), 1 } };
     result.timeout_ = 2000ms;
     result.targetLatency_ = 150ms;
     result.maxAttempts_ = 2;
@@ -107,6 +108,12 @@
     return *endpoints_.back();
 }
 
+RawEndpoint &GatewayFixture::addEngine(EngineStage stage, std::vector<RawEndpoint::Script> scripts)
+{
+    stages_[endpoints_.size()] = stage;
+    return addEndpoint(std::move(scripts));
+}
+
 void GatewayFixture::publish()
 {
     auto entries = std::make_shared<std::vector<EndpointEntry>>();
@@ -119,6 +126,10 @@
         // The first endpoint is in the gateway's failure domain, so that it is chosen first.
         entry.domain_ = FailureDomain(entries->empty() ? "a" : "b");
         entry.slots_ = 4;
+        if (const auto stage = stages_.find(entries->size()); stage != stages_.end()) {
+            entry.service_ = ServiceName("engines");
+            entry.stage_ = stage->second;
+        }
         entries->push_back(entry);
     }
     gateway_.receive(FleetSnapshot{ configuration_, entries });
@@ -148,6 +159,57 @@
     publish();
 }
 
+void GatewayFixture::useAdaptiveServing()
+{
+    const ServiceName name("engines");
+    auto adaptive = std::make_shared<Configuration>(*configuration_);
+    adaptive->revision_ = 2;
+    adaptive->services_.emplace(name, ServiceSpec{ name, 100, EngineSpec{ .cacheTokenBytes_ = 18432 }, std::nullopt });
+    adaptive->routes_.push_back(route("/engine/", RouteKind::Streaming, name.value()));
+    configuration_ = std::move(adaptive);
+    publish();
+}
+
+LocalLoad GatewayFixture::localLoad()
+{
+    LocalLoad result;
+    gateway_.receive(LoadQuery{ Address<LocalLoad>([&result](LocalLoad load) { result = std::move(load); }) });
+    return result;
+}
+
+void GatewayFixture::reportPromptTokens(std::uint64_t tokens)
+{
+    gateway_.receive(FleetLoad{ { { endpointKeyOf(EndpointId("endpoint-0")), 1, tokens } } });
+}
+
+void GatewayFixture::reportFailure(EndpointFailureKind kind, std::uint32_t gateways)
+{
+    FleetLoad load;
+    load.failures_ = { { crashkeys::ofEndpoint(EndpointId("endpoint-0"), incarnation_), kind, gateways, 0ms } };
+    gateway_.receive(load);
+}
+
+void GatewayFixture::limitRetries()
+{
+    GatewayBounds bounds;
+    bounds.retryRatio_ = 0;
+    bounds.retryReserve_ = 0;
+    gateway_.receive(bounds);
+}
+
+void GatewayFixture::grantRetryAfter(std::chrono::milliseconds time)
+{
+    grant_ = std::make_unique<Timer>(loop_, [this] {
+        const InstanceId relay("relay");
+        gateway_.receive(FleetLoad{ .loads_ = {}, .grantedBy_ = relay });
+        const auto deposits = localLoad().retryDeposits_;
+        BOOST_REQUIRE(deposits.size() == 1U);
+        BOOST_TEST(deposits.front().isWanted_);
+        gateway_.receive(FleetLoad{ .loads_ = {}, .grantedBy_ = relay, .retryGrants_ = { { deposits.front().service_, 1 } } });
+    });
+    grant_->startOnce(time);
+}
+
 void GatewayFixture::run(std::chrono::milliseconds time)
 {
     Timer end(loop_, [this] { loop_.stop(); });
