--- a/src/decide/enginespeeds.cpp
+++ b/src/decide/enginespeeds.cpp
@@ -21,6 +21,10 @@
 /// Times are told in whole milliseconds, so that a shorter time says little of the speed.
 constexpr std::chrono::duration<double, std::milli> MinTime{ 5 };
 
+/// Time between two updates from what the others observed. They tell of an engine at most every two seconds, while loads arrive ten times a
+/// second.
+constexpr std::chrono::milliseconds OthersInterval{ 500 };
+
 /// A stalled engine is not taken to be slower than this, so that expected times stay finite.
 constexpr double MinSpeed = 1;
 
@@ -57,6 +61,10 @@
 
 void EngineSpeeds::setObservationsOfOthers(const EndpointObservations &observations, MonotonicTime now)
 {
+    if (othersAt_ && now - *othersAt_ < OthersInterval) {
+        return;
+    }
+    othersAt_ = now;
     others_.clear();
     for (const auto &observation : observations) {
         others_[observation.endpoint_] = { static_cast<double>(observation.tokensRead_), observation.readingTime_, now };
--- a/src/decide/enginespeeds.h
+++ b/src/decide/enginespeeds.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 
 #include "core/servicename.h"
 #include "core/time.h"
@@ -22,7 +23,7 @@
     /// An engine has read this many tokens within this time.
     void promptRead(EndpointKey engine, std::uint64_t tokens, std::chrono::nanoseconds time, MonotonicTime now);
 
-    /// Replaces what the other gateways have observed.
+    /// Replaces what the other gateways have observed; calls that follow within half a second are ignored.
     void setObservationsOfOthers(const EndpointObservations &observations, MonotonicTime now);
 
     /// What this gateway has observed.
@@ -48,6 +49,7 @@
     std::map<EndpointKey, ServiceName> engines_;
     std::map<EndpointKey, Sums> own_;
     std::map<EndpointKey, Sums> others_;
+    std::optional<MonotonicTime> othersAt_;
 
     /// Of the engines that were observed.
     std::map<EndpointKey, double> speeds_;
