--- a/src/relay/relaybehaviour.h
+++ b/src/relay/relaybehaviour.h
@@ -248,6 +248,10 @@
     void publishFleet(const EndpointLoads &total, const EndpointLoads &own, std::size_t gateways)
     {
         links_.loads_.send({ differenceOf(total, own) });
+        const auto &configuration = state_.snapshot().configuration_;
+        if (configuration && configuration->usesAdaptiveServing()) {
+            links_.placements_.send({ total });
+        }
         if (gateways > 0 && std::exchange(gateways_, gateways) != gateways) {
             links_.gatewayCounts_.send({ gateways });
         }
