A holder that lost the duty lease waits before it takes the duty again

Cause: a holder whose lease lapsed (cut from the store) could take the duty again as soon as its successor resigned; the platform then heard A, B, A within 3 s.

Change: LeaseHolder pauses for one lease duration after it lost a lease that it held, as it does after resigning.

--- a/src/duty/leaseholder.h
+++ b/src/duty/leaseholder.h
@@ -88,6 +88,10 @@
 private:
     void dropLease()
     {
+        if (state_ == LeaseState::Holding) {
+            // The next holder may resign at once; the calls of this process must not surround its calls within a lease duration.
+            candidateSchedule_.pause(policy_.duration_, clock_.now());
+        }
         term_.lost();
         state_ = LeaseState::Idle;
         lease_ = {};
--- /dev/null
+++ b/tests/duty/dutyleasetest.cpp
@@ -0,0 +1,231 @@
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "duty/dutycandidate.h"
+
+using namespace cowsliphead;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds Turn{ 20 };
+
+/// Three candidates for one duty, and a platform that checks no fencing numbers.
+struct DutySite {
+    /// seed varies the times at which the candidates check for a free duty.
+    explicit DutySite(int seed = 0)
+    {
+        for (int number = 0; number < 3; ++number) {
+            candidates_.push_back(std::make_unique<DutyCandidate>(store_, clock_, record_, number, "gateway-" + std::to_string(seed + number)));
+        }
+    }
+
+    void run(
+        std::chrono::milliseconds duration, const std::function<bool()> &isOver = [] { return false; })
+    {
+        for (const auto end = clock_.now() + duration; clock_.now() < end && !isOver(); clock_.advance(Turn)) {
+            for (auto &candidate : candidates_) {
+                candidate->store().releaseDelayedWrites();
+                candidate->run();
+            }
+        }
+    }
+
+    /// Runs until a candidate, other than the given one, may act. Returns it.
+    DutyCandidate &nextHolder(const DutyCandidate *other = nullptr)
+    {
+        DutyCandidate *holder = nullptr;
+        run(30s, [&] {
+            for (auto &candidate : candidates_) {
+                if (candidate.get() != other && candidate->mayAct()) {
+                    holder = candidate.get();
+                }
+            }
+            return holder != nullptr;
+        });
+        BOOST_REQUIRE(holder != nullptr);
+        return *holder;
+    }
+
+    /// The holder, if there is one, releases the duty, and the others wait before they try to take it.
+    void resignAll(const DutyCandidate *except = nullptr)
+    {
+        for (auto &candidate : candidates_) {
+            if (candidate.get() != except) {
+                candidate->resign();
+            }
+        }
+    }
+
+    void checkOrder() const
+    {
+        BOOST_TEST(record_.outdatedCalls() == 0U);
+        BOOST_TEST(record_.returns(DutyCandidate::LeaseDuration) == 0U);
+    }
+
+    VirtualClock clock_;
+    MemoryStore store_;
+    DutyCallRecord record_;
+    std::vector<std::unique_ptr<DutyCandidate>> candidates_;
+};
+
+/// Returns a number from the whole range in every case; by default, the first cases get small numbers only.
+int anyOf(int from, int to)
+{
+    return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(from, to));
+}
+
+/// Brings about a random fault of a random candidate.
+void injectFault(DutySite &site)
+{
+    auto &candidate = *site.candidates_[static_cast<std::size_t>(anyOf(0, static_cast<int>(site.candidates_.size())))];
+    const std::chrono::milliseconds duration(anyOf(10, 6000));
+    switch (anyOf(0, 7)) {
+    case 0:
+        candidate.freeze(duration, *rc::gen::arbitrary<bool>());
+        break;
+    case 1:
+        candidate.delayAnswers(duration);
+        break;
+    case 2:
+        candidate.cutPlatform(duration);
+        break;
+    case 3:
+        site.resignAll();
+        break;
+    default:
+        candidate.store().setFault(*rc::gen::element(StandinFault::Down, StandinFault::Slow, StandinFault::LoseAnswers, StandinFault::None));
+        break;
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(the_duty_on_a_platform_that_checks_no_fencing_numbers)
+
+// Guards against calls of a process that does not know that another one holds the duty.
+BOOST_AUTO_TEST_SUITE(is_left_by_a_holder)
+
+BOOST_AUTO_TEST_CASE(that_is_frozen_for_longer_than_its_lease)
+{
+    for (const bool isBeforeCall : { false, true }) {
+        DutySite site;
+        auto &holder = site.nextHolder();
+        site.run(2s);
+        holder.freeze(8s, isBeforeCall);
+        const auto &successor = site.nextHolder(&holder);
+        site.run(20s);
+        BOOST_TEST(successor.mayAct());
+        BOOST_TEST(!holder.mayAct());
+        site.checkOrder();
+    }
+}
+
+BOOST_AUTO_TEST_CASE(that_is_cut_from_the_store)
+{
+    DutySite site;
+    auto &holder = site.nextHolder();
+    site.run(2s);
+    holder.store().setFault(StandinFault::Down);
+    site.nextHolder(&holder);
+    BOOST_TEST(!holder.mayAct());
+    site.run(5s);
+    holder.store().setFault(StandinFault::None);
+    site.run(10s);
+    site.checkOrder();
+}
+
+BOOST_AUTO_TEST_CASE(whose_store_answers_later_than_its_lease_lasts)
+{
+    DutySite site;
+    auto &holder = site.nextHolder();
+    site.run(2s);
+    holder.delayAnswers(8s);
+    site.run(20s);
+    site.checkOrder();
+}
+
+BOOST_AUTO_TEST_CASE(whose_renewals_get_no_answer)
+{
+    DutySite site;
+    auto &holder = site.nextHolder();
+    site.run(2s);
+    holder.store().setFault(StandinFault::LoseAnswers);
+    site.run(3s);
+    BOOST_TEST(!holder.mayAct());
+    site.run(5s);
+    holder.store().setFault(StandinFault::None);
+    site.run(10s);
+    site.checkOrder();
+}
+
+BOOST_AUTO_TEST_CASE(whose_successor_resigns_at_once)
+{
+    // Guards against a holder that takes the duty again within a lease duration of its last call: the platform hears A, B, A.
+    for (int seed = 0; seed < 100; ++seed) {
+        DutySite site(seed);
+        auto &holder = site.nextHolder();
+        site.run(2s);
+        holder.store().setFault(StandinFault::Down);
+        site.nextHolder(&holder);
+        site.run(100ms);
+        holder.store().setFault(StandinFault::None);
+        site.resignAll(&holder);
+        site.run(10s);
+        site.checkOrder();
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(is_taken_by_a_candidate)
+
+BOOST_AUTO_TEST_CASE(whose_compare_and_swaps_get_no_answer)
+{
+    DutySite site;
+    for (auto &candidate : site.candidates_) {
+        candidate->store().setFault(StandinFault::LoseAnswers);
+    }
+    site.run(10s);
+    BOOST_TEST(site.record_.holdersSince(MonotonicTime()).empty());
+    for (auto &candidate : site.candidates_) {
+        candidate->store().setFault(StandinFault::None);
+    }
+    site.run(15s);
+    BOOST_TEST(site.record_.holdersSince(MonotonicTime()).size() == 1U);
+    site.checkOrder();
+}
+
+BOOST_AUTO_TEST_CASE(whose_writes_take_effect_after_it_gave_up)
+{
+    DutySite site;
+    site.candidates_.front()->store().setFault(StandinFault::Slow);
+    site.run(20s);
+    site.candidates_.front()->store().setFault(StandinFault::None);
+    site.run(10s);
+    site.checkOrder();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(is_held_by_one_process_at_a_time_property)
+{
+    const bool holds = rc::check("holders are ordered under any faults", [] {
+        DutySite site(anyOf(0, 1000));
+        const auto faults = anyOf(1, 25);
+        for (int number = 0; number < faults; ++number) {
+            site.run(std::chrono::milliseconds(anyOf(50, 3000)));
+            injectFault(site);
+        }
+        RC_ASSERT(site.record_.outdatedCalls() == 0U);
+        RC_ASSERT(site.record_.returns(DutyCandidate::LeaseDuration) == 0U);
+    });
+    BOOST_TEST(holds);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/duty/scalebyneedtest.cpp
+++ b/tests/duty/scalebyneedtest.cpp
@@ -65,6 +65,15 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_CASE(keeps_the_base_endpoints_where_no_reclaimable_ones_are_available)
+{
+    auto fleet = threeDomains();
+    for (const auto &domain : fleet.domains()) {
+        fleet.reclaim(domain);
+    }
+    fleet.run(60s, 1, 1, [&] { BOOST_TEST(fleet.total() == 3 * Original); });
+}
+
 BOOST_AUTO_TEST_SUITE(in_a_burst_of_two_and_a_half_times_the_mean)
 
 BOOST_AUTO_TEST_CASE(already_has_the_endpoints_for_it_and_grows_at_once)
