Revert the plan of endpoints by need

Cause: on both deployments with a compact KV cache it cost more than it saved. Fewer engines hold fewer shared parts, so that more is prefilled again and callers are served less; base endpoints that stand in after a refusal cost more than the reclaimable ones saved.

--- a/src/duty/dutybehaviour.h
+++ b/src/duty/dutybehaviour.h
@@ -12,7 +12,6 @@
 #include "duty/usageduty.h"
 #include "fleet/fleetsnapshot.h"
 #include "fleet/gatewaycount.h"
-#include "relay/fleetplacement.h"
 #include "serve/drainrequest.h"
 #include "task/eventloop.h"
 #include "task/timer.h"
@@ -28,7 +27,7 @@
 class DutyBehaviour
 {
 public:
-    using Message = std::variant<RequestStarted, FleetSnapshot, FleetPlacement, GatewayCount, MemberCounts, CountsStored, DrainRequest, UsageComplete>;
+    using Message = std::variant<RequestStarted, FleetSnapshot, GatewayCount, MemberCounts, CountsStored, DrainRequest, UsageComplete>;
 
     /// incarnation identifies this run of the process and is never reused; links lead to the relay. Precondition: loop, store, platform and
     /// clock outlive the behaviour.
@@ -91,11 +90,6 @@
         scale_.update(fleet);
     }
 
-    void handle(const FleetPlacement &placement)
-    {
-        scale_.update(placement);
-    }
-
     void handle(const MemberCounts &counts)
     {
         usage_.add(counts);
--- a/src/duty/scalebasecodec.h
+++ b/src/duty/scalebasecodec.h
@@ -3,15 +3,15 @@
 #include <string>
 
 #include "core/result.h"
-#include "duty/scalerecord.h"
+#include "duty/scalebase.h"
 
 namespace cowsliphead::scalebasecodec
 {
 
-/// Encodes the record as JSON. Gateways of earlier versions ignore the planned numbers. Thread safety: any thread.
-std::string toText(const ScaleRecord &record);
+/// Encodes the base as JSON. Thread safety: any thread.
+std::string toText(const ScaleBase &base);
 
 /// Decodes the result of toText(). Errors: CodecMalformed. Thread safety: any thread.
-Result<ScaleRecord> fromText(const std::string &text);
+Result<ScaleBase> fromText(const std::string &text);
 
 } // namespace cowsliphead::scalebasecodec
--- a/src/duty/scalebasepersistence.h
+++ b/src/duty/scalebasepersistence.h
@@ -11,8 +11,8 @@
 namespace cowsliphead
 {
 
-/// Persists the scale base and the planned numbers in the store, so that the next holder of the duty plans from the same base: from the
-/// endpoints that it sees it cannot tell how many there were before any were ordered.
+/// Persists the scale base in the store, so that the next holder of the duty plans from the same base: from the endpoints that it sees it
+/// cannot tell how many there were before any were ordered.
 /// Thread safety: all members, on the store's task only.
 template <Store S>
 class ScaleBasePersistence
@@ -33,7 +33,7 @@
         }
         if (!isLoaded_) {
             read();
-        } else if (planner_.record() != stored_) {
+        } else if (planner_.base() != stored_) {
             write();
         }
     }
@@ -66,12 +66,12 @@
 
     void load(const std::optional<StoreEntry> &entry)
     {
-        stored_ = {};
+        stored_.clear();
         revision_ = entry ? entry->revision_ : 0;
         if (entry) {
-            const auto record = scalebasecodec::fromText(entry->value_);
-            if (record) {
-                stored_ = *record;
+            const auto base = scalebasecodec::fromText(entry->value_);
+            if (base) {
+                stored_ = *base;
             } else {
                 logEvent(LogEvent::ScaleBaseMalformed, { { "revision", entry->revision_ } });
             }
@@ -85,12 +85,12 @@
         isCallPending_ = true;
         StoreWrite write;
         write.key_ = Key;
-        write.value_ = scalebasecodec::toText(planner_.record());
+        write.value_ = scalebasecodec::toText(planner_.base());
         write.expectedRevision_ = revision_;
-        store_.compareAndSwap(write, [this, record = planner_.record()](const Result<StoreRevision> &answer) {
+        store_.compareAndSwap(write, [this, base = planner_.base()](const Result<StoreRevision> &answer) {
             isCallPending_ = false;
             if (answer) {
-                stored_ = record;
+                stored_ = base;
                 revision_ = *answer;
             } else {
                 // Another holder wrote the key, or an answer was lost: read the key again.
@@ -101,7 +101,7 @@
 
     S &store_;
     ScalePlanner &planner_;
-    ScaleRecord stored_;
+    ScaleBase stored_;
     StoreRevision revision_ = 0;
     bool isLoaded_ = false;
     bool isCallPending_ = false;
--- a/src/duty/scaleduty.h
+++ b/src/duty/scaleduty.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <optional>
-
 #include "core/clock.h"
 #include "core/errorcode.h"
 #include "duty/dutyplatform.h"
@@ -10,7 +8,6 @@
 #include "duty/scaleplanner.h"
 #include "fleet/fleetsnapshot.h"
 #include "logs/log.h"
-#include "relay/fleetplacement.h"
 
 namespace cowsliphead
 {
@@ -36,27 +33,16 @@
         fleet_ = fleet;
     }
 
-    /// Takes what all gateways have placed at the endpoints.
-    void update(const FleetPlacement &placement)
-    {
-        placement_ = placement;
-    }
-
     /// Discards the state of earlier orders, because another process may have ordered since.
     void reset()
     {
         planner_.reset();
-        placement_.reset();
         basePersistence_.invalidate();
     }
 
     /// Sends the orders that are due, at most once per OrderInterval. Precondition: lease.mayAct().
     void tick(MonotonicTime now)
     {
-        if (placement_) {
-            planner_.addLoads(fleet_, placement_->loads_, now);
-            placement_.reset();
-        }
         if (now - orderedAt_ < OrderInterval) {
             return;
         }
@@ -81,8 +67,6 @@
                    { "failureDomain", order.domain_.value() },
                    { "reclaimable", order.isReclaimable_ ? "yes" : "no" },
                    { "count", std::uint64_t(order.count_) },
-                   { "planned", std::uint64_t(planner_.needPlanner().plannedOf(order.service_, order.domain_)) },
-                   { "needed", std::uint64_t(planner_.needPlanner().needed(order.service_)) },
                    { "fence", lease_.fencingNumber() } });
         platform_.orderServers(order, lease_.fencingNumber(), [this, order](const Result<void> &answer) { answered(order, answer); });
     }
@@ -110,9 +94,6 @@
     const C &clock_;
     LeaseHolder<S, C> &lease_;
     FleetSnapshot fleet_;
-
-    /// The last report that the planner has not seen yet.
-    std::optional<FleetPlacement> placement_;
     ScalePlanner planner_;
     ScaleBasePersistence<S> basePersistence_;
     MonotonicTime orderedAt_;
--- a/src/duty/scaleplanner.cpp
+++ b/src/duty/scaleplanner.cpp
@@ -1,9 +1,6 @@
 #include "duty/scaleplanner.h"
 
 #include <algorithm>
-#include <utility>
-
-#include "duty/servicescaleload.h"
 
 namespace cowsliphead
 {
@@ -34,25 +31,8 @@
     return original <= SmallDomain ? 1 : MinBaseEndpoints;
 }
 
-bool isPlannedByNeed(const ServiceSpec &service)
-{
-    return service.scaling_ && service.engine_ && service.engine_->hasCompactCache();
-}
-
 } // namespace
 
-void ScalePlanner::addLoads(const FleetSnapshot &fleet, const EndpointLoads &loads, MonotonicTime now)
-{
-    if (!fleet.configuration_ || !fleet.endpoints_) {
-        return;
-    }
-    for (const auto &[name, service] : fleet.configuration_->services_) {
-        if (isPlannedByNeed(service)) {
-            needPlanner_.addLoad(name, scaleLoadOf(name, *fleet.endpoints_, loads), now);
-        }
-    }
-}
-
 std::vector<ServerOrder> ScalePlanner::plan(const FleetSnapshot &fleet, MonotonicTime now)
 {
     std::vector<ServerOrder> orders;
@@ -63,8 +43,7 @@
         if (!service.scaling_) {
             continue;
         }
-        DomainCounts present;
-        StageCounts stages;
+        std::map<FailureDomain, EndpointCounts> present;
         for (const auto &endpoint : *fleet.endpoints_) {
             if (endpoint.service_ != name) {
                 continue;
@@ -72,19 +51,17 @@
             auto &counts = present[endpoint.domain_];
             if (!endpoint.isLeaving_) {
                 ++(endpoint.isReclaimable_ ? counts.reclaimable_ : counts.base_);
-                ++(endpoint.stage_ == EngineStage::Prefill ? stages.prefill_ : stages.decode_);
             }
         }
-        if (isPlannedByNeed(service)) {
-            planByNeed(service, std::move(present), stages, now, orders);
-        } else {
-            planService(service, present, now, orders);
-        }
+        planService(service, present, now, orders);
     }
     return orders;
 }
 
-void ScalePlanner::planService(const ServiceSpec &service, const DomainCounts &present, MonotonicTime now, std::vector<ServerOrder> &orders)
+void ScalePlanner::planService(const ServiceSpec &service,
+                               const std::map<FailureDomain, EndpointCounts> &present,
+                               MonotonicTime now,
+                               std::vector<ServerOrder> &orders)
 {
     const auto &scaling = *service.scaling_;
     if (scaling.spotPrice_ > MaxSpotPriceRatio) {
@@ -104,35 +81,6 @@
     }
 }
 
-void ScalePlanner::planByNeed(const ServiceSpec &service, DomainCounts present, const StageCounts &stages, MonotonicTime now, std::vector<ServerOrder> &orders)
-{
-    const auto &scaling = *service.scaling_;
-    if (scaling.spotPrice_ > MaxSpotPriceRatio) {
-        return;
-    }
-    for (const auto &[place, count] : base_) {
-        if (place.first == service.name_) {
-            // A domain that has lost all its endpoints gets new ones.
-            present.try_emplace(place.second);
-        }
-    }
-    std::vector<ScaleDomain> domains;
-    for (const auto &[name, counts] : present) {
-        auto &original = base_[{ service.name_, name }];
-        original = std::max(original, counts.base_);
-        if (scaling.maxReplicas_ <= keptBase(original)) {
-            continue;
-        }
-        const auto price = scaling.prices_.find(name);
-        const bool hasReclaimable = !refusedAt_.contains({ service.name_, name, true });
-        domains.push_back({ name, price == scaling.prices_.end() ? 1.0 : price->second, original, counts, hasReclaimable });
-    }
-    for (const auto &order : needPlanner_.plan(service, domains, stages, now)) {
-        const auto &counts = present[order.domain_];
-        orderIfDue(order, order.isReclaimable_ ? counts.reclaimable_ : counts.base_, scaling.bootTime_, now, orders);
-    }
-}
-
 void ScalePlanner::orderIfDue(
     const ServerOrder &order, std::uint32_t present, std::chrono::milliseconds bootTime, MonotonicTime now, std::vector<ServerOrder> &orders)
 {
@@ -150,9 +98,7 @@
 
 void ScalePlanner::accepted(const ServerOrder &order, MonotonicTime now)
 {
-    const EndpointGroup group{ order.service_, order.domain_, order.isReclaimable_ };
-    orderStates_[group] = OrderState{ order.count_, now, false };
-    refusedAt_.erase(group);
+    orderStates_[{ order.service_, order.domain_, order.isReclaimable_ }] = OrderState{ order.count_, now, false };
 }
 
 void ScalePlanner::unavailable(const ServerOrder &order, MonotonicTime now)
@@ -175,15 +121,8 @@
     }
 }
 
-void ScalePlanner::restore(const ScaleRecord &record)
-{
-    restore(record.base_);
-    needPlanner_.restore(record.planned_);
-}
-
 void ScalePlanner::reset()
 {
-    needPlanner_.reset();
     orderStates_.clear();
     refusedAt_.clear();
 }
--- a/src/duty/scaleplanner.h
+++ b/src/duty/scaleplanner.h
@@ -7,27 +7,19 @@
 #include <vector>
 
 #include "core/time.h"
-#include "decide/scaling/endpointcounts.h"
-#include "decide/scaling/stagecounts.h"
-#include "duty/needplanner.h"
 #include "duty/scalebase.h"
-#include "duty/scalerecord.h"
 #include "duty/serverorder.h"
 #include "fleet/fleetsnapshot.h"
-#include "relay/endpointload.h"
 
 namespace cowsliphead
 {
 
 /// Decides how many endpoints each service has in each failure domain: base endpoints, and cheaper reclaimable ones in addition. The base
-/// is reduced only once the reclaimable endpoints are running, and restored where none are available. Services whose engines have a compact
-/// KV cache are planned by need, all others by their base. Thread safety: all members, on the owner's task only.
+/// is reduced only once the reclaimable endpoints are running, and restored where none are available.
+/// Thread safety: all members, on the owner's task only.
 class ScalePlanner
 {
 public:
-    /// Adds what all gateways have placed at the endpoints.
-    void addLoads(const FleetSnapshot &fleet, const EndpointLoads &loads, MonotonicTime now);
-
     /// Returns the orders to send now.
     std::vector<ServerOrder> plan(const FleetSnapshot &fleet, MonotonicTime now);
 
@@ -46,24 +38,9 @@
         return base_;
     }
 
-    /// Returns what the next planner needs in order to go on.
-    ScaleRecord record() const
-    {
-        return { base_, needPlanner_.planned() };
-    }
-
-    /// Returns the plan by need and the need of each service that is planned so.
-    const NeedPlanner &needPlanner() const
-    {
-        return needPlanner_;
-    }
-
     /// Merges the base of an earlier planner; the larger of two numbers is kept.
     void restore(const ScaleBase &base);
 
-    /// Goes on from the record of an earlier planner.
-    void restore(const ScaleRecord &record);
-
     /// Discards the state of earlier orders, because another process may have ordered since.
     void reset();
 
@@ -78,15 +55,16 @@
         bool isUnderWay_ = false;
     };
 
-    using DomainCounts = std::map<FailureDomain, EndpointCounts>;
+    struct EndpointCounts {
+        std::uint32_t base_ = 0;
+        std::uint32_t reclaimable_ = 0;
+    };
 
-    void planService(const ServiceSpec &service, const DomainCounts &present, MonotonicTime now, std::vector<ServerOrder> &orders);
-    void planByNeed(const ServiceSpec &service, DomainCounts present, const StageCounts &stages, MonotonicTime now, std::vector<ServerOrder> &orders);
+    void planService(const ServiceSpec &service, const std::map<FailureDomain, EndpointCounts> &present, MonotonicTime now, std::vector<ServerOrder> &orders);
     void orderIfDue(const ServerOrder &order, std::uint32_t present, std::chrono::milliseconds bootTime, MonotonicTime now, std::vector<ServerOrder> &orders);
 
     std::map<EndpointGroup, OrderState> orderStates_;
     std::map<EndpointGroup, MonotonicTime> refusedAt_;
-    NeedPlanner needPlanner_;
 
     /// Number of base endpoints when there are no reclaimable ones.
     ScaleBase base_;
--- a/src/gateway/gatewaydaemon.h
+++ b/src/gateway/gatewaydaemon.h
@@ -113,7 +113,6 @@
                 }),
             .loadQueries_ = gateway_.template address<LoadQuery>(),
             .loads_ = gateway_.template address<FleetLoad>(),
-            .placements_ = duty_.template address<FleetPlacement>(),
             .localLoads_ = relay_.template address<LocalLoad>(),
             .memberCounts_ = duty_.template address<MemberCounts>(),
             .countsStored_ = duty_.template address<CountsStored>(),
--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -84,9 +84,6 @@
     /// gateways is zero while unknown.
     void publishFleet(FleetLoad load, std::size_t gateways)
     {
-        if (const auto &configuration = state_.snapshot().configuration_; configuration && configuration->usesAdaptiveServing()) {
-            links_.placements_.send({ sumOf(load.loads_, local_.loads_) });
-        }
         links_.loads_.send(std::move(load));
         if (gateways > 0 && std::exchange(gateways_, gateways) != gateways) {
             links_.gatewayCounts_.send({ gateways });
--- a/src/relay/relaylinks.h
+++ b/src/relay/relaylinks.h
@@ -5,7 +5,6 @@
 #include "fleet/fleetsnapshot.h"
 #include "fleet/gatewaycount.h"
 #include "relay/fleetload.h"
-#include "relay/fleetplacement.h"
 #include "relay/loadquery.h"
 #include "relay/localload.h"
 #include "task/address.h"
@@ -26,9 +25,6 @@
     Address<LoadQuery> loadQueries_;
     Address<FleetLoad> loads_;
 
-    /// The duty task, which orders endpoints by need.
-    Address<FleetPlacement> placements_;
-
     /// The task itself.
     Address<LocalLoad> localLoads_;
 
