Interface of the expected time to the first event

Cause: admission has to know when the best engine would begin to answer a request, and placement by expected time is written at the same time. Tests: requestrouter.cpp compiles; no behaviour changes and no test was run.

--- a/src/gateway/requestrouter.cpp
+++ b/src/gateway/requestrouter.cpp
@@ -70,6 +70,12 @@
     isEngine_ = isEngine;
 }
 
+std::optional<ExpectedTime> RequestRouter::expectedTime() const
+{
+    // Not estimated yet: the caller then sends the request.
+    return std::nullopt;
+}
+
 bool RequestRouter::shouldPrefill() const
 {
     const bool isPossible = isEngine_ && prefillAttempts_ < MaxPrefillAttempts && metadata_.promptTokens_ > 0;
--- a/src/gateway/requestrouter.h
+++ b/src/gateway/requestrouter.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 
 #include "core/servicename.h"
+#include "decide/placement/expectedtime.h"
 #include "gateway/gatewaycontext.h"
 #include "gateway/placement.h"
 #include "gateway/requestmetadata.h"
@@ -28,6 +30,10 @@
     /// Sets the service to choose endpoints from. isEngine: the service's endpoints are engines.
     void useService(ServiceName service, bool isEngine);
 
+    /// The expected time to the first event at the best engine. Nothing if no engine may get the request or if the service is not placed by
+    /// expected time.
+    std::optional<ExpectedTime> expectedTime() const;
+
     /// True if a prefill engine should read the prompt.
     bool shouldPrefill() const;
 
