Placement of long prompts by the expected time to the first event

Change: src/decide/placement/ holds the decision: the expected time with its terms, the choice by least expected loss, homes by speed-weighted rendezvous hashing, more homes for hot parts, bounded load, and the choice of the engine that answers. ExpectedPlacement applies it to services whose engines have a compact cache. The present rules are PairPlacement behind the same concept, and RequestRouter holds one of the two. RequestRouter::expectedTime() now estimates. The speed of an engine is a constant until observations are shared.

--- a/src/gateway/dispatchplan.h
+++ b/src/gateway/dispatchplan.h
@@ -2,8 +2,10 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
+#include "decide/placement/expectedtime.h"
 #include "gateway/dispatchmetadata.h"
 #include "http1/requesthead.h"
 
@@ -26,6 +28,9 @@
     /// Tokens that the endpoint has to read before it responds, as far as this gateway knows.
     std::uint64_t promptTokens_ = 0;
 
+    /// The expected time until the prompt is read; nothing if it was not estimated.
+    std::optional<ExpectedTime> expected_{};
+
     /// How long the endpoint may send no data before the dispatch counts as lost; zero disables the timeout.
     std::chrono::milliseconds noDataTimeout_{ 0 };
 };
--- a/src/gateway/dispatchplanner.cpp
+++ b/src/gateway/dispatchplanner.cpp
@@ -54,6 +54,7 @@
     auto plan = planFor(*choice.engine_, timeLeft, lastEventId);
     plan.metadata_.isPrefill_ = true;
     plan.promptTokens_ = router_.ownTokens();
+    plan.expected_ = choice.expected_;
     if (choice.source_ != nullptr) {
         plan.metadata_.fetchSource_ = textOf(choice.source_->entry_.address_);
     }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -59,7 +59,7 @@
         }
         service_ = RequestRouter::chooseService(route(), metadata_.attemptId_);
         router_.emplace(context_, metadata_);
-        router_->useService(service_, isEngineService());
+        router_->useService(service_, engineSpec(), route().targetLatency_);
         planner_.emplace(request_, metadata_, admitted_, *router_);
         context_.retryBudgetOf(service_).requestArrived();
         deadline_.startOnce(std::max(timeLeft(), std::chrono::milliseconds(0)));
@@ -131,10 +131,11 @@
         return timeLimit_ - elapsed();
     }
 
-    bool isEngineService() const
+    /// Null if the service's endpoints are not engines.
+    const EngineSpec *engineSpec() const
     {
         const auto service = configuration_->services_.find(service_);
-        return service != configuration_->services_.end() && service->second.engine_.has_value();
+        return service != configuration_->services_.end() && service->second.engine_ ? &*service->second.engine_ : nullptr;
     }
 
     void dispatchNext()
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -8,6 +8,7 @@
 #include "core/systemclock.h"
 #include "decide/crashregister.h"
 #include "decide/crashreports.h"
+#include "decide/placement/partdemand.h"
 #include "fleet/configuration.h"
 #include "gateway/configurationage.h"
 #include "gateway/crashverifier.h"
@@ -44,6 +45,9 @@
     EndpointTable endpoints_{ loop_, buffers_ };
     std::map<ServiceName, RetryAllowance> retryBudgets_{};
     std::size_t gatewayCount_ = 0;
+
+    /// How often this gateway gets requests for the shared parts of prompts.
+    PartDemand partDemand_{};
     CrashRegister crashes_{};
     CrashVerifier crashVerifier_{ loop_ };
 
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -61,11 +61,22 @@
     return best.empty() ? nullptr : best[random() % best.size()];
 }
 
-std::chrono::milliseconds prefillWait(const EndpointState &state, std::size_t gateways, MonotonicTime now)
+std::uint64_t queuedTokens(const EndpointState &state, std::size_t gateways, MonotonicTime now)
 {
     const auto own = state.prefillQueue_.tokens();
     const auto others = state.loadOfOthers(now);
-    return state.prefillQueue_.waitTime(now, others ? own + others->promptTokens_ : own * std::max<std::size_t>(1, gateways));
+    return others ? own + others->promptTokens_ : own * std::max<std::size_t>(1, gateways);
+}
+
+std::uint32_t runningRequests(const EndpointState &state, std::size_t gateways, MonotonicTime now)
+{
+    const auto others = state.loadOfOthers(now);
+    return others ? state.running_ + others->running_ : state.running_ * static_cast<std::uint32_t>(std::max<std::size_t>(1, gateways));
+}
+
+std::chrono::milliseconds prefillWait(const EndpointState &state, std::size_t gateways, MonotonicTime now)
+{
+    return state.prefillQueue_.waitTime(now, queuedTokens(state, gateways, now));
 }
 
 PrefillChoice prefillEngine(const std::string &sharedParts, const Candidates &candidates, std::size_t gateways, MonotonicTime now)
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -22,8 +22,14 @@
 /// are broken at random. Null without candidates. Thread safety: owner task only.
 EndpointState *leastLoaded(const Candidates &candidates, const FailureDomain &localDomain, MonotonicTime now, std::mt19937_64 &random);
 
-/// Estimates how long a prompt that is sent now waits at an engine. Where the load of the other gateways is not known, each of the gateways is
+/// Tokens of all gateways' prompts that an engine has yet to read. Where the load of the other gateways is not known, each of the gateways is
 /// taken to have sent as much as this one. Thread safety: owner task only.
+std::uint64_t queuedTokens(const EndpointState &state, std::size_t gateways, MonotonicTime now);
+
+/// Requests of all gateways that an endpoint is processing, estimated as for queuedTokens(). Thread safety: owner task only.
+std::uint32_t runningRequests(const EndpointState &state, std::size_t gateways, MonotonicTime now);
+
+/// Estimates how long a prompt that is sent now waits at an engine. Thread safety: owner task only.
 std::chrono::milliseconds prefillWait(const EndpointState &state, std::size_t gateways, MonotonicTime now);
 
 /// Chooses the engine that reads a prompt, by rendezvous hashing of the prompt's shared parts: all gateways get the same ranking, and the
--- a/src/gateway/prefillchoice.h
+++ b/src/gateway/prefillchoice.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <optional>
+
+#include "decide/placement/expectedtime.h"
 #include "gateway/endpointstate.h"
 
 namespace cowsliphead
@@ -11,6 +14,9 @@
 
     /// Null if no other engine is likely to have them cached.
     const EndpointState *source_ = nullptr;
+
+    /// The expected time to the first event; nothing if it was not estimated.
+    std::optional<ExpectedTime> expected_{};
 };
 
 } // namespace cowsliphead
--- a/src/gateway/prefillqueue.cpp
+++ b/src/gateway/prefillqueue.cpp
@@ -2,15 +2,14 @@
 
 #include <algorithm>
 
+#include "gateway/enginespeed.h"
+
 namespace cowsliphead
 {
 
 namespace
 {
 
-/// Prompt tokens that a current engine of the larger models reads in a millisecond, including attention to the preceding tokens.
-constexpr std::uint64_t TokensPerMillisecond = 45;
-
 /// The weight of a measured delay falls to zero over this time, since the queue behind it drains meanwhile.
 constexpr std::chrono::milliseconds DelayLifetime{ 600 };
 
@@ -45,7 +44,7 @@
 
 std::chrono::milliseconds PrefillQueue::prefillTime(std::uint64_t tokens)
 {
-    return std::chrono::milliseconds(tokens / TokensPerMillisecond);
+    return std::chrono::milliseconds(tokens / static_cast<std::uint64_t>(DefaultTokensPerMillisecond));
 }
 
 } // namespace cowsliphead
--- a/src/gateway/requestrouter.cpp
+++ b/src/gateway/requestrouter.cpp
@@ -21,12 +21,6 @@
 /// Share of occupied decode slots above which prefill engines read short prompts too.
 constexpr double BusyDecodeOccupancy = 0.4;
 
-/// Share of occupied decode slots below which decode engines can read long prompts besides their streams.
-constexpr double IdleDecodeOccupancy = 0.35;
-
-/// Wait above which a prefill engine counts as overloaded.
-constexpr std::chrono::milliseconds BusyPrefillWait{ 200 };
-
 /// Wait below which an engine counts as idle.
 constexpr std::chrono::milliseconds IdleQueueWait{ 10 };
 
@@ -45,6 +39,7 @@
     : context_(context)
     , metadata_(std::move(metadata))
     , sharedParts_(sharedPartsOf(metadata_))
+    , placement_(PairPlacement(context, {}, sharedParts_))
 {
 }
 
@@ -64,16 +59,25 @@
     return route.shares_.front().service_;
 }
 
-void RequestRouter::useService(ServiceName service, bool isEngine)
+void RequestRouter::useService(ServiceName service, const EngineSpec *engine, std::chrono::milliseconds targetLatency)
 {
     service_ = std::move(service);
-    isEngine_ = isEngine;
+    isEngine_ = engine != nullptr;
+    if (isEngine_ && engine->hasCompactCache()) {
+        const PromptFacts prompt{ ownTokens(), metadata_.sharedTokens(), XXH3_64bits(sharedParts_.data(), sharedParts_.size()), targetLatency };
+        placement_.emplace<ExpectedPlacement>(context_, service_, *engine, prompt);
+    } else {
+        placement_.emplace<PairPlacement>(context_, service_, sharedParts_);
+    }
 }
 
 std::optional<ExpectedTime> RequestRouter::expectedTime() const
 {
-    // Not estimated yet: the caller then sends the request.
-    return std::nullopt;
+    auto candidates = shouldPrefill() ? prefillEngines() : placement::Candidates();
+    if (candidates.empty()) {
+        candidates = runCandidates();
+    }
+    return std::visit([&candidates](const auto &rules) { return rules.expectedTime(candidates); }, placement_);
 }
 
 bool RequestRouter::shouldPrefill() const
@@ -82,7 +86,10 @@
     if (!isPossible || !context_.endpoints_.hasStage(service_, EngineStage::Prefill)) {
         return false;
     }
-    return isLongPrompt() ? !shouldReadLongPromptLocally() : shouldOffloadShortPrompt();
+    if (!isLongPrompt()) {
+        return shouldOffloadShortPrompt();
+    }
+    return std::visit([this](const auto &rules) { return !rules.readsLongPromptLocally(prefillEngines()); }, placement_);
 }
 
 bool RequestRouter::isLongPrompt() const
@@ -90,17 +97,6 @@
     return metadata_.promptTokens_ >= LongPromptTokens;
 }
 
-/// A long prompt is read by the decode engine only if the prefill engines for it are overloaded and the decode engines are mostly idle.
-bool RequestRouter::shouldReadLongPromptLocally() const
-{
-    if (context_.decodeOccupancy(service_) > IdleDecodeOccupancy) {
-        return false;
-    }
-    const auto now = context_.clock_.now();
-    const auto choice = placement::prefillEngine(sharedParts_, prefillEngines(), context_.gatewayCount_, now);
-    return choice.engine_ != nullptr && placement::prefillWait(*choice.engine_, context_.gatewayCount_, now) > BusyPrefillWait;
-}
-
 /// A short prompt is read by the decode engine, unless the decode engines are busy and a prefill engine is idle.
 bool RequestRouter::shouldOffloadShortPrompt() const
 {
@@ -117,12 +113,17 @@
     return context_.endpoints_.candidates(service_, EngineStage::Prefill, triedPrefillEngines_, context_.clock_.now());
 }
 
+PrefillChoice RequestRouter::chooseReader(const placement::Candidates &candidates)
+{
+    return std::visit([&candidates](auto &rules) { return rules.chooseReader(candidates); }, placement_);
+}
+
 PrefillChoice RequestRouter::choosePrefill()
 {
     ++prefillAttempts_;
     const auto now = context_.clock_.now();
     const auto engines = prefillEngines();
-    const auto choice = isLongPrompt() ? placement::prefillEngine(sharedParts_, engines, context_.gatewayCount_, now)
+    const auto choice = isLongPrompt() ? chooseReader(engines)
                                        : PrefillChoice{ placement::shortestQueue(engines, context_.settings_.domain_, context_.gatewayCount_, now), nullptr };
     if (choice.engine_ == nullptr) {
         skipPrefill();
@@ -160,10 +161,9 @@
 
 EndpointState *RequestRouter::chooseEndpoint(bool isPromptRead)
 {
-    const auto now = context_.clock_.now();
     const auto candidates = runCandidates();
-    auto *chosen = readsPromptItself(isPromptRead) ? placement::prefillEngine(sharedParts_, candidates, context_.gatewayCount_, now).engine_
-                                                   : placement::leastLoaded(candidates, context_.settings_.domain_, now, context_.random_);
+    auto *chosen = readsPromptItself(isPromptRead) ? chooseReader(candidates).engine_
+                                                   : std::visit([&candidates](auto &rules) { return rules.chooseAnswerer(candidates); }, placement_);
     if (chosen != nullptr) {
         triedEndpoints_.insert(chosen->entry_.id_);
     }
@@ -174,7 +174,7 @@
 {
     const auto now = context_.clock_.now();
     const auto engines = context_.endpoints_.candidates(service_, EngineStage::Prefill, {}, now);
-    return placement::primaryEngine(sharedParts_, engines);
+    return std::visit([&engines](const auto &rules) { return rules.primaryEngine(engines); }, placement_);
 }
 
 std::uint64_t RequestRouter::ownTokens() const
--- a/src/gateway/requestrouter.h
+++ b/src/gateway/requestrouter.h
@@ -4,10 +4,13 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <variant>
 
 #include "core/servicename.h"
 #include "decide/placement/expectedtime.h"
+#include "gateway/expectedplacement.h"
 #include "gateway/gatewaycontext.h"
+#include "gateway/pairplacement.h"
 #include "gateway/placement.h"
 #include "gateway/requestmetadata.h"
 
@@ -27,8 +30,8 @@
     /// Chooses the service by the route's weights, from a hash of the attempt identifier. Thread safety: any thread.
     static ServiceName chooseService(const Route &route, const std::string &attemptId);
 
-    /// Sets the service to choose endpoints from. isEngine: the service's endpoints are engines.
-    void useService(ServiceName service, bool isEngine);
+    /// Sets the service to choose endpoints from. engine: what its endpoints have in common; null if they are not engines.
+    void useService(ServiceName service, const EngineSpec *engine, std::chrono::milliseconds targetLatency);
 
     /// The expected time to the first event at the best engine. Nothing if no engine may get the request or if the service is not placed by
     /// expected time.
@@ -66,16 +69,19 @@
 
 private:
     bool isLongPrompt() const;
-    bool shouldReadLongPromptLocally() const;
     bool shouldOffloadShortPrompt() const;
     placement::Candidates prefillEngines() const;
     placement::Candidates runCandidates() const;
+    PrefillChoice chooseReader(const placement::Candidates &candidates);
 
     GatewayContext &context_;
     RequestMetadata metadata_;
     std::string sharedParts_;
     ServiceName service_;
     bool isEngine_ = false;
+
+    /// The rules of the service.
+    std::variant<PairPlacement, ExpectedPlacement> placement_;
     int prefillAttempts_ = 0;
     std::set<EndpointId> triedPrefillEngines_;
     std::set<EndpointId> triedEndpoints_;
--- a/src/relay/endpointload.h
+++ b/src/relay/endpointload.h
@@ -4,13 +4,11 @@
 #include <vector>
 
 #include "core/endpointid.h"
+#include "core/endpointkey.h"
 
 namespace cowsliphead
 {
 
-/// A short form of an endpoint's identifier, for messages between gateways.
-using EndpointKey = std::uint32_t;
-
 /// Returns the key of an endpoint; all gateways get the same one. Thread safety: any thread.
 EndpointKey endpointKeyOf(const EndpointId &endpoint);
 
