Gateways refuse prompts that no engine can begin in time

Cause: a request is sent to the shortest queue however long it is. Change: with adaptive serving, RequestAdmission decides before each dispatch to an engine with a compact cache, unless a stream has begun, an engine has read the prompt, or an endpoint may have run it. A stream that has not begun is withdrawn shortly before its caller's patience ends if it is certain not to have run. Refused requests earn no retries.

--- a/src/core/errorcode.cpp
+++ b/src/core/errorcode.cpp
@@ -51,6 +51,9 @@
     { ErrorCode::OrderWithheld, "order_withheld" },
     { ErrorCode::RecordsTooOld, "records_too_old" },
     { ErrorCode::StoreHistoryGone, "store_history_gone" },
+    { ErrorCode::FirstEventTooLate, "first_event_too_late" },
+    { ErrorCode::QueueTooLong, "queue_too_long" },
+    { ErrorCode::QueueTimedOut, "queue_timed_out" },
 });
 
 class ErrorCategory final : public std::error_category
--- a/src/core/errorcode.h
+++ b/src/core/errorcode.h
@@ -46,6 +46,9 @@
     OrderWithheld,
     RecordsTooOld,
     StoreHistoryGone,
+    FirstEventTooLate,
+    QueueTooLong,
+    QueueTimedOut,
 };
 
 /// The category of ErrorCode. Thread safety: any thread.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -16,6 +16,7 @@
 #include "gateway/nextstep.h"
 #include "gateway/refusalof.h"
 #include "gateway/releasecache.h"
+#include "gateway/requestadmission.h"
 #include "gateway/requestattempts.h"
 #include "gateway/requestlog.h"
 #include "gateway/requestrouter.h"
@@ -61,8 +62,13 @@
         router_.emplace(context_, metadata_);
         router_->useService(service_, isEngineService());
         planner_.emplace(request_, metadata_, admitted_, *router_);
-        context_.retryBudgetOf(service_).requestArrived();
-        deadline_.startOnce(std::max(timeLeft(), std::chrono::milliseconds(0)));
+        if (RequestAdmission::appliesTo(*configuration_, service_)) {
+            admission_.emplace(context_, metadata_, admitted_, service_, request_.arrivedAt_);
+        } else {
+            context_.retryBudgetOf(service_).requestArrived();
+        }
+        const auto withdrawalTime = admission_ ? admission_->withdrawalTime() - elapsed() : timeLeft();
+        deadline_.startOnce(std::max(std::min(timeLeft(), withdrawalTime), std::chrono::milliseconds(0)));
         dispatchNext();
     }
 
@@ -141,7 +147,23 @@
     {
         if (crashes_.quarantineLeft()) {
             endWithError(ErrorCode::RequestQuarantined);
-        } else if (!cache_ && router_->shouldPrefill()) {
+        } else if (isRefused()) {
+            endWithError(admission_->reason());
+        } else {
+            dispatchAdmitted();
+        }
+    }
+
+    /// True if the request would begin too late. A stream that has begun is always continued.
+    bool isRefused()
+    {
+        return admission_ && !response_.relay().hasBegun()
+            && admission_->decide(*router_, cache_.has_value(), attempts_.mayHaveRun()).kind_ == AdmissionKind::Refuse;
+    }
+
+    void dispatchAdmitted()
+    {
+        if (!cache_ && router_->shouldPrefill()) {
             prefill();
         } else {
             run();
@@ -358,6 +380,8 @@
             refusal.retryAfter_ = crashes_.quarantineLeft();
         } else if (code == ErrorCode::EndpointUnavailable || code == ErrorCode::EndpointRefused) {
             refusal.retryAfter_ = retryAfterPause().value_or(*refusal.retryAfter_);
+        } else if (admission_ && admission_->reason() == code) {
+            refusal.retryAfter_ = admission_->retryAfter();
         }
         const int status = response_.refuse(refusal, metadata_.attemptId_);
         ended(status, errorName(code));
@@ -376,6 +400,13 @@
 
     void deadlineReached()
     {
+        if (admission_ && timeLeft().count() > 0) {
+            if (mayHaveStarted()) {
+                deadline_.startOnce(timeLeft());
+                return;
+            }
+            admission_->patienceEnded();
+        }
         endWithError(mayHaveStarted() ? ErrorCode::EndpointTimedOut : ErrorCode::DeadlineUnreachable);
     }
 
@@ -481,6 +512,9 @@
     std::unique_ptr<Dispatch<D>> dispatch_;
     std::optional<CacheHandle> cache_;
     std::optional<RequestRouter> router_;
+
+    /// Set if requests for the service are decided upon at admission.
+    std::optional<RequestAdmission> admission_;
     std::optional<DispatchPlanner> planner_;
     std::optional<KeyCheck> keyCheck_;
     CrashTracker crashes_;
--- /dev/null
+++ b/src/gateway/requestadmission.cpp
@@ -0,0 +1,104 @@
+#include "gateway/requestadmission.h"
+
+#include <random>
+#include <utility>
+
+#include "gateway/admissionlog.h"
+#include "gateway/firsteventestimator.h"
+#include "gateway/gatewaycontext.h"
+#include "gateway/requestmetadata.h"
+#include "gateway/requestrouter.h"
+
+namespace cowsliphead
+{
+
+namespace
+{
+
+/// A caller that loses its patience must have the refusal by then, which takes a few round trips from a loaded gateway.
+constexpr std::chrono::milliseconds WithdrawalMargin{ 50 };
+
+} // namespace
+
+RequestAdmission::RequestAdmission(
+    GatewayContext &context, const RequestMetadata &metadata, const AdmittedRequest &admitted, ServiceName service, MonotonicTime arrivedAt)
+    : context_(context)
+    , metadata_(metadata)
+    , admitted_(admitted)
+    , service_(std::move(service))
+    , arrivedAt_(arrivedAt)
+{
+}
+
+bool RequestAdmission::appliesTo(const Configuration &configuration, const ServiceName &service)
+{
+    const auto found = configuration.services_.find(service);
+    if (found == configuration.services_.end() || !configuration.usesAdaptiveServing()) {
+        return false;
+    }
+    return !found->second.engine_ || found->second.engine_->hasCompactCache();
+}
+
+AdmissionDecision RequestAdmission::decide(const RequestRouter &router, bool isPromptRead, bool mayHaveRun)
+{
+    facts_ = currentFacts(mayHaveRun);
+    if (!isPromptRead && !mayHaveRun) {
+        facts_.expected_ = firstEventEstimate(router.readingEngines(), router.ownTokens(), context_.clock_.now());
+    }
+    decision_ = admissionDecision(facts_);
+    if (decision_.kind_ == AdmissionKind::Refuse) {
+        refused(ErrorCode::FirstEventTooLate);
+    } else if (!std::exchange(isSent_, true)) {
+        // Retries are earned by requests that endpoints receive.
+        context_.retryBudgetOf(service_).requestArrived();
+        context_.metrics_.admissions_.increment({ { "result", "sent" }, { "service", service_.value() } });
+    }
+    return decision_;
+}
+
+AdmissionFacts RequestAdmission::currentFacts(bool mayHaveRun) const
+{
+    const auto &route = *admitted_.route_;
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(context_.clock_.now() - arrivedAt_);
+    AdmissionFacts facts{ .callerTimeLeft_ = metadata_.callerTimeout_.value_or(route.timeout_) - elapsed,
+                          .routeTimeLeft_ = route.timeout_ - elapsed,
+                          .targetLatency_ = route.targetLatency_,
+                          .mayBeRefused_ = !mayHaveRun,
+                          .jitter_ = std::uniform_real_distribution<double>()(context_.random_) };
+    if (route.kind_ == RouteKind::Streaming) {
+        facts.patienceLeft_ = route.patience() - elapsed;
+    }
+    return facts;
+}
+
+void RequestAdmission::patienceEnded()
+{
+    facts_ = currentFacts(false);
+    decision_ = { AdmissionKind::Refuse, retryDelay(facts_) };
+    refused(ErrorCode::DeadlineUnreachable);
+}
+
+std::chrono::milliseconds RequestAdmission::withdrawalTime() const
+{
+    const auto &route = *admitted_.route_;
+    return route.kind_ == RouteKind::Streaming ? std::min(route.timeout_, route.patience() - WithdrawalMargin) : route.timeout_;
+}
+
+ErrorCode RequestAdmission::reason() const
+{
+    return reason_;
+}
+
+std::chrono::milliseconds RequestAdmission::retryAfter() const
+{
+    return decision_.retryAfter_;
+}
+
+void RequestAdmission::refused(ErrorCode reason)
+{
+    reason_ = reason;
+    context_.metrics_.admissions_.increment({ { "reason", errorName(reason) }, { "result", "refused" }, { "service", service_.value() } });
+    admissionlog::refused(metadata_.attemptId_, admitted_, service_, reason, facts_, decision_.retryAfter_);
+}
+
+} // namespace cowsliphead
--- a/src/gateway/requestrouter.cpp
+++ b/src/gateway/requestrouter.cpp
@@ -147,6 +147,14 @@
     return context_.endpoints_.candidates(service_, stage, triedEndpoints_, context_.clock_.now());
 }
 
+placement::Candidates RequestRouter::readingEngines() const
+{
+    if (!isEngine_) {
+        return {};
+    }
+    return shouldPrefill() ? prefillEngines() : runCandidates();
+}
+
 bool RequestRouter::hasOtherEndpoint() const
 {
     return !runCandidates().empty();
--- a/src/gateway/requestrouter.h
+++ b/src/gateway/requestrouter.h
@@ -46,6 +46,9 @@
     /// True if the endpoint that runs the request reads a long prompt itself.
     bool readsPromptItself(bool isPromptRead) const;
 
+    /// The engines that may be sent the prompt next; empty if the service's endpoints are not engines.
+    placement::Candidates readingEngines() const;
+
     /// The engine that keeps the prompt's shared parts cached. Null if there is none.
     const EndpointState *primaryEngine() const;
 
--- a/src/logs/logevent.h
+++ b/src/logs/logevent.h
@@ -28,6 +28,7 @@
     RequestMalformed = 206,
     PromptRead = 207,
     RequestReleased = 208,
+    RequestNotAdmitted = 209,
 
     // 300 to 399: endpoints
     EndpointLost = 300,
