Requests for full plain services wait at their gateway, in fair shares

Cause: requests for a full plain endpoint wait there in order of arrival, so that one kind or one account makes all others late, and what waits there may have run. Change: with adaptive serving, ServiceQueue holds them while the requests of all gateways fill the endpoints (1.5 times their slots), by priority and then by fair shares. It is released by ends, reports, lists of endpoints and a timer; a wait on old reports is bounded. Rates are measured only while requests wait, and the wait includes the response time.

--- a/src/decide/admission/accountrates.cpp
+++ b/src/decide/admission/accountrates.cpp
@@ -13,9 +13,25 @@
 
 } // namespace
 
-void AccountRates::served(const AccountId &account, TokenCost cost, MonotonicTime now)
+void AccountRates::served(TokenCost cost, MonotonicTime now)
 {
     all_.served(cost, now);
+}
+
+void AccountRates::resume(MonotonicTime now)
+{
+    all_.resume(now);
+}
+
+void AccountRates::resume(const AccountId &account, MonotonicTime now)
+{
+    if (const auto found = accounts_.find(account); found != accounts_.end()) {
+        found->second.rate_.resume(now);
+    }
+}
+
+void AccountRates::served(const AccountId &account, TokenCost cost, MonotonicTime now)
+{
     auto &entry = accounts_[account];
     entry.rate_.served(cost, now);
     entry.lastServed_ = now;
--- a/src/decide/admission/admissionrequest.h
+++ b/src/decide/admission/admissionrequest.h
@@ -14,8 +14,6 @@
     AccountId account_;
     std::uint32_t weight_ = 1;
 
-    /// Maximum number of queued requests of the account; 0 means no limit.
-    std::size_t maxWaiting_ = 0;
     WaitingRequest<Ticket> waiting_;
 };
 
--- a/src/decide/admission/fairqueue.h
+++ b/src/decide/admission/fairqueue.h
@@ -89,6 +89,12 @@
         return flow == flows_.end() ? 0 : flow->second.waiting_.size();
     }
 
+    /// Total cost of all queued requests.
+    double cost() const
+    {
+        return static_cast<double>(cost_);
+    }
+
     /// Total cost of one account's queued requests.
     double costOf(const AccountId &account) const
     {
--- a/src/decide/admission/firsteventestimate.h
+++ b/src/decide/admission/firsteventestimate.h
@@ -13,7 +13,7 @@
     /// Reading the part of the prompt that is not cached.
     std::chrono::milliseconds reading_{ 0 };
 
-    /// All other terms: fetching cached parts, the first steps, and room in the KV cache.
+    /// All other terms: fetching cached parts, the first steps, and room in the KV cache; of plain services, the response time.
     std::chrono::milliseconds rest_{ 0 };
 
     std::chrono::milliseconds total() const
--- a/src/decide/admission/servicerate.cpp
+++ b/src/decide/admission/servicerate.cpp
@@ -11,6 +11,9 @@
 /// Weight of the newest interval.
 constexpr double Smoothing = 0.3;
 
+/// After this time without a measurement, the capacity may be another one.
+constexpr std::chrono::seconds RateLifetime{ 10 };
+
 } // namespace
 
 void ServiceRate::served(TokenCost cost, MonotonicTime now)
@@ -24,6 +27,15 @@
     }
 }
 
+void ServiceRate::resume(MonotonicTime now)
+{
+    intervalStart_ = now;
+    intervalCost_ = 0;
+    if (now - measuredAt_ > RateLifetime) {
+        costPerSecond_.reset();
+    }
+}
+
 std::optional<std::chrono::nanoseconds> ServiceRate::timeFor(double cost) const
 {
     if (!costPerSecond_ || *costPerSecond_ <= 0) {
@@ -38,6 +50,7 @@
     const auto rate = intervalCost_ / elapsed;
     costPerSecond_ = costPerSecond_ ? *costPerSecond_ + Smoothing * (rate - *costPerSecond_) : rate;
     intervalStart_ = now;
+    measuredAt_ = now;
     intervalCost_ = 0;
 }
 
--- a/src/experiment/fifoqueue.h
+++ b/src/experiment/fifoqueue.h
@@ -58,13 +58,13 @@
     }
 
     /// Always zero, since accounts have no queues of their own.
-    double costOf(const AccountId & /*account*/) const
+    double costOf(const AccountId & /*account*/, int /*priority*/) const
     {
         return 0;
     }
 
     /// The cost of all waiting requests, which are served before a new one.
-    double costAhead(const AccountId & /*account*/, std::uint32_t /*weight*/) const
+    double costAhead(const AccountId & /*account*/, std::uint32_t /*weight*/, int /*priority*/) const
     {
         return cost_;
     }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -63,7 +63,7 @@
         router_->useService(service_, isEngineService());
         planner_.emplace(request_, metadata_, admitted_, *router_);
         if (RequestAdmission::appliesTo(*configuration_, service_)) {
-            admission_.emplace(context_, metadata_, admitted_, service_, request_.arrivedAt_);
+            admission_.emplace(context_, metadata_, admitted_, configuration_->services_.at(service_), request_.arrivedAt_);
         } else {
             context_.retryBudgetOf(service_).requestArrived();
         }
@@ -147,18 +147,23 @@
     {
         if (crashes_.quarantineLeft()) {
             endWithError(ErrorCode::RequestQuarantined);
-        } else if (isRefused()) {
-            endWithError(admission_->reason());
+        } else if (admission_ && !response_.relay().hasBegun()) {
+            dispatchIfAdmitted();
         } else {
             dispatchAdmitted();
         }
     }
 
-    /// True if the request would begin too late. A stream that has begun is always continued.
-    bool isRefused()
+    void dispatchIfAdmitted()
     {
-        return admission_ && !response_.relay().hasBegun()
-            && admission_->decide(*router_, cache_.has_value(), attempts_.mayHaveRun()).kind_ == AdmissionKind::Refuse;
+        const auto refuseNow = [this] { endWithError(admission_->reason()); };
+        const auto decision =
+            admission_->decide(*router_, cache_.has_value(), attempts_.mayHaveRun(), { .onRoom_ = [this] { dispatchAdmitted(); }, .onTimedOut_ = refuseNow });
+        if (decision.kind_ == AdmissionKind::Send) {
+            dispatchAdmitted();
+        } else if (decision.kind_ == AdmissionKind::Refuse) {
+            refuseNow();
+        }
     }
 
     void dispatchAdmitted()
@@ -317,10 +322,25 @@
         if (result.end_ == AttemptEnd::NotExecuted && cache_) {
             releaseUnusedCache();
         }
-        dispatch_.reset();
+        endDispatch(result.end_ == AttemptEnd::Answered);
         handleDispatchEnd(std::move(result));
     }
 
+    void endDispatch(bool isAnswered)
+    {
+        if (!dispatch_) {
+            return;
+        }
+        std::optional<std::chrono::nanoseconds> responseTime;
+        if (isAnswered && !response_.relay().hasBegun()) {
+            responseTime = context_.clock_.now() - dispatch_->writtenAt();
+        }
+        dispatch_.reset();
+        if (admission_) {
+            admission_->dispatchEnded(isAnswered, responseTime);
+        }
+    }
+
     void handleDispatchEnd(AttemptResult result)
     {
         if (withholdReason_) {
@@ -465,7 +485,10 @@
         context_.metrics_.requests_.increment({ { "status", std::to_string(status) } });
         logEnd(status, reason);
         trace_.requestEnded(metadata_.attemptId_, status, reason);
-        dispatch_.reset();
+        endDispatch(false);
+        if (admission_) {
+            admission_->withdraw();
+        }
         context_.loop_.defer([onDone = std::exchange(onDone_, nullptr)] {
             if (onDone) {
                 onDone();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -69,6 +69,7 @@
             context_.configuration_ = std::move(snapshot.configuration_);
         }
         context_.endpoints_.update(*snapshot.endpoints_, context_.clock_.now());
+        context_.roomChanged();
         logEvent(LogEvent::EndpointsUpdated,
                  { { "listed", std::uint64_t(snapshot.endpoints_->size()) },
                    { "prefill", context_.endpoints_.countOf(EngineStage::Prefill) },
@@ -88,6 +89,7 @@
     void handle(const FleetLoad &load)
     {
         context_.endpoints_.setLoadOfOthers(load.loads_, context_.clock_.now());
+        context_.roomChanged();
     }
 
     void handle(const CrashReports &reports)
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -17,6 +17,7 @@
 #include "gateway/gatewaysettings.h"
 #include "gateway/quarantinelog.h"
 #include "gateway/retryallowance.h"
+#include "gateway/servicequeue.h"
 #include "http1/bufferbudget.h"
 #include "task/address.h"
 #include "task/eventloop.h"
@@ -43,6 +44,9 @@
     BufferBudget buffers_{ loop_, settings_.bufferLimit_ };
     EndpointTable endpoints_{ loop_, buffers_ };
     std::map<ServiceName, RetryAllowance> retryBudgets_{};
+
+    /// Only for plain services, with adaptive serving.
+    std::map<ServiceName, ServiceQueue> serviceQueues_{};
     std::size_t gatewayCount_ = 0;
     CrashRegister crashes_{};
     CrashVerifier crashVerifier_{ loop_ };
@@ -63,6 +67,19 @@
         return found->second;
     }
 
+    ServiceQueue &serviceQueueOf(const ServiceName &service)
+    {
+        return serviceQueues_.try_emplace(service, *this, service).first->second;
+    }
+
+    /// Endpoints may have room now that had none.
+    void roomChanged()
+    {
+        for (auto &[service, queue] : serviceQueues_) {
+            queue.roomChanged();
+        }
+    }
+
     /// Tells the other gateways what has changed in crashes_, if anything has. Call it after each change.
     void crashesChanged()
     {
--- a/src/gateway/gatewaymetrics.h
+++ b/src/gateway/gatewaymetrics.h
@@ -15,12 +15,13 @@
     CounterFamily retries_{ "cowsliphead_gateway_retries_total", "Dispatches beyond the first, by service." };
     CounterFamily crashes_{ "cowsliphead_gateway_connections_lost_total", "Connections that endpoints closed with a request in hand, by service." };
     CounterFamily admissions_{ "cowsliphead_gateway_admissions_total", "Requests sent, queued and refused at admission, by reason and service." };
+    DurationHistogram queued_{ "cowsliphead_gateway_queue_seconds", "How long requests waited for a plain endpoint with room." };
     DurationHistogram firstByte_{ "cowsliphead_gateway_first_byte_seconds", "From a request's arrival to the first byte of its answer." };
 
     /// Returns all metrics in the Prometheus text format.
     std::string toText() const
     {
-        return requests_.toText() + attempts_.toText() + retries_.toText() + crashes_.toText() + admissions_.toText() + firstByte_.toText();
+        return requests_.toText() + attempts_.toText() + retries_.toText() + crashes_.toText() + admissions_.toText() + queued_.toText() + firstByte_.toText();
     }
 };
 
--- a/src/gateway/requestadmission.cpp
+++ b/src/gateway/requestadmission.cpp
@@ -21,15 +21,21 @@
 } // namespace
 
 RequestAdmission::RequestAdmission(
-    GatewayContext &context, const RequestMetadata &metadata, const AdmittedRequest &admitted, ServiceName service, MonotonicTime arrivedAt)
+    GatewayContext &context, const RequestMetadata &metadata, const AdmittedRequest &admitted, const ServiceSpec &service, MonotonicTime arrivedAt)
     : context_(context)
     , metadata_(metadata)
     , admitted_(admitted)
-    , service_(std::move(service))
+    , service_(service.name_)
+    , isPlain_(!service.engine_)
     , arrivedAt_(arrivedAt)
 {
 }
 
+RequestAdmission::~RequestAdmission()
+{
+    withdraw();
+}
+
 bool RequestAdmission::appliesTo(const Configuration &configuration, const ServiceName &service)
 {
     const auto found = configuration.services_.find(service);
@@ -39,21 +45,100 @@
     return !found->second.engine_ || found->second.engine_->hasCompactCache();
 }
 
-AdmissionDecision RequestAdmission::decide(const RequestRouter &router, bool isPromptRead, bool mayHaveRun)
+AdmissionDecision RequestAdmission::decide(const RequestRouter &router, bool isPromptRead, bool mayHaveRun, QueueEvents events)
 {
     facts_ = currentFacts(mayHaveRun);
+    if (isPlain_) {
+        return queueOrSend(std::move(events));
+    }
     if (!isPromptRead && !mayHaveRun) {
         facts_.expected_ = firstEventEstimate(router.readingEngines(), router.ownTokens(), context_.clock_.now());
     }
     decision_ = admissionDecision(facts_);
     if (decision_.kind_ == AdmissionKind::Refuse) {
         refused(ErrorCode::FirstEventTooLate);
-    } else if (!std::exchange(isSent_, true)) {
+    } else {
+        sent();
+    }
+    return decision_;
+}
+
+AdmissionDecision RequestAdmission::queueOrSend(QueueEvents events)
+{
+    auto &queue = context_.serviceQueueOf(service_);
+    ticket_ = queue.issueTicket();
+    QueuedRequest request{ .account_ = account(),
+                           .priority_ = admitted_.route_->priority_,
+                           .deadline_ = context_.clock_.now() + latestFirstEvent(facts_.timeLimit()),
+                           .events_ = { .onRoom_ =
+                                            [this, onRoom = std::move(events.onRoom_)] {
+                                                sent();
+                                                onRoom();
+                                            },
+                                        .onTimedOut_ =
+                                            [this, onTimedOut = std::move(events.onTimedOut_)] {
+                                                waitEnded();
+                                                onTimedOut();
+                                            } } };
+    if (admitted_.account_ != nullptr) {
+        request.priority_ = admitted_.account_->priority_.value_or(request.priority_);
+    }
+    decision_ = queue.arrive(ticket_, std::move(request), facts_);
+    switch (decision_.kind_) {
+    case AdmissionKind::Send:
+        sent();
+        break;
+    case AdmissionKind::Wait:
+        context_.metrics_.admissions_.increment({ { "result", "queued" }, { "service", service_.value() } });
+        break;
+    case AdmissionKind::Refuse:
+        refused(ErrorCode::QueueTooLong);
+        break;
+    }
+    return decision_;
+}
+
+AccountId RequestAdmission::account() const
+{
+    return admitted_.account_ == nullptr ? AccountId() : admitted_.account_->id_;
+}
+
+void RequestAdmission::sent()
+{
+    if (!std::exchange(isSent_, true)) {
         // Retries are earned by requests that endpoints receive.
         context_.retryBudgetOf(service_).requestArrived();
         context_.metrics_.admissions_.increment({ { "result", "sent" }, { "service", service_.value() } });
     }
-    return decision_;
+}
+
+/// The request has waited as long as it may.
+void RequestAdmission::waitEnded()
+{
+    const auto expected = facts_.expected_;
+    facts_ = currentFacts(!facts_.mayBeRefused_);
+    facts_.expected_ = expected;
+    decision_ = { AdmissionKind::Refuse, retryDelay(facts_) };
+    refused(ErrorCode::QueueTimedOut);
+}
+
+void RequestAdmission::dispatchEnded(bool isAnswered, std::optional<std::chrono::nanoseconds> responseTime)
+{
+    if (!isPlain_) {
+        return;
+    }
+    auto &queue = context_.serviceQueueOf(service_);
+    if (isAnswered) {
+        queue.answered(account(), responseTime);
+    }
+    queue.roomChanged();
+}
+
+void RequestAdmission::withdraw()
+{
+    if (ticket_ != 0) {
+        context_.serviceQueueOf(service_).withdraw(ticket_);
+    }
 }
 
 AdmissionFacts RequestAdmission::currentFacts(bool mayHaveRun) const
@@ -97,6 +182,10 @@
 void RequestAdmission::refused(ErrorCode reason)
 {
     reason_ = reason;
+    if (!facts_.mayBeRefused_) {
+        // The caller is told that the outcome is unknown.
+        return;
+    }
     context_.metrics_.admissions_.increment({ { "reason", errorName(reason) }, { "result", "refused" }, { "service", service_.value() } });
     admissionlog::refused(metadata_.attemptId_, admitted_, service_, reason, facts_, decision_.retryAfter_);
 }
--- a/src/gateway/requestrouter.cpp
+++ b/src/gateway/requestrouter.cpp
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "fleet/route.h"
+#include "gateway/endpointroom.h"
 
 namespace cowsliphead
 {
@@ -143,8 +144,11 @@
 
 placement::Candidates RequestRouter::runCandidates() const
 {
+    const auto now = context_.clock_.now();
     const auto stage = isEngine_ ? EngineStage::Decode : EngineStage::None;
-    return context_.endpoints_.candidates(service_, stage, triedEndpoints_, context_.clock_.now());
+    auto candidates = context_.endpoints_.candidates(service_, stage, triedEndpoints_, now);
+    const bool mayQueue = !isEngine_ && context_.configuration_ && context_.configuration_->usesAdaptiveServing();
+    return mayQueue ? endpointroom::withRoom(std::move(candidates), context_.gatewayCount_, now) : candidates;
 }
 
 placement::Candidates RequestRouter::readingEngines() const
--- a/src/operate/experimentcommand.cpp
+++ b/src/operate/experimentcommand.cpp
@@ -75,7 +75,7 @@
     const nlohmann::json result = {
         { "seed", setup.seed_ },
         { "fifo", summaryOf(FairnessExperiment<FifoQueue>(setup).run()) },
-        { "fair", summaryOf(FairnessExperiment<FairQueue>(setup).run()) },
+        { "fair", summaryOf(FairnessExperiment<PriorityFairQueue>(setup).run()) },
     };
     std::cout << result.dump(4) << "\n";
     return exitcode::Success;
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -1,5 +1,7 @@
 #include "gatewayfixture.h"
 
+#include <algorithm>
+
 #include <boost/test/unit_test.hpp>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -148,6 +150,35 @@
     publish();
 }
 
+void GatewayFixture::useAdaptiveServing()
+{
+    auto changed = std::make_shared<Configuration>(*configuration_);
+    ++changed->revision_;
+    EngineSpec engine;
+    engine.cacheTokenBytes_ = 18432;
+    changed->services_.emplace(ServiceName("engines"), ServiceSpec{ ServiceName("engines"), 100, engine, std::nullopt });
+    configuration_ = changed;
+    publish();
+}
+
+void GatewayFixture::reportLoadOfOthers(std::uint32_t running, std::chrono::milliseconds after)
+{
+    const auto report = [this, running] {
+        FleetLoad load;
+        for (std::size_t number = 0; number < endpoints_.size(); ++number) {
+            load.loads_.push_back({ endpointKeyOf(EndpointId("endpoint-" + std::to_string(number))), running, 0 });
+        }
+        std::sort(load.loads_.begin(), load.loads_.end());
+        gateway_.receive(load);
+    };
+    if (after.count() == 0) {
+        report();
+        return;
+    }
+    reports_.push_back(std::make_unique<Timer>(loop_, report));
+    reports_.back()->startOnce(after);
+}
+
 void GatewayFixture::run(std::chrono::milliseconds time)
 {
     Timer end(loop_, [this] { loop_.stop(); });
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -54,6 +54,12 @@
     /// From now on the list names new incarnations of all endpoints.
     void restartEndpoints();
 
+    /// From now on the configuration uses adaptive serving.
+    void useAdaptiveServing();
+
+    /// After this time, a report says that the other gateways have so many requests in flight at each endpoint.
+    void reportLoadOfOthers(std::uint32_t running, std::chrono::milliseconds after = std::chrono::milliseconds(0));
+
     void run(std::chrono::milliseconds time);
 
     /// Starts the drain and runs the loop for this time.
@@ -80,4 +86,5 @@
     int requestCount_ = 0;
     std::vector<int> sockets_;
     std::uint64_t incarnation_ = 1;
+    std::vector<std::unique_ptr<cowsliphead::Timer>> reports_;
 };
