Tests: no wait beside room in any order of events, no false "not run"

A property over arrivals, reports and ends at the queue of a gateway, and a request whose first endpoint was lost before its wait timed out (502, no Retry-After). With roomChanged() left to the timer the property fails.

--- a/tests/gateway/servicequeuetest.cpp
+++ b/tests/gateway/servicequeuetest.cpp
@@ -1,7 +1,9 @@
 #include <algorithm>
 
 #include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
 
+#include "gateway/endpointroom.h"
 #include "gateway/gatewaycontext.h"
 #include "gateway/servicequeue.h"
 
@@ -40,6 +42,11 @@
         return *context_.endpoints_.find(EndpointId(id));
     }
 
+    EndpointState &withRoom()
+    {
+        return endpointroom::hasRoom(state("e1"), context_.gatewayCount_, now()) ? state("e1") : state("e2");
+    }
+
     /// The other gateways have so many requests in flight at the two endpoints.
     void report(std::uint32_t first, std::uint32_t second)
     {
@@ -59,7 +66,7 @@
                                .events_ = { .onRoom_ =
                                                 [this, priority] {
                                                     sent_.push_back(priority);
-                                                    ++state("e2").running_;
+                                                    ++withRoom().running_;
                                                 },
                                             .onTimedOut_ = [this] { ++timedOut_; } } };
         return queue().arrive(ticket_, std::move(request), facts).kind_;
@@ -86,6 +93,31 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_SUITE(under_any_sequence_of_arrivals_reports_and_ends)
+
+RC_BOOST_PROP(no_request_waits_while_an_endpoint_has_room, ())
+{
+    QueueFixture fixture;
+    const auto events = *rc::gen::container<std::vector<std::uint8_t>>(20, rc::gen::inRange<std::uint8_t>(0, 90));
+    for (const auto event : events) {
+        auto &first = fixture.state("e1");
+        auto &second = fixture.state("e2");
+        if (event % 3 == 0) {
+            fixture.report(event / 3 % 10, event % 10);
+        } else if (auto &endpoint = event % 2 == 0 ? first : second; event % 3 == 1 && endpoint.running_ > 0) {
+            --endpoint.running_;
+            fixture.context_.roomChanged();
+        } else if (fixture.arrive() == AdmissionKind::Send) {
+            ++fixture.withRoom().running_;
+        }
+        fixture.run(1ms);
+        const auto now = fixture.now();
+        RC_ASSERT(fixture.queue().size() == 0 || (!endpointroom::hasRoom(first, 5, now) && !endpointroom::hasRoom(second, 5, now)));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(requests_for_a_plain_service, QueueFixture)
 
 BOOST_AUTO_TEST_SUITE(are_sent_at_once)
--- a/tests/gateway/waitingrequesttest.cpp
+++ b/tests/gateway/waitingrequesttest.cpp
@@ -49,6 +49,22 @@
     BOOST_TEST(endpoint_.requests().empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(is_not_called_not_run_once_an_endpoint_may_have_begun_it, GatewayFixture)
+{
+    // Guards against a refusal from the queue of a request whose first endpoint was lost.
+    useAdaptiveServing();
+    auto &first = addEndpoint({ { .bytes_ = "", .laterBytes_ = "no HTTP\r\n\r\n", .pause_ = 200ms } });
+    auto &second = addEndpoint({ { Success } });
+    for (auto after = 100ms; after <= 2000ms; after += 100ms) {
+        reportLoadOfOthers(FullLoad, after);
+    }
+    const auto answer = sendRequest("/safe/x");
+    BOOST_TEST(answer.status_ == 502);
+    BOOST_TEST(headerValue(answer.headers_, "Retry-After").empty());
+    BOOST_TEST(first.requests().size() == 1U);
+    BOOST_TEST(second.requests().empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(is_sent_to_no_endpoint_after_its_caller_has_left, FullEndpointFixture)
 {
     sendRequestAndDisconnect("/once/x");
