--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -16,6 +16,7 @@
 #include "gateway/nextstep.h"
 #include "gateway/refusalof.h"
 #include "gateway/releasecache.h"
+#include "gateway/requestadmission.h"
 #include "gateway/requestattempts.h"
 #include "gateway/requestlog.h"
 #include "gateway/requestrouter.h"
@@ -63,8 +64,13 @@
         router_.emplace(context_, metadata_);
         router_->useService(service_, engineSpec(), route().targetLatency_);
         planner_.emplace(request_, metadata_, admitted_, *router_);
-        context_.retryBudgetOf(service_).requestArrived();
-        deadline_.startOnce(std::max(timeLeft(), std::chrono::milliseconds(0)));
+        if (RequestAdmission::appliesTo(*configuration_, service_)) {
+            admission_.emplace(context_, metadata_, admitted_, configuration_->services_.at(service_), request_.arrivedAt_);
+        } else {
+            context_.retryBudgetOf(service_).requestArrived();
+        }
+        const auto withdrawalTime = admission_ ? admission_->withdrawalTime() - elapsed() : timeLeft();
+        deadline_.startOnce(std::max(std::min(timeLeft(), withdrawalTime), std::chrono::milliseconds(0)));
         dispatchNext();
     }
 
@@ -148,7 +154,28 @@
             pause();
         } else if (context_.usesAdaptiveServing() && attempts_.nextIsRetry() && !context_.retryBudgetOf(service_).hasRetryLeft()) {
             waitForRetry();
-        } else if (!cache_ && router_->shouldPrefill()) {
+        } else if (admission_ && !response_.relay().hasBegun()) {
+            dispatchIfAdmitted();
+        } else {
+            dispatchAdmitted();
+        }
+    }
+
+    void dispatchIfAdmitted()
+    {
+        const auto refuseNow = [this] { endWithError(admission_->reason()); };
+        const auto decision =
+            admission_->decide(*router_, cache_.has_value(), attempts_.mayHaveRun(), { .onRoom_ = [this] { dispatchAdmitted(); }, .onTimedOut_ = refuseNow });
+        if (decision.kind_ == AdmissionKind::Send) {
+            dispatchAdmitted();
+        } else if (decision.kind_ == AdmissionKind::Refuse) {
+            refuseNow();
+        }
+    }
+
+    void dispatchAdmitted()
+    {
+        if (!cache_ && router_->shouldPrefill()) {
             prefill();
         } else {
             run();
@@ -342,10 +369,25 @@
         if (result.end_ == AttemptEnd::NotExecuted && cache_) {
             releaseUnusedCache();
         }
-        dispatch_.reset();
+        endDispatch(result.end_ == AttemptEnd::Answered);
         handleDispatchEnd(std::move(result));
     }
 
+    void endDispatch(bool isAnswered)
+    {
+        if (!dispatch_) {
+            return;
+        }
+        std::optional<std::chrono::nanoseconds> responseTime;
+        if (isAnswered && !response_.relay().hasBegun()) {
+            responseTime = context_.clock_.now() - dispatch_->writtenAt();
+        }
+        dispatch_.reset();
+        if (admission_) {
+            admission_->dispatchEnded(isAnswered, responseTime);
+        }
+    }
+
     void handleDispatchEnd(AttemptResult result)
     {
         if (withholdReason_) {
@@ -407,6 +449,8 @@
             refusal.retryAfter_ = crashes_.quarantineLeft();
         } else if (code == ErrorCode::EndpointUnavailable || code == ErrorCode::EndpointRefused) {
             refusal.retryAfter_ = retryAfterPause().value_or(*refusal.retryAfter_);
+        } else if (admission_ && admission_->reason() == code) {
+            refusal.retryAfter_ = admission_->retryAfter();
         }
         const int status = response_.refuse(refusal, metadata_.attemptId_);
         ended(status, errorName(code));
@@ -425,6 +469,13 @@
 
     void deadlineReached()
     {
+        if (admission_ && timeLeft().count() > 0) {
+            if (mayHaveStarted()) {
+                deadline_.startOnce(timeLeft());
+                return;
+            }
+            admission_->patienceEnded();
+        }
         endWithError(mayHaveStarted() ? ErrorCode::EndpointTimedOut : ErrorCode::DeadlineUnreachable);
     }
 
@@ -484,7 +535,10 @@
         context_.metrics_.requests_.increment({ { "status", std::to_string(status) } });
         logEnd(status, reason);
         trace_.requestEnded(metadata_.attemptId_, status, reason);
-        dispatch_.reset();
+        endDispatch(false);
+        if (admission_) {
+            admission_->withdraw();
+        }
         context_.loop_.defer([onDone = std::exchange(onDone_, nullptr)] {
             if (onDone) {
                 onDone();
@@ -531,6 +585,9 @@
     std::unique_ptr<Dispatch<D>> dispatch_;
     std::optional<CacheHandle> cache_;
     std::optional<RequestRouter> router_;
+
+    /// Set if requests for the service are decided upon at admission.
+    std::optional<RequestAdmission> admission_;
     std::optional<DispatchPlanner> planner_;
     std::optional<KeyCheck> keyCheck_;
     CrashTracker crashes_;
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -1,5 +1,7 @@
 #include "gatewayfixture.h"
 
+#include <algorithm>
+
 #include <boost/test/unit_test.hpp>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -163,7 +165,7 @@
 {
     const ServiceName name("engines");
     auto adaptive = std::make_shared<Configuration>(*configuration_);
-    adaptive->revision_ = 2;
+    ++adaptive->revision_;
     adaptive->services_.emplace(name, ServiceSpec{ name, 100, EngineSpec{ .cacheTokenBytes_ = 18432 }, std::nullopt });
     adaptive->routes_.push_back(route("/engine/", RouteKind::Streaming, name.value()));
     configuration_ = std::move(adaptive);
@@ -210,6 +212,24 @@
     grant_->startOnce(time);
 }
 
+void GatewayFixture::reportLoadOfOthers(std::uint32_t running, std::chrono::milliseconds after)
+{
+    const auto report = [this, running] {
+        FleetLoad load;
+        for (std::size_t number = 0; number < endpoints_.size(); ++number) {
+            load.loads_.push_back({ endpointKeyOf(EndpointId("endpoint-" + std::to_string(number))), running, 0 });
+        }
+        std::sort(load.loads_.begin(), load.loads_.end());
+        gateway_.receive(load);
+    };
+    if (after.count() == 0) {
+        report();
+        return;
+    }
+    reports_.push_back(std::make_unique<Timer>(loop_, report));
+    reports_.back()->startOnce(after);
+}
+
 void GatewayFixture::run(std::chrono::milliseconds time)
 {
     Timer end(loop_, [this] { loop_.stop(); });
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -76,6 +76,9 @@
     /// Lets the relay grant the gateway a retry after this time.
     void grantRetryAfter(std::chrono::milliseconds time);
 
+    /// After this time, a report says that the other gateways have so many requests in flight at each endpoint.
+    void reportLoadOfOthers(std::uint32_t running, std::chrono::milliseconds after = std::chrono::milliseconds(0));
+
     void run(std::chrono::milliseconds time);
 
     /// Starts the drain and runs the loop for this time.
@@ -106,4 +109,5 @@
     std::vector<int> sockets_;
     std::uint64_t incarnation_ = 1;
     std::unique_ptr<cowsliphead::Timer> grant_;
+    std::vector<std::unique_ptr<cowsliphead::Timer>> reports_;
 };
