Placement uses measured speeds and counts the tokens that caches miss; admission leaves short prompts and endpoints' own queues alone

The queue of an engine counted only the prompts' own tokens, although two fifths of the shared ones were read as well; prompts waited for prefill engines while decode engines were idle; and plain requests were refused at 1.5 requests a slot although endpoints queue four themselves.

Change: queues count the expected misses; a decode engine reads a long prompt while the prefill engines are overloaded, as before; speeds come from the shared observations; a plain endpoint is full at four requests a slot; short prompts are not estimated.

--- a/src/decide/enginespeeds.cpp
+++ b/src/decide/enginespeeds.cpp
@@ -6,15 +6,14 @@
 #include <utility>
 #include <vector>
 
+#include "decide/defaultenginespeed.h"
+
 namespace cowsliphead
 {
 
 namespace
 {
 
-/// Prompt tokens that a current engine of the larger models reads in a millisecond.
-constexpr double CommonSpeed = 45;
-
 /// The half-life of observations, the same at all gateways.
 constexpr std::chrono::duration<double> HalfLife{ 10 };
 
@@ -95,7 +94,7 @@
     }
     const auto listed = engines_.find(engine);
     const auto median = listed == engines_.end() ? medians_.end() : medians_.find(listed->second);
-    return median == medians_.end() ? CommonSpeed : median->second;
+    return median == medians_.end() ? DefaultTokensPerMillisecond : median->second;
 }
 
 void EngineSpeeds::updateSpeed(EndpointKey engine, MonotonicTime now)
--- a/src/gateway/dispatchplan.h
+++ b/src/gateway/dispatchplan.h
@@ -25,6 +25,9 @@
     /// Do not reuse a connection: the endpoint may already have closed an idle one, and the request would be lost.
     bool needsNewConnection_ = false;
 
+    /// Tokens of a long prompt that no other request shares.
+    std::uint64_t ownTokens_ = 0;
+
     /// Tokens that the endpoint has to read before it responds, as far as this gateway knows.
     std::uint64_t promptTokens_ = 0;
 
--- a/src/gateway/dispatchplanner.cpp
+++ b/src/gateway/dispatchplanner.cpp
@@ -53,7 +53,8 @@
 {
     auto plan = planFor(*choice.engine_, timeLeft, lastEventId);
     plan.metadata_.isPrefill_ = true;
-    plan.promptTokens_ = router_.ownTokens();
+    plan.ownTokens_ = router_.ownTokens();
+    plan.promptTokens_ = router_.expectedReading();
     plan.expected_ = choice.expected_;
     if (choice.source_ != nullptr) {
         plan.metadata_.fetchSource_ = textOf(choice.source_->entry_.address_);
@@ -91,7 +92,8 @@
     if (const auto *primary = router_.primaryEngine()) {
         plan.metadata_.fetchSource_ = textOf(primary->entry_.address_);
     }
-    plan.promptTokens_ = router_.ownTokens();
+    plan.ownTokens_ = router_.ownTokens();
+    plan.promptTokens_ = router_.expectedReading();
 }
 
 std::chrono::milliseconds DispatchPlanner::noDataTimeout() const
--- a/src/gateway/endpointroom.cpp
+++ b/src/gateway/endpointroom.cpp
@@ -9,9 +9,9 @@
 namespace
 {
 
-/// Requests in flight at an endpoint for each slot, in tenths. With more, answers are late; with fewer, a slot may be idle for the time that
-/// a request needs to reach it.
-constexpr std::uint64_t TenthsPerSlot = 15;
+/// Requests in flight at an endpoint for each slot, in tenths. An endpoint queues about four requests a slot itself, in their order; requests
+/// that wait at the gateways beyond 1.5 a slot were refused although that queue had room.
+constexpr std::uint64_t TenthsPerSlot = 40;
 
 /// Twice the longest interval at which a relay is asked.
 constexpr std::chrono::milliseconds CertainReportAge{ 500 };
--- a/src/gateway/expectedplacement.cpp
+++ b/src/gateway/expectedplacement.cpp
@@ -2,15 +2,24 @@
 
 #include <utility>
 
+#include "decide/defaultenginespeed.h"
 #include "decide/placement/chooseengine.h"
 #include "decide/placement/engineranking.h"
 #include "gateway/engineplacement.h"
-#include "gateway/enginespeed.h"
 #include "gateway/gatewaycontext.h"
 
 namespace cowsliphead
 {
 
+namespace
+{
+
+/// Share of the shared tokens that an engine has to read on the average, because neither it nor the engine that it fetches from holds them.
+/// Without it the queues of engines with cold caches look too short.
+constexpr std::uint64_t MissedSharePercent = 40;
+
+} // namespace
+
 static_assert(EnginePlacement<ExpectedPlacement>);
 
 ExpectedPlacement::ExpectedPlacement(GatewayContext &context, ServiceName service, EngineSpec spec, PromptFacts prompt)
@@ -21,9 +30,18 @@
 {
 }
 
-bool ExpectedPlacement::readsLongPromptLocally(const placement::Candidates & /*candidates*/) const
+bool ExpectedPlacement::readsLongPromptLocally(const placement::Candidates &candidates) const
+{
+    if (context_.decodeOccupancy(service_) > placement::IdleDecodeOccupancy) {
+        return false;
+    }
+    const auto expected = expectedTime(candidates);
+    return expected && expected->queue_ > placement::BusyPrefillWait;
+}
+
+std::uint64_t ExpectedPlacement::expectedReading() const
 {
-    return false;
+    return prompt_.ownTokens_ + prompt_.sharedTokens_ * MissedSharePercent / 100;
 }
 
 PrefillChoice ExpectedPlacement::chooseReader(const placement::Candidates &candidates)
@@ -85,7 +103,7 @@
             .slots_ = state->entry_.slots_,
             // Engines do not report their cache; what they have yet to read is the part that is known to be in use soon.
             .usedCacheTokens_ = queued,
-            .tokensPerMillisecond_ = tokensPerMillisecond(*state),
+            .tokensPerMillisecond_ = context_.endpoints_.speeds().tokensPerMillisecond(state->key_),
             .isStreaming_ = state->entry_.stage_ == EngineStage::Decode,
         });
     }
--- a/src/gateway/expectedplacement.h
+++ b/src/gateway/expectedplacement.h
@@ -24,12 +24,16 @@
     /// Precondition: the context outlives the placement.
     ExpectedPlacement(GatewayContext &context, ServiceName service, EngineSpec spec, PromptFacts prompt);
 
-    /// Never: a request that is lost while another engine reads its prompt has not run.
+    /// Only while all prefill engines are overloaded and the decode engines mostly idle: a request that is lost while a prefill engine reads its
+    /// prompt has not run.
     bool readsLongPromptLocally(const placement::Candidates &candidates) const;
 
     /// Counts a request for the prompt's shared parts the first time it is called.
     PrefillChoice chooseReader(const placement::Candidates &candidates);
 
+    /// Tokens that an engine is expected to read for the prompt.
+    std::uint64_t expectedReading() const;
+
     EndpointState *chooseAnswerer(const placement::Candidates &candidates) const;
     const EndpointState *primaryEngine(const placement::Candidates &candidates) const;
     std::optional<ExpectedTime> expectedTime(const placement::Candidates &candidates) const;
--- a/src/gateway/pairplacement.cpp
+++ b/src/gateway/pairplacement.cpp
@@ -8,17 +8,6 @@
 namespace cowsliphead
 {
 
-namespace
-{
-
-/// Share of occupied decode slots below which decode engines can read long prompts besides their streams.
-constexpr double IdleDecodeOccupancy = 0.35;
-
-/// Wait above which a prefill engine counts as overloaded.
-constexpr std::chrono::milliseconds BusyPrefillWait{ 200 };
-
-} // namespace
-
 static_assert(EnginePlacement<PairPlacement>);
 
 PairPlacement::PairPlacement(GatewayContext &context, ServiceName service, std::string sharedParts)
@@ -30,11 +19,11 @@
 
 bool PairPlacement::readsLongPromptLocally(const placement::Candidates &candidates) const
 {
-    if (context_.decodeOccupancy(service_) > IdleDecodeOccupancy) {
+    if (context_.decodeOccupancy(service_) > placement::IdleDecodeOccupancy) {
         return false;
     }
     const auto choice = chooseReader(candidates);
-    return choice.engine_ != nullptr && placement::prefillWait(*choice.engine_, context_.gatewayCount_, context_.clock_.now()) > BusyPrefillWait;
+    return choice.engine_ != nullptr && placement::prefillWait(*choice.engine_, context_.gatewayCount_, context_.clock_.now()) > placement::BusyPrefillWait;
 }
 
 PrefillChoice PairPlacement::chooseReader(const placement::Candidates &candidates) const
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -15,6 +15,12 @@
 namespace cowsliphead::placement
 {
 
+/// Share of occupied decode slots below which decode engines can read long prompts besides their streams.
+inline constexpr double IdleDecodeOccupancy = 0.35;
+
+/// Wait above which a prefill engine counts as overloaded.
+inline constexpr std::chrono::milliseconds BusyPrefillWait{ 200 };
+
 /// The endpoints to choose from.
 using Candidates = std::vector<EndpointState *>;
 
--- a/src/gateway/prefillqueue.cpp
+++ b/src/gateway/prefillqueue.cpp
@@ -2,8 +2,7 @@
 
 #include <algorithm>
 
-#include "gateway/enginespeed.h"
-
+#include "decide/defaultenginespeed.h"
 namespace cowsliphead
 {
 
--- a/src/gateway/requestadmission.cpp
+++ b/src/gateway/requestadmission.cpp
@@ -51,7 +51,8 @@
     if (isPlain_) {
         return queueOrSend(std::move(events));
     }
-    if (!isPromptRead && !mayHaveRun) {
+    // A short prompt is read between the steps of an engine's streams and waits in no queue of prompts.
+    if (router.isLongPrompt() && !isPromptRead && !mayHaveRun) {
         facts_.expected_ = firstEventEstimate(router.readingEngines(), router.ownTokens(), context_.clock_.now());
     }
     decision_ = admissionDecision(facts_);
--- a/src/gateway/requestlog.cpp
+++ b/src/gateway/requestlog.cpp
@@ -85,7 +85,7 @@
                      { "parts", sharedParts },
                      { "fetchedFrom", plan.metadata_.fetchSource_ },
                      { "sharedTokens", sharedTokens },
-                     { "ownTokens", plan.promptTokens_ },
+                     { "ownTokens", plan.ownTokens_ },
                      { "expected", textOf(plan.expected_) },
                      { "takenMs", countOf(duration) } });
 }
--- a/src/gateway/requestrouter.cpp
+++ b/src/gateway/requestrouter.cpp
@@ -194,6 +194,12 @@
     return metadata_.promptTokens_ - std::min(metadata_.promptTokens_, metadata_.sharedTokens());
 }
 
+std::uint64_t RequestRouter::expectedReading() const
+{
+    const auto *expected = std::get_if<ExpectedPlacement>(&placement_);
+    return expected != nullptr ? expected->expectedReading() : ownTokens();
+}
+
 const std::string &RequestRouter::sharedParts() const
 {
     return sharedParts_;
--- a/src/gateway/requestrouter.h
+++ b/src/gateway/requestrouter.h
@@ -67,11 +67,16 @@
     /// Tokens of the prompt that no other request shares.
     std::uint64_t ownTokens() const;
 
+    /// True if the prompt is long enough for a prefill engine of its own to pay.
+    bool isLongPrompt() const;
+
+    /// Tokens that an engine is expected to read for this prompt.
+    std::uint64_t expectedReading() const;
+
     /// Identifies the prompt's shared parts.
     const std::string &sharedParts() const;
 
 private:
-    bool isLongPrompt() const;
     bool shouldOffloadShortPrompt() const;
     placement::Candidates prefillEngines() const;
     placement::Candidates runCandidates() const;
