--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -19,9 +19,9 @@
 #include "gateway/requestadmission.h"
 #include "gateway/requestattempts.h"
 #include "gateway/requestlog.h"
+#include "gateway/requestretries.h"
 #include "gateway/requestrouter.h"
 #include "gateway/requesttrace.h"
-#include "gateway/retrywait.h"
 #include "http/httpheaders.h"
 
 namespace cowsliphead
@@ -42,7 +42,7 @@
         , deadline_(context.loop_, [this] { deadlineReached(); })
         , crashes_(context, request_, metadata_, admitted_)
         , response_(context, connection, request_.arrivedAt_)
-        , retryWait_(context.loop_)
+        , retries_(context, attempts_, service_)
         , trace_(context, headerValue(request_.head_.headers_, "traceparent"))
     {
     }
@@ -152,7 +152,7 @@
             endWithError(ErrorCode::RequestQuarantined);
         } else if (context_.usesAdaptiveServing() && attempts_.shouldPause()) {
             pause();
-        } else if (context_.usesAdaptiveServing() && attempts_.nextIsRetry() && !context_.retryBudgetOf(service_).hasRetryLeft()) {
+        } else if (retries_.mustWait()) {
             waitForRetry();
         } else if (admission_ && !response_.relay().hasBegun()) {
             dispatchIfAdmitted();
@@ -182,7 +182,6 @@
         }
     }
 
-    /// Endpoints that cannot be reached are found out within a few hundred milliseconds; attempts meanwhile only add load.
     void pause()
     {
         attempts_.paused();
@@ -190,30 +189,24 @@
             endWithError(ErrorCode::EndpointUnavailable);
             return;
         }
-        retryWait_.start(
-            RetryWait::ConnectPause, [] { return false; }, [this](bool /*isReady*/) { dispatchNext(); });
+        retries_.pause([this] { dispatchNext(); });
     }
 
     /// Another gateway may have a retry left, or the next requests here bring one.
     void waitForRetry()
     {
-        const auto limit = std::min(RetryWait::MaxWait, timeLeft() / 2);
-        retryWait_.start(
-            limit,
-            [this] { return context_.retryBudgetOf(service_).hasRetryLeft(); },
-            [this](bool isReady) {
-                context_.metrics_.retryWaits_.increment({ { "service", service_.value() }, { "got", isReady ? "yes" : "no" } });
-                if (isReady) {
-                    dispatchNext();
-                } else {
-                    endWithError(ErrorCode::RetryBudgetSpent);
-                }
-            });
+        retries_.wait(timeLeft(), [this](bool isReady) {
+            if (isReady) {
+                dispatchNext();
+            } else {
+                endWithError(ErrorCode::RetryBudgetSpent);
+            }
+        });
     }
 
     void prefill()
     {
-        if (!chargeRetryBudget()) {
+        if (!retries_.charge()) {
             endWithError(ErrorCode::RetryBudgetSpent);
             return;
         }
@@ -230,7 +223,7 @@
     void prefillEnded(const AttemptResult &result)
     {
         trace_.dispatchEnded(dispatch_->plan(), attemptEndName(result.end_));
-        settleRetry();
+        retries_.settle(dispatch_->isWritten());
         auto &engine = dispatch_->endpoint();
         const auto handle = result.head_.status_ == httpstatus::Ok ? D::readHandle(result.body_) : failure(ErrorCode::EndpointRefused);
         if (handle) {
@@ -260,27 +253,6 @@
         endpointoutcome::promptRead(context_, engine, dispatch_->tokensUntilRead(), duration);
     }
 
-    bool chargeRetryBudget()
-    {
-        if (!attempts_.nextIsRetry() || isRetryCharged_) {
-            return true;
-        }
-        if (!context_.retryBudgetOf(service_).spend()) {
-            return false;
-        }
-        context_.metrics_.retries_.increment({ { "service", service_.value() } });
-        isRetryCharged_ = context_.usesAdaptiveServing();
-        return true;
-    }
-
-    /// A retry counts only once an endpoint receives the request.
-    void settleRetry()
-    {
-        if (std::exchange(isRetryCharged_, false) && !dispatch_->isWritten()) {
-            context_.retryBudgetOf(service_).refund();
-        }
-    }
-
     void run()
     {
         auto *chosen = router_->chooseEndpoint(cache_.has_value());
@@ -288,7 +260,7 @@
             endWithError(ErrorCode::EndpointUnavailable);
             return;
         }
-        if (!chargeRetryBudget()) {
+        if (!retries_.charge()) {
             endWithError(ErrorCode::RetryBudgetSpent);
             return;
         }
@@ -364,7 +336,7 @@
         }
         trace_.dispatchEnded(dispatch_->plan(), attemptEndName(result.end_));
         attempts_.ended(result.end_);
-        settleRetry();
+        retries_.settle(dispatch_->isWritten());
         lastEndpoint_ = endpoint.entry_.id_.value();
         if (result.end_ == AttemptEnd::NotExecuted && cache_) {
             releaseUnusedCache();
@@ -527,7 +499,7 @@
     void ended(int status, const char *reason)
     {
         deadline_.cancel();
-        retryWait_.cancel();
+        retries_.cancel();
         const bool isCacheUnused = cache_ && !response_.relay().hasBegun() && !attempts_.mayHaveRun() && status != httpstatus::Ok;
         if (isCacheUnused) {
             releaseUnusedCache();
@@ -592,14 +564,13 @@
     std::optional<KeyCheck> keyCheck_;
     CrashTracker crashes_;
     CallerResponse<D> response_;
-    RetryWait retryWait_;
+    RequestRetries retries_;
     RequestTrace trace_;
     std::string lastEndpoint_;
     RequestAttempts attempts_;
     bool isUsageCounted_ = false;
 
     /// The budget was charged for the dispatch that is under way or comes next.
-    bool isRetryCharged_ = false;
 
     /// Why the request was not written although a connection was open.
     std::optional<ErrorCode> withholdReason_;
