--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -570,8 +570,6 @@
     RequestAttempts attempts_;
     bool isUsageCounted_ = false;
 
-    /// The budget was charged for the dispatch that is under way or comes next.
-
     /// Why the request was not written although a connection was open.
     std::optional<ErrorCode> withholdReason_;
 };
