--- a/tests/soak/soaktest.cpp
+++ b/tests/soak/soaktest.cpp
@@ -80,4 +80,11 @@
     runSeed(2780589690);
 }
 
+BOOST_AUTO_TEST_CASE(send_nothing_to_an_endpoint_that_drained_while_a_gateway_was_frozen)
+{
+    // Guards against requests that reach a draining endpoint after the limit: one gateway is frozen when the endpoint begins to drain, another
+    // is killed, and the store falls silent before the fleet has settled.
+    runSeed(1850152093);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
