--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Builds the test programs of the cases 6 to 10, with the stand-ins in them, into target/review-2/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+for source in review/{6,7,8,9,10}/case.cpp; do
+    [ -f "$source" ] || continue
+    number=$(basename "$(dirname "$source")")
+    g++ -std=c++20 -O1 -Wall -Wextra -pthread "$source" -o "target/review-2/case-$number" &
+done
+wait
