--- a/review/common-2/servers.h
+++ b/review/common-2/servers.h
@@ -22,7 +22,8 @@
         , stage_(std::move(stage))
         , handle_(std::move(handle))
     {
-        start();
+        start("i-" + randomId().substr(0, 8));
+        publish();
         beats_ = std::thread([this] { beat(); });
     }
 
@@ -45,15 +46,18 @@
         return id_;
     }
 
-    /// Ends as a process that crashes, and starts again as another incarnation after this time. To be called from handle(), which then
-    /// returns false.
-    void crash(std::chrono::milliseconds away)
+    /// Whether a server that starts again has a new id and address, or those that it had.
+    enum class Restart { New, Same };
+
+    /// Ends as a process that crashes, and starts again after this time. A new id is registered at once; an entry that the server had is
+    /// written again, with the new start in `born`, at the next beat. To be called from handle(), which then returns false.
+    void crash(std::chrono::milliseconds away, Restart restart = Restart::New)
     {
         bool expected = false;
         if (!isDown_.compare_exchange_strong(expected, true)) {
             return;
         }
-        std::thread([this, away] {
+        std::thread([this, away, restart] {
             std::string crashed;
             std::shared_ptr<Listener> listener;
             {
@@ -64,7 +68,13 @@
             listener->stop();
             const auto crashedAt = Clock::now();
             std::this_thread::sleep_until(crashedAt + away);
-            start();
+            if (restart == Restart::Same) {
+                start(crashed);
+                isDown_ = false;
+                return;
+            }
+            start("i-" + randomId().substr(0, 8));
+            publish();
             isDown_ = false;
             // The entry of the crashed incarnation ends after three beats of silence.
             std::this_thread::sleep_until(crashedAt + 3600ms);
@@ -92,22 +102,21 @@
     }
 
 private:
-    void start()
+    void start(const std::string &id)
     {
-        {
-            const std::lock_guard lock(mutex_);
-            id_ = "i-" + randomId().substr(0, 8);
-            sequence_ = 0;
-            born_ = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-            listener_ = std::make_shared<Listener>(host_, 0, [this, id = id_](Channel &channel) {
-                while (const auto request = readRequest(channel)) {
-                    if (!serve(channel, *request, id)) {
-                        return;
-                    }
+        const std::lock_guard lock(mutex_);
+        const bool isSame = id == id_;
+        id_ = id;
+        sequence_ = 0;
+        born_ = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+        listener_ = std::make_shared<Listener>(host_, isSame ? port_ : std::uint16_t(0), [this, id](Channel &channel) {
+            while (const auto request = readRequest(channel)) {
+                if (!serve(channel, *request, id)) {
+                    return;
                 }
-            });
-        }
-        publish();
+            }
+        });
+        port_ = listener_->address().port_;
     }
 
     bool serve(Channel &channel, const Message &request, const std::string &id)
@@ -143,6 +152,7 @@
     Handle handle_;
     mutable std::mutex mutex_;
     std::string id_;
+    std::uint16_t port_ = 0;
     std::uint64_t sequence_ = 0;
     std::int64_t born_ = 0;
     std::shared_ptr<Listener> listener_;
