--- a/review/common-2/servers.h
+++ b/review/common-2/servers.h
@@ -49,8 +49,8 @@
     /// Whether a server that starts again has a new id and address, or those that it had.
     enum class Restart { New, Same };
 
-    /// Ends as a process that crashes, and starts again after this time. A new id is registered at once; an entry that the server had is
-    /// written again, with the new start in `born`, at the next beat. To be called from handle(), which then returns false.
+    /// Ends as a process that crashes, and starts again after this time; it registers at once, under the id that it had with the new start in
+    /// `born`. To be called from handle(), which then returns false.
     void crash(std::chrono::milliseconds away, Restart restart = Restart::New)
     {
         bool expected = false;
@@ -70,6 +70,7 @@
             std::this_thread::sleep_until(crashedAt + away);
             if (restart == Restart::Same) {
                 start(crashed);
+                publish();
                 isDown_ = false;
                 return;
             }
