--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -9,9 +9,9 @@
 {
 
 constexpr auto RestartTime = 3000ms;
-constexpr double CrashingPerSecond = 4;
+constexpr double CrashingPerSecond = 3;
 constexpr double SoundPerSecond = 420;
-constexpr auto RunTime = 85s;
+constexpr auto RunTime = 98s;
 
 } // namespace
 
