--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,9 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for source in review/{6,7,8,9,10}/case.cpp; do
-    [ -f "$source" ] || continue
-    number=$(basename "$(dirname "$source")")
-    g++ -std=c++20 -O1 -Wall -Wextra -pthread "$source" -o "target/review-2/case-$number" &
+for number in 6 7 8 9 10; do
+    g++ -std=c++20 -O1 -Wall -Wextra -pthread "review/$number/case.cpp" -o "target/review-2/case-$number"
 done
-wait
--- a/review/common-2/deployment.h
+++ b/review/common-2/deployment.h
@@ -13,6 +13,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -33,6 +34,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -880,6 +882,8 @@
     {
         process_ = fork();
         if (process_ == 0) {
+            // Ends with the test program, also if that is ended from outside.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int log = open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(log, 1);
             dup2(log, 2);
@@ -1004,8 +1008,11 @@
         ::signal(SIGPIPE, SIG_IGN);
         std::random_device random;
         network_ = "127." + std::to_string(20 + random() % 200) + "." + std::to_string(random() % 250) + ".";
-        char folder[] = "/tmp/review-XXXXXX";
-        folder_ = mkdtemp(folder);
+        folder_ = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
+        if (mkdtemp(folder_.data()) == nullptr) {
+            std::fprintf(stderr, "no temporary folder\n");
+            std::_Exit(2);
+        }
         store_ = std::make_unique<Store>(host());
         platform_ = std::make_unique<Platform>(host());
     }
@@ -1014,8 +1021,7 @@
     {
         gateways_.clear();
         if (std::getenv("KEEP") == nullptr) {
-            const auto command = "rm -rf " + folder_;
-            static_cast<void>(std::system(command.c_str()));
+            std::filesystem::remove_all(folder_);
         } else {
             std::fprintf(stderr, "kept %s\n", folder_.c_str());
         }
