Answers with a status outside 100 to 599 are broken answers

What callers saw: an endpoint in trouble answered with status 000, 001 or 099, and the gateway's caller waited for the time-out of its request and got 504; with 600 or 999 the caller got that status and body as an answer. `serve` passed on 001, 099, 600 and 999. A usage report took them for a refusal. Calls to the store and the platform waited out their time-outs for 000, 001 and 099.

Cause: http_parser and libevent read any digits as a status (libevent refuses only 0). ClientConnection took every status below 200 for that of an interim response, so it swallowed the answer and went on waiting.

Fix: the head is checked where it is read: in ResponseParser, which serves endpoints, the store, the platform and the checks of endpoints, and in readResponseHead(), which serves HttpCall and HeldRequest. Such an answer is malformed before any reader sees its head, so that each of them treats it as it treats other bytes that are no answer: the attempt ends at once, the request may have run, and it is sent again only if its route allows that.

--- a/src/duty/heldrequest.cpp
+++ b/src/duty/heldrequest.cpp
@@ -9,6 +9,7 @@
 
 #include "core/errorcode.h"
 #include "http/httpstatus.h"
+#include "http/readresponsehead.h"
 #include "task/eventloop.h"
 
 namespace cowsliphead
@@ -31,6 +32,7 @@
     reply_ = std::move(reply);
     evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(connection_.handle())), &HeldRequest::onOutputChanged, this);
     auto *request = evhttp_request_new(&HeldRequest::onCompleted, this);
+    evhttp_request_set_header_cb(request, &HeldRequest::onHeadRead);
     auto *fields = evhttp_request_get_output_headers(request);
     evhttp_add_header(fields, "Host", host.c_str());
     evhttp_add_header(fields, "Content-Type", "application/json");
@@ -80,6 +82,12 @@
     bufferevent_enable(connection, EV_WRITE);
 }
 
+int HeldRequest::onHeadRead(evhttp_request *request, void * /*self*/)
+{
+    // A negative result fails the request.
+    return readResponseHead(request) ? 0 : -1;
+}
+
 void HeldRequest::onCompleted(evhttp_request *request, void *self)
 {
     auto *held = static_cast<HeldRequest *>(self);
--- a/src/duty/heldrequest.h
+++ b/src/duty/heldrequest.h
@@ -39,6 +39,7 @@
 
 private:
     static void onOutputChanged(evbuffer *buffer, const evbuffer_cb_info *info, void *self);
+    static int onHeadRead(evhttp_request *request, void *self);
     static void onCompleted(evhttp_request *request, void *self);
 
     void holdLastByte(std::size_t length);
--- a/src/http/httpcall.cpp
+++ b/src/http/httpcall.cpp
@@ -5,12 +5,12 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
-#include <event2/keyvalq_struct.h>
 
 #include "core/errorcode.h"
 #include "http/httpconnection.h"
 #include "http/httprequest.h"
 #include "http/httpstatus.h"
+#include "http/readresponsehead.h"
 #include "task/eventloop.h"
 
 namespace cowsliphead
@@ -52,17 +52,6 @@
     return ErrorCode::EndpointLost;
 }
 
-HttpResponseHead readHead(evhttp_request *request)
-{
-    HttpResponseHead head;
-    head.status_ = evhttp_request_get_response_code(request);
-    const auto *fields = evhttp_request_get_input_headers(request);
-    for (const auto *field = fields->tqh_first; field != nullptr; field = field->next.tqe_next) {
-        head.headers_.emplace_back(field->key, field->value);
-    }
-    return head;
-}
-
 void writeRequest(evhttp_request *target, const HttpRequest &source)
 {
     auto *fields = evhttp_request_get_output_headers(target);
@@ -125,9 +114,14 @@
 int HttpCall::onHeadRead(evhttp_request *request, void *self)
 {
     auto *call = static_cast<HttpCall *>(self);
+    const auto head = readResponseHead(request);
+    if (!head) {
+        call->error_ = head.error();
+        return -1;
+    }
     call->isHeadRead_ = true;
     if (call->events_.onHead_) {
-        call->events_.onHead_(readHead(request));
+        call->events_.onHead_(*head);
     }
     return 0;
 }
@@ -151,7 +145,10 @@
 void HttpCall::onRequestError(int error, void *self)
 {
     auto *call = static_cast<HttpCall *>(self);
-    call->error_ = toErrorCode(error);
+    // libevent reports an invalid head, which onHeadRead() has rejected, as a lost connection.
+    if (!call->error_) {
+        call->error_ = toErrorCode(error);
+    }
 }
 
 void HttpCall::onOutputChanged(evbuffer * /*buffer*/, const evbuffer_cb_info *info, void *self)
--- a/src/http/httpstatus.h
+++ b/src/http/httpstatus.h
@@ -22,4 +22,13 @@
 constexpr int ServiceUnavailable = 503;
 constexpr int GatewayTimeout = 504;
 
+constexpr int Lowest = 100;
+constexpr int Highest = 599;
+
+/// True if a response may have this status (RFC 9110, section 15). Thread safety: any thread.
+constexpr bool isValid(int status)
+{
+    return status >= Lowest && status <= Highest;
+}
+
 } // namespace cowsliphead::httpstatus
--- a/src/http1/responseparser.cpp
+++ b/src/http1/responseparser.cpp
@@ -5,6 +5,8 @@
 
 #include <http_parser.h>
 
+#include "http/httpstatus.h"
+
 namespace cowsliphead
 {
 
@@ -98,6 +100,9 @@
 
 bool ResponseParser::finishHead()
 {
+    if (!httpstatus::isValid(parser_->status_code)) {
+        return false;
+    }
     head_.status_ = parser_->status_code;
     head_.headers_ = headers_.takeHeaders();
     const bool hasLength = parser_->content_length != std::numeric_limits<std::uint64_t>::max();
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -249,7 +249,8 @@
     headers.emplace_back("X-Attempt-Id", "attempt-" + std::to_string(++requestCount_));
     Answer answer;
     bool hasEnded = false;
-    const auto deadline = SystemClock().now() + MaxResponseTime;
+    const auto startedAt = SystemClock().now();
+    const auto deadline = startedAt + MaxResponseTime;
     const auto connection = std::make_shared<ClientConnection>(loop_, SocketAddress{ "127.0.0.1", port_ });
     connection->begin({
                           .onOpen_ =
@@ -280,6 +281,7 @@
     while (!hasEnded && SystemClock().now() < deadline) {
         run(MaxResponseTime);
     }
+    answer.duration_ = std::chrono::duration_cast<std::chrono::milliseconds>(SystemClock().now() - startedAt);
     connection->close();
     return answer;
 }
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -22,6 +22,9 @@
         std::string body_;
         cowsliphead::HttpHeaders headers_;
         bool isComplete_ = false;
+
+        /// Time from the request until the response had ended.
+        std::chrono::milliseconds duration_{ 0 };
     };
 
     /// configurationAge: time since the configuration was last confirmed. stopGrace: time from the stop signal until the process is killed.
--- a/tests/gateway/rawendpoint.cpp
+++ b/tests/gateway/rawendpoint.cpp
@@ -9,9 +9,10 @@
 
 using namespace cowsliphead;
 
-RawEndpoint::RawEndpoint(EventLoop &loop, std::vector<Script> scripts)
+RawEndpoint::RawEndpoint(EventLoop &loop, std::vector<Script> scripts, const std::string &idField)
     : loop_(loop)
     , scripts_(std::move(scripts))
+    , idField_(idField + ": ")
 {
     listener_.emplace(loop, [this](int socket) { accept(socket); });
     port_ = *listener_->listen(SocketAddress{ "127.0.0.1", 0 });
@@ -85,9 +86,8 @@
         script.bytes_.pop_back();
         script.crashes_ = true;
     }
-    const std::string field = "X-Attempt-Id: ";
-    const auto at = request.find(field);
-    const auto id = at == std::string::npos ? std::string() : request.substr(at + field.size(), request.find('\r', at) - at - field.size());
+    const auto at = request.find(idField_);
+    const auto id = at == std::string::npos ? std::string() : request.substr(at + idField_.size(), request.find('\r', at) - at - idField_.size());
     for (auto place = script.bytes_.find("ID"); place != std::string::npos; place = script.bytes_.find("ID")) {
         script.bytes_.replace(place, 2, id);
     }
--- a/tests/gateway/rawendpoint.h
+++ b/tests/gateway/rawendpoint.h
@@ -40,7 +40,8 @@
         bool resetsConnection_ = false;
     };
 
-    RawEndpoint(cowsliphead::EventLoop &loop, std::vector<Script> scripts);
+    /// idField: the header field that holds the identifier of an attempt.
+    RawEndpoint(cowsliphead::EventLoop &loop, std::vector<Script> scripts, const std::string &idField = "X-Attempt-Id");
     ~RawEndpoint();
     RawEndpoint(const RawEndpoint &) = delete;
     RawEndpoint &operator=(const RawEndpoint &) = delete;
@@ -75,6 +76,7 @@
 
     cowsliphead::EventLoop &loop_;
     std::vector<Script> scripts_;
+    std::string idField_;
     std::vector<std::string> requests_;
     std::map<bufferevent *, std::unique_ptr<bufferevent, cowsliphead::BufferEventDeleter>> connections_;
     std::map<bufferevent *, std::string> endlessBytes_;
--- a/tests/http1/parsertest.cpp
+++ b/tests/http1/parsertest.cpp
@@ -100,6 +100,17 @@
     BOOST_TEST((response.parse("\x01\x02rubbish") == ParseOutcome::Malformed));
 }
 
+BOOST_AUTO_TEST_CASE(is_malformed_exactly_if_its_status_is_outside_100_to_599)
+{
+    for (int status = 0; status < 1000; ++status) {
+        auto digits = std::to_string(status);
+        digits.insert(0, 3 - digits.size(), '0');
+        ParsedResponse response;
+        const bool isMalformed = response.parse("HTTP/1.1 " + digits + " Any\r\nContent-Length: 0\r\n\r\n") == ParseOutcome::Malformed;
+        BOOST_TEST(isMalformed == (status < 100 || status > 599), status);
+    }
+}
+
 RC_BOOST_PROP(parses_the_same_however_it_is_split, (const std::vector<std::uint8_t> &fragmentSizes))
 {
     const std::string bytes = "HTTP/1.1 200 OK\r\nX-A: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n1\r\n!\r\n0\r\n\r\n";
--- /dev/null
+++ b/tests/serve/brokenanswertest.cpp
@@ -0,0 +1,159 @@
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+
+#include <nlohmann/json.hpp>
+
+#include "answers/brokenheads.h"
+#include "gateway/rawendpoint.h"
+#include "http/httpcall.h"
+#include "http/httpclient.h"
+#include "http/httprequest.h"
+#include "records/change.h"
+#include "records/recordset.h"
+#include "serve/servebehaviour.h"
+
+using namespace cowsliphead;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto CallTimeout = 30s;
+
+/// Shorter than the time-outs of the routes.
+constexpr auto BeforeTimeout = 10s;
+
+const std::string Id = "X-Request-Id: ID\r\n";
+const std::string WholeAnswer = "HTTP/1.1 200 OK\r\n" + Id + "Content-Length: 4\r\n\r\nbody";
+
+/// What the caller received.
+struct Answer {
+    int status_ = 0;
+    std::string outcome_;
+    std::string body_;
+    bool isComplete_ = false;
+    std::chrono::nanoseconds duration_{ 0 };
+};
+
+/// A serving task in front of two plain services and one caller, all in one event loop. Requests to /safe may be repeated.
+class Services
+{
+public:
+    explicit Services(const RawEndpoint::Script &first, const RawEndpoint::Script &second = { WholeAnswer })
+        : first_(loop_, { first }, "X-Request-Id")
+        , second_(loop_, { second }, "X-Request-Id")
+        , serve_(loop_, ServeSettings{}, ServeLinks{})
+        , port_(*serve_.listen())
+    {
+        // As in the program: a write to a closed connection must fail instead of terminating the process.
+        std::signal(SIGPIPE, SIG_IGN);
+        put("policy", "default", { { "maxAttempts", 2 }, { "retryPercent", 100 } });
+        put("route", "once", { { "pathPrefix", "/once" }, { "service", "s" }, { "open", true }, { "timeoutMs", CallTimeout / 1ms } });
+        put("route", "safe", { { "pathPrefix", "/safe" }, { "service", "s" }, { "open", true }, { "idempotent", true }, { "timeoutMs", CallTimeout / 1ms } });
+        putEndpoint("first", first_.port());
+    }
+
+    /// Adds the second service, which is not chosen while the first answers.
+    void addSecond()
+    {
+        putEndpoint("second", second_.port());
+    }
+
+    Answer post(const std::string &path, const std::string &body = {})
+    {
+        serve_.receive(RecordSnapshot(records_));
+        HttpClient client(loop_, "127.0.0.1", port_, CallTimeout);
+        Answer answer;
+        HttpCallEvents events;
+        events.onHead_ = [&](const HttpResponseHead &head) {
+            answer.status_ = head.status_;
+            answer.outcome_ = headerValue(head.headers_, "Cowsliphead-Outcome");
+        };
+        events.onData_ = [&](std::string_view data) { answer.body_.append(data); };
+        events.onEnd_ = [&](const tl::expected<void, HttpCallFailure> &end) {
+            answer.isComplete_ = end.has_value();
+            loop_.stop();
+        };
+        const auto startedAt = std::chrono::steady_clock::now();
+        const auto call = client.call({ HttpMethod::Post, path, {}, {}, body }, std::move(events));
+        loop_.run();
+        answer.duration_ = std::chrono::steady_clock::now() - startedAt;
+        return answer;
+    }
+
+    /// Requests that the two services have received together.
+    std::size_t arrivals() const
+    {
+        return first_.requests().size() + second_.requests().size();
+    }
+
+private:
+    void put(const std::string &kind, const std::string &name, nlohmann::json fields)
+    {
+        fields.update({ { "schema", 2 }, { "kind", kind }, { "name", name } });
+        records_ = records_->after({ records_->revision() + 1, ChangeId("c"), ChangeAction::Put, RecordKey{ kind, name }, fields.dump() });
+    }
+
+    void putEndpoint(const std::string &name, std::uint16_t port)
+    {
+        put("endpoint", name, { { "host", "127.0.0.1" }, { "port", port }, { "failureDomain", "d" }, { "serves", "service" }, { "service", "s" } });
+    }
+
+    EventLoop loop_;
+    RawEndpoint first_;
+    RawEndpoint second_;
+    ServeBehaviour serve_;
+    std::uint16_t port_;
+    std::shared_ptr<const RecordSet> records_ = std::make_shared<const RecordSet>();
+};
+
+/// The caller is told, before any time-out, that its request may have run.
+void checkOutcomeIsUnknown(const RawEndpoint::Script &answer, const std::string &upload = {})
+{
+    for (const auto *path : { "/once", "/safe" }) {
+        Services services(answer);
+        const auto received = services.post(path, upload);
+        BOOST_TEST(received.status_ >= 500);
+        BOOST_TEST(received.status_ < 600);
+        BOOST_TEST(received.outcome_ == "unknown");
+        BOOST_TEST(received.body_.find("part") == std::string::npos);
+        BOOST_TEST(received.isComplete_);
+        BOOST_TEST((received.duration_ < BeforeTimeout));
+    }
+}
+
+/// A request runs at another service only if it may be repeated.
+void checkIsRepeatedOnlyIfAllowed(const RawEndpoint::Script &answer, const std::string &upload = {})
+{
+    Services once(answer, answer);
+    once.addSecond();
+    BOOST_TEST(once.post("/once", upload).outcome_ == "unknown");
+    BOOST_TEST(once.arrivals() == 1U);
+    Services safe(answer, answer);
+    safe.addSecond();
+    BOOST_TEST(safe.post("/safe", upload).outcome_ == "unknown");
+    BOOST_TEST(safe.arrivals() == 2U);
+}
+
+} // namespace
+
+// Guards against a service in trouble whose broken answer reaches the caller of a daemon.
+BOOST_AUTO_TEST_SUITE(a_broken_answer_of_a_service)
+
+BOOST_AUTO_TEST_SUITE(with_an_invalid_status)
+
+BOOST_AUTO_TEST_CASE(does_not_reach_the_caller)
+{
+    for (const auto &status : brokenheads::Statuses) {
+        BOOST_TEST_CONTEXT(status)
+        {
+            checkOutcomeIsUnknown({ brokenheads::withStatus(status, Id) + "part12" });
+            checkIsRepeatedOnlyIfAllowed({ brokenheads::withStatus(status, Id) + "part12" });
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
