An answer that ends with its connection is whole only if the request was received

What callers saw: an endpoint answered a long upload at once with a 200 that had no length, sent part of its body and ended the connection while the upload was still being written. The caller got the part as a whole answer, also as a whole stream, and no other endpoint was tried.

Cause: an answer with neither a length nor chunks was whole if a read met the end of the connection in order, whatever had become of the request. A reset while there is something to write was told from that before, since libevent reports it as an error. Three ends were not: - the endpoint ends its direction in order and leaves the upload unread; - the same, once all that is left of the upload is in the kernel; - a reset that follows an orderly end. The kernel then reports the end to reads and the reset (EPIPE) to writes only.

Fix: hasEndedInOrder() asks at the end of the connection whether all bytes were written, whether the peer has acknowledged them (SIOCOUTQ) and whether the socket holds an error. A server that has read the request has acknowledged it before its end arrives, so that no whole answer is lost. ClientConnection and HttpCall ask it before they take such an answer for whole. HttpCall takes the field Connection out of the head, since libevent otherwise closes the socket before it calls back.

Handled before, tests kept: resets and closes with unread bytes, and answers in chunks, at all readers; each of these ends at the store's, usage's, orders' and serve's readers (libevent fails a call whose connection ends while it writes).

Not covered: a server that takes the whole upload into its kernel, reads none of it and ends the connection without a reset looks like one that has read it.

--- a/src/http/httpcall.cpp
+++ b/src/http/httpcall.cpp
@@ -7,6 +7,7 @@
 #include <event2/http.h>
 
 #include "core/errorcode.h"
+#include "http/connectionend.h"
 #include "http/httpconnection.h"
 #include "http/httprequest.h"
 #include "http/httpstatus.h"
@@ -120,6 +121,9 @@
         return -1;
     }
     call->isHeadRead_ = true;
+    call->isLastOnConnection_ = isSameHeaderName(headerValue(head->headers_, "Connection"), "close");
+    // With this field libevent would close the socket before end(), which reads from it how the connection ended.
+    evhttp_remove_header(evhttp_request_get_input_headers(request), "Connection");
     if (call->events_.onHead_) {
         call->events_.onHead_(*head);
     }
@@ -164,9 +168,11 @@
         return;
     }
     const auto self = std::exchange(self_, nullptr);
-    // A body with neither a length nor chunks is complete if the connection ended in order; libevent reports a reset as an error.
-    const bool isAnswerComplete = request != nullptr && isHeadRead_ && !error_;
-    const bool canReuse = isAnswerComplete && isBodyDelimited(request) && isConnectionReusable(request);
+    const bool isAnswerRead = request != nullptr && isHeadRead_ && !error_;
+    const bool isDelimited = isAnswerRead && isBodyDelimited(request);
+    // A body with neither a length nor chunks is complete if the connection ended in order; libevent reports most resets as errors.
+    const bool isAnswerComplete = isDelimited || (isAnswerRead && hasEndedInOrder(evhttp_connection_get_bufferevent(connection_->handle())));
+    const bool canReuse = isDelimited && isConnectionReusable();
     request_ = nullptr;
     removeOutputCallback();
     const auto onEnd = std::exchange(events_, {}).onEnd_;
@@ -220,13 +226,11 @@
     return hasLength || hasNoBody;
 }
 
-bool HttpCall::isConnectionReusable(evhttp_request *request) const
+bool HttpCall::isConnectionReusable() const
 {
-    const auto *fields = evhttp_request_get_input_headers(request);
-    const char *connection = evhttp_find_header(fields, "Connection");
     // Bytes after the answer would be parsed as the head of the next one.
     auto *input = bufferevent_get_input(evhttp_connection_get_bufferevent(connection_->handle()));
-    return evbuffer_get_length(input) == 0 && (connection == nullptr || !isSameHeaderName(connection, "close"));
+    return evbuffer_get_length(input) == 0 && !isLastOnConnection_;
 }
 
 } // namespace cowsliphead
--- a/src/http/httpcall.h
+++ b/src/http/httpcall.h
@@ -54,7 +54,7 @@
     void addOutputCallback();
     void removeOutputCallback();
     bool isBodyDelimited(evhttp_request *request) const;
-    bool isConnectionReusable(evhttp_request *request) const;
+    bool isConnectionReusable() const;
 
     EventLoop &loop_;
     std::unique_ptr<HttpConnection> connection_;
@@ -68,6 +68,9 @@
     bool isOnFreshConnection_;
     bool mayHaveBeenSent_ = false;
     bool isHeadRead_ = false;
+
+    /// The server closes the connection after this answer.
+    bool isLastOnConnection_ = false;
 };
 
 } // namespace cowsliphead
--- a/src/http1/clientconnection.cpp
+++ b/src/http1/clientconnection.cpp
@@ -11,6 +11,7 @@
 #include <event2/event.h>
 
 #include "core/systemclock.h"
+#include "http/connectionend.h"
 #include "http1/connectionheaders.h"
 #include "http1/socketoptions.h"
 #include "task/eventloop.h"
@@ -284,7 +285,7 @@
         fail(ConnectionFailure::NotConnected);
         return;
     }
-    const bool isOrderlyEnd = (what & BEV_EVENT_EOF) != 0 && (what & BEV_EVENT_ERROR) == 0;
+    const bool isOrderlyEnd = (what & BEV_EVENT_EOF) != 0 && (what & BEV_EVENT_ERROR) == 0 && hasEndedInOrder(buffer_.get());
     if (isAwaitingAnswer_ && isRequestWritten_ && isOrderlyEnd && parser_.finish() == ParseOutcome::Complete && !isInterim_
         && answerHandling_ == AnswerHandling::Accept) {
         mayReuse_ = false;
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -1,6 +1,7 @@
 #include "gatewayfixture.h"
 
 #include <algorithm>
+#include <csignal>
 
 #include <boost/test/unit_test.hpp>
 #include <fcntl.h>
@@ -44,6 +45,8 @@
                Address<Span>([this](Span span) { spans_.push_back(std::move(span)); }),
                Address<CrashReports>())
 {
+    // As in the program: a write to a closed connection must fail instead of terminating the process.
+    std::signal(SIGPIPE, SIG_IGN);
     port_ = *gateway_.listen();
     gateway_.receive(GatewayCount{ 1 });
     publish();
@@ -243,10 +246,13 @@
     run(time);
 }
 
-GatewayFixture::Answer GatewayFixture::sendRequest(const std::string &path, HttpHeaders headers, const std::string &method)
+GatewayFixture::Answer GatewayFixture::sendRequest(const std::string &path, HttpHeaders headers, const std::string &method, const std::string &body)
 {
     headers.emplace_back("Host", "host");
     headers.emplace_back("X-Attempt-Id", "attempt-" + std::to_string(++requestCount_));
+    if (!body.empty()) {
+        headers.emplace_back("Content-Length", std::to_string(body.size()));
+    }
     Answer answer;
     bool hasEnded = false;
     const auto startedAt = SystemClock().now();
@@ -255,7 +261,7 @@
     connection->begin({
                           .onOpen_ =
                               [&] {
-                                  connection->write(requestBytes({ method, path, headers }));
+                                  connection->write(requestBytes({ method, path, headers }) + body);
                               },
                           .onHead_ =
                               [&](const ResponseHead &head) {
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -38,7 +38,10 @@
     RawEndpoint &addEngine(cowsliphead::EngineStage stage, std::vector<RawEndpoint::Script> scripts);
 
     /// Sends a request and waits until the response has ended.
-    Answer sendRequest(const std::string &path, cowsliphead::HttpHeaders headers = { { "X-Api-Key", "key-1" } }, const std::string &method = "GET");
+    Answer sendRequest(const std::string &path,
+                       cowsliphead::HttpHeaders headers = { { "X-Api-Key", "key-1" } },
+                       const std::string &method = "GET",
+                       const std::string &body = {});
 
     /// Sends a request, closes the connection after an endpoint has received it, and runs the loop for a short time.
     void sendRequestAndDisconnect(const std::string &path);
--- a/tests/gateway/rawendpoint.cpp
+++ b/tests/gateway/rawendpoint.cpp
@@ -36,10 +36,14 @@
 
 void RawEndpoint::onReadable(bufferevent *events, void *self)
 {
+    auto &endpoint = *static_cast<RawEndpoint *>(self);
     evbuffer *input = bufferevent_get_input(events);
+    if (!endpoint.scripts_.empty() && evbuffer_get_length(input) < endpoint.scripts_.front().awaitedBytes_) {
+        return;
+    }
     std::string bytes(evbuffer_get_length(input), '\0');
     evbuffer_remove(input, bytes.data(), bytes.size());
-    static_cast<RawEndpoint *>(self)->answer(events, bytes);
+    endpoint.answer(events, bytes);
 }
 
 void RawEndpoint::onWritten(bufferevent *events, void *self)
@@ -58,6 +62,17 @@
     endpoint.pendingWrites_.back()->startOnce(std::chrono::milliseconds(50));
 }
 
+void RawEndpoint::onWrittenBeforeShutdown(bufferevent *events, void * /*self*/)
+{
+    shutdown(bufferevent_getfd(events), SHUT_WR);
+}
+
+void RawEndpoint::onWrittenBeforeShutdownAndClose(bufferevent *events, void *self)
+{
+    onWrittenBeforeShutdown(events, self);
+    onWritten(events, self);
+}
+
 void RawEndpoint::onDrained(bufferevent *events, void *self)
 {
     const auto &bytes = static_cast<RawEndpoint *>(self)->endlessBytes_[events];
@@ -91,25 +106,37 @@
     for (auto place = script.bytes_.find("ID"); place != std::string::npos; place = script.bytes_.find("ID")) {
         script.bytes_.replace(place, 2, id);
     }
+    if (script.stopsReading_) {
+        bufferevent_disable(events, EV_READ);
+    }
     bufferevent_write(events, script.bytes_.data(), script.bytes_.size());
     if (!script.endlessBytes_.empty()) {
         endlessBytes_[events] = script.endlessBytes_;
         bufferevent_setcb(events, &RawEndpoint::onReadable, &RawEndpoint::onDrained, &RawEndpoint::onEvent, this);
     }
     if (!script.laterBytes_.empty()) {
-        pendingWrites_.push_back(std::make_unique<Timer>(loop_, [this, events, bytes = script.laterBytes_] {
+        pendingWrites_.push_back(std::make_unique<Timer>(loop_, [this, events, script] {
             if (connections_.contains(events)) {
-                bufferevent_write(events, bytes.data(), bytes.size());
+                bufferevent_write(events, script.laterBytes_.data(), script.laterBytes_.size());
+                endWhenWritten(events, script);
             }
         }));
         pendingWrites_.back()->startOnce(script.pause_);
     }
     if (script.crashes_) {
         loop_.defer([this] { crash(); });
-        return;
+    } else if (script.laterBytes_.empty()) {
+        endWhenWritten(events, script);
     }
+}
+
+void RawEndpoint::endWhenWritten(bufferevent *events, const Script &script)
+{
     if (script.resetsConnection_) {
         bufferevent_setcb(events, nullptr, &RawEndpoint::onWrittenBeforeReset, &RawEndpoint::onEvent, this);
+    } else if (script.shutsDownWriting_) {
+        const auto onWrittenLast = script.closesConnection_ ? &RawEndpoint::onWrittenBeforeShutdownAndClose : &RawEndpoint::onWrittenBeforeShutdown;
+        bufferevent_setcb(events, nullptr, onWrittenLast, &RawEndpoint::onEvent, this);
     } else if (script.closesConnection_) {
         bufferevent_setcb(events, nullptr, &RawEndpoint::onWritten, &RawEndpoint::onEvent, this);
     }
--- a/tests/gateway/rawendpoint.h
+++ b/tests/gateway/rawendpoint.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -23,7 +24,7 @@
         std::string bytes_;
         bool closesConnection_ = false;
 
-        /// Sent after a pause.
+        /// Sent after a pause, and before the end of the connection.
         std::string laterBytes_ = {};
         std::chrono::milliseconds pause_{ 0 };
 
@@ -38,6 +39,15 @@
 
         /// Resets the connection after the bytes.
         bool resetsConnection_ = false;
+
+        /// Answers only once this many bytes of the request have arrived.
+        std::size_t awaitedBytes_ = 0;
+
+        /// Reads nothing after the first bytes of the request.
+        bool stopsReading_ = false;
+
+        /// Ends its own direction of the connection after the bytes, in order, before it closes the connection, if it does.
+        bool shutsDownWriting_ = false;
     };
 
     /// idField: the header field that holds the identifier of an attempt.
@@ -67,12 +77,15 @@
     static void onReadable(bufferevent *events, void *self);
     static void onWritten(bufferevent *events, void *self);
     static void onWrittenBeforeReset(bufferevent *events, void *self);
+    static void onWrittenBeforeShutdown(bufferevent *events, void *self);
+    static void onWrittenBeforeShutdownAndClose(bufferevent *events, void *self);
     static void onDrained(bufferevent *events, void *self);
     static void onEvent(bufferevent *events, short what, void *self);
 
     void accept(int socket);
     void crash();
     void answer(bufferevent *events, const std::string &request);
+    void endWhenWritten(bufferevent *events, const Script &script);
 
     cowsliphead::EventLoop &loop_;
     std::vector<Script> scripts_;
--- a/tests/http/brokenanswertest.cpp
+++ b/tests/http/brokenanswertest.cpp
@@ -18,6 +18,9 @@
 constexpr auto CallTimeout = 30s;
 constexpr auto BeforeTimeout = 10s;
 
+/// More than the kernel buffers for a server that does not read.
+const std::string Upload(std::size_t{ 16 } << 20U, 'u');
+
 /// What the caller of a client is told of an answer.
 struct Outcome {
     int status_ = 0;
@@ -89,4 +92,58 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(cut_off_before_the_upload_is_written)
+
+BOOST_AUTO_TEST_CASE(is_incomplete)
+{
+    const std::string undelimited = "HTTP/1.1 200 OK\r\n\r\npart";
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n";
+    for (const auto &bytes : { undelimited, chunked }) {
+        for (const auto &answer : { RawEndpoint::Script{ .bytes_ = bytes, .resetsConnection_ = true, .stopsReading_ = true },
+                                    RawEndpoint::Script{ .bytes_ = bytes, .closesConnection_ = true, .stopsReading_ = true },
+                                    RawEndpoint::Script{ .bytes_ = bytes, .stopsReading_ = true, .shutsDownWriting_ = true },
+                                    RawEndpoint::Script{ .bytes_ = bytes, .closesConnection_ = true, .stopsReading_ = true, .shutsDownWriting_ = true } }) {
+            BOOST_TEST_CONTEXT(bytes << ", reset " << answer.resetsConnection_ << ", closed " << answer.closesConnection_)
+            {
+                const auto outcome = call(answer, Upload);
+                BOOST_TEST(outcome.error_ == ErrorCode::EndpointLost);
+                BOOST_TEST((outcome.duration_ < BeforeTimeout));
+            }
+        }
+    }
+}
+
+// The client has nothing left to write, but the kernel still holds a part of the upload.
+BOOST_AUTO_TEST_CASE(is_incomplete_while_the_kernel_sends_the_upload)
+{
+    const std::string upload(std::size_t{ 160 } << 10U, 'u');
+    for (const std::string fields : { "", "Connection: close\r\n" }) {
+        const RawEndpoint::Script answer{
+            .bytes_ = "HTTP/1.1 200 OK\r\n" + fields + "\r\n", .laterBytes_ = "part", .pause_ = 100ms, .stopsReading_ = true, .shutsDownWriting_ = true
+        };
+        BOOST_TEST(call(answer, upload).error_ == ErrorCode::EndpointLost, fields);
+    }
+}
+
+// The kernel reports the reset, which follows an orderly end, to a write only.
+BOOST_AUTO_TEST_CASE(is_incomplete_if_the_reset_follows_an_orderly_end)
+{
+    const std::string upload(std::size_t{ 32 } << 10U, 'u');
+    for (const std::string fields : { "", "Connection: close\r\n" }) {
+        const RawEndpoint::Script answer{
+            .bytes_ = "HTTP/1.1 200 OK\r\n" + fields + "\r\npart", .closesConnection_ = true, .stopsReading_ = true, .shutsDownWriting_ = true
+        };
+        BOOST_TEST(call(answer, upload).error_ == ErrorCode::EndpointLost, fields);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(is_complete_once_the_upload_is_written)
+{
+    const auto outcome = call({ .bytes_ = "HTTP/1.1 200 OK\r\n\r\nwhole", .closesConnection_ = true, .awaitedBytes_ = Upload.size() }, Upload);
+    BOOST_TEST(!outcome.error_);
+    BOOST_TEST(outcome.body_ == "whole");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/brokenanswertest.cpp
+++ b/tests/platform/brokenanswertest.cpp
@@ -18,6 +18,9 @@
 /// Shorter than the time-outs of the store's and the platform's calls.
 constexpr auto BeforeTimeout = 900ms;
 
+/// More than the kernel buffers for a server that does not read.
+constexpr std::size_t LongUpload = std::size_t{ 16 } << 20U;
+
 const std::string Revision = R"({"revision":412})";
 
 /// A server that gives one broken answer, and a call to it.
@@ -108,4 +111,22 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(cut_off_before_the_upload_is_written)
+
+BOOST_AUTO_TEST_CASE(ends_the_call_as_it_is_read)
+{
+    const std::string undelimited = "HTTP/1.1 200 OK\r\n\r\n" + Revision;
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n" + Revision + "\r\n";
+    for (const auto &bytes : { undelimited, chunked }) {
+        BOOST_TEST_CONTEXT(bytes)
+        {
+            checkCallsFail({ .bytes_ = bytes, .resetsConnection_ = true, .stopsReading_ = true }, LongUpload);
+            checkCallsFail({ .bytes_ = bytes, .closesConnection_ = true, .stopsReading_ = true }, LongUpload);
+            checkCallsFail({ .bytes_ = bytes, .stopsReading_ = true, .shutsDownWriting_ = true }, LongUpload);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/serve/brokenanswertest.cpp
+++ b/tests/serve/brokenanswertest.cpp
@@ -25,8 +25,12 @@
 constexpr auto BeforeTimeout = 10s;
 
 const std::string Id = "X-Request-Id: ID\r\n";
+const std::string Undelimited = "HTTP/1.1 200 OK\r\n" + Id + "\r\n";
 const std::string WholeAnswer = "HTTP/1.1 200 OK\r\n" + Id + "Content-Length: 4\r\n\r\nbody";
 
+/// More than the kernel buffers for a server that does not read, and less than a caller may send.
+const std::string Upload(std::size_t{ 7 } << 20U, 'u');
+
 /// What the caller received.
 struct Answer {
     int status_ = 0;
@@ -171,4 +175,23 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(cut_off_before_the_upload_is_written)
+
+BOOST_AUTO_TEST_CASE(does_not_reach_the_caller)
+{
+    for (const auto &bytes : { Undelimited + "part", "HTTP/1.1 200 OK\r\n" + Id + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n" }) {
+        for (const auto &answer : { RawEndpoint::Script{ .bytes_ = bytes, .resetsConnection_ = true, .stopsReading_ = true },
+                                    RawEndpoint::Script{ .bytes_ = bytes, .closesConnection_ = true, .stopsReading_ = true },
+                                    RawEndpoint::Script{ .bytes_ = bytes, .stopsReading_ = true, .shutsDownWriting_ = true } }) {
+            BOOST_TEST_CONTEXT(bytes << ", reset " << answer.resetsConnection_ << ", closed " << answer.closesConnection_)
+            {
+                checkOutcomeIsUnknown(answer, Upload);
+                checkIsRepeatedOnlyIfAllowed(answer, Upload);
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/store/brokenanswertest.cpp
+++ b/tests/store/brokenanswertest.cpp
@@ -16,6 +16,9 @@
 constexpr auto CallTimeout = 30s;
 constexpr auto BeforeTimeout = 10s;
 
+/// More than the kernel buffers for a server that does not read.
+constexpr std::size_t LongUpload = std::size_t{ 16 } << 20U;
+
 const std::string Revision = R"({"revision":412})";
 
 /// A conditional write fails with this answer as it is read, since what became of the write is unknown.
@@ -75,4 +78,16 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(cut_off_before_the_upload_is_written)
+
+BOOST_AUTO_TEST_CASE(ends_the_call_as_it_is_read)
+{
+    const std::string undelimited = "HTTP/1.1 200 OK\r\n\r\n" + Revision;
+    checkWriteFails({ .bytes_ = undelimited, .resetsConnection_ = true, .stopsReading_ = true }, LongUpload);
+    checkWriteFails({ .bytes_ = undelimited, .closesConnection_ = true, .stopsReading_ = true }, LongUpload);
+    checkWriteFails({ .bytes_ = undelimited, .stopsReading_ = true, .shutsDownWriting_ = true }, LongUpload);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/usage/brokenanswertest.cpp
+++ b/tests/usage/brokenanswertest.cpp
@@ -18,6 +18,9 @@
 constexpr auto CallTimeout = 30s;
 constexpr auto BeforeTimeout = 10s;
 
+/// More than the kernel buffers for a server that does not read.
+constexpr std::size_t LongUpload = std::size_t{ 16 } << 20U;
+
 /// A usage report fails with this answer as it is read, since the platform may or may not have accepted it.
 void checkReportFails(const RawEndpoint::Script &answer, std::size_t uploadSize = 1)
 {
@@ -74,4 +77,16 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(cut_off_before_the_upload_is_written)
+
+BOOST_AUTO_TEST_CASE(leaves_it_open_whether_the_report_was_accepted)
+{
+    const std::string undelimited = "HTTP/1.1 200 OK\r\n\r\npart";
+    checkReportFails({ .bytes_ = undelimited, .resetsConnection_ = true, .stopsReading_ = true }, LongUpload);
+    checkReportFails({ .bytes_ = undelimited, .closesConnection_ = true, .stopsReading_ = true }, LongUpload);
+    checkReportFails({ .bytes_ = undelimited, .stopsReading_ = true, .shutsDownWriting_ = true }, LongUpload);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
