--- a/tests/gateway/releasecachetest.cpp
+++ b/tests/gateway/releasecachetest.cpp
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
+#include "answers/brokenheads.h"
 #include "gateway/gatewaycontext.h"
 #include "gateway/releasecache.h"
 #include "platform/platformdialect.h"
@@ -39,6 +40,13 @@
     BOOST_TEST(closedConnections({ { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" } }, std::chrono::milliseconds(300)) == 1);
 }
 
+BOOST_AUTO_TEST_CASE(ends_with_a_broken_answer)
+{
+    BOOST_TEST(closedConnections({ { brokenheads::withStatus("000") } }, std::chrono::milliseconds(300)) == 1);
+    BOOST_TEST(closedConnections({ { brokenheads::withFieldName("Content Length") } }, std::chrono::milliseconds(300)) == 1);
+    BOOST_TEST(closedConnections({ { .bytes_ = "HTTP/1.1 200 OK\r\n\r\npart", .shutsDownWriting_ = true } }, std::chrono::milliseconds(300)) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(ends_without_an_answer)
 {
     BOOST_TEST(closedConnections({}, std::chrono::milliseconds(1500)) == 1);
