--- a/tests/answers/brokenanswers.h
+++ b/tests/answers/brokenanswers.h
@@ -11,12 +11,18 @@
 
 using Answers = std::vector<RawEndpoint::Script>;
 
-/// Whole answers but for their status. fields: further lines of the head.
+/// An answer with a body of known length. fields: the other lines of its head.
+inline std::string wholeAnswer(const std::string &status, const std::string &fields, const std::string &body)
+{
+    return "HTTP/1.1 " + status + " Reason\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// Whole answers but for their status.
 inline Answers withInvalidStatus(const std::string &fields, const std::string &body)
 {
     Answers answers;
-    for (const std::string status : { "000", "001", "099", "600", "999" }) {
-        answers.push_back({ "HTTP/1.1 " + status + " Trouble\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body });
+    for (const auto *status : { "000", "001", "099", "600", "999" }) {
+        answers.push_back({ wholeAnswer(status, fields, body) });
     }
     return answers;
 }
@@ -25,17 +31,18 @@
 inline Answers withInvalidFieldName(const std::string &fields, const std::string &body)
 {
     Answers answers;
-    for (const std::string name : { " Content-Length",
-                                    "Content Length",
-                                    "Content-Length ",
-                                    "Content-Length\t",
-                                    "Content\x01-Length",
-                                    "\x1f",
-                                    "Content\x7fName",
-                                    "Content(Length",
-                                    "Content\x80" }) {
-        const auto length = "Content-Length: " + std::to_string(body.size());
-        answers.push_back({ "HTTP/1.1 200 OK\r\n" + fields + name + ": 2\r\n" + length + "\r\n\r\n" + body });
+    for (const auto *name : { " Content-Length",
+                              "Content Length",
+                              "Content-Length ",
+                              "Content-Length\t",
+                              "Content\x01-Length",
+                              "\x1f",
+                              "Content\x7fName",
+                              "Content(Length",
+                              "Content\x80" }) {
+        auto lines = fields;
+        lines.append(name).append(": 2\r\n");
+        answers.push_back({ wholeAnswer("200", lines, body) });
     }
     return answers;
 }
