--- a/src/http1/headlines.cpp
+++ b/src/http1/headlines.cpp
@@ -1,6 +1,5 @@
 #include "http1/headlines.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace cowsliphead
@@ -8,7 +7,15 @@
 
 bool HeadLines::add(std::string_view bytes)
 {
-    return std::all_of(bytes.begin(), bytes.end(), [this](char character) { return isHeadEnded_ || addCharacter(character); });
+    for (const char character : bytes) {
+        if (isHeadEnded_) {
+            return true;
+        }
+        if (!addCharacter(character)) {
+            return false;
+        }
+    }
+    return true;
 }
 
 bool HeadLines::addCharacter(char character)
