--- a/tests/answers/brokenanswers.h
+++ b/tests/answers/brokenanswers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,9 @@
 
 using Answers = std::vector<RawEndpoint::Script>;
 
+/// A size in bytes, more than the kernel buffers for a server that does not read.
+constexpr std::size_t LongUpload = std::size_t{ 16 } << 20U;
+
 /// An answer with a body of known length. fields: the other lines of its head.
 inline std::string wholeAnswer(const std::string &status, const std::string &fields, const std::string &body)
 {
--- a/tests/answers/brokencall.h
+++ b/tests/answers/brokencall.h
@@ -73,7 +73,4 @@
     Call call_;
 };
 
-/// More than the kernel buffers for a server that does not read.
-constexpr std::size_t LongUpload = std::size_t{ 16 } << 20U;
-
 } // namespace cowsliphead
--- a/tests/gateway/brokenheadchecks.cpp
+++ b/tests/gateway/brokenanswerchecks.cpp
@@ -1,4 +1,4 @@
-#include "brokenheadchecks.h"
+#include "brokenanswerchecks.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -6,27 +6,32 @@
 
 using namespace cowsliphead;
 
-namespace brokenheadchecks
+namespace brokenanswerchecks
 {
 
 namespace
 {
 
-const RawEndpoint::Script WholeAnswer{ "HTTP/1.1 200 OK\r\n" + Fields + "Content-Length: 4\r\n\r\nbody" };
+const std::string WholeAnswer = brokenanswers::wholeAnswer("200", Fields, "body");
 const RawEndpoint::Script PartOfAStream{ "HTTP/1.1 200 OK\r\n" + Fields + "\r\nid: 1\ndata: a\n\nid: 2\ndat", true };
-const RawEndpoint::Script Event{ "HTTP/1.1 200 OK\r\n" + Fields + "Content-Length: 7\r\n\r\nid: 1\n\n" };
+const RawEndpoint::Script Event{ brokenanswers::wholeAnswer("200", Fields, "id: 1\n\n") };
+
+GatewayFixture::Answer send(GatewayFixture &fixture, const std::string &path, const std::string &upload)
+{
+    return fixture.sendRequest(path, { { "X-Api-Key", "key-1" } }, upload.empty() ? "GET" : "POST", upload);
+}
 
 } // namespace
 
-void checkDoesNotReachTheCaller(const brokenanswers::Answers &answers)
+void checkDoesNotReachTheCaller(const brokenanswers::Answers &answers, const std::vector<std::string> &paths, const std::string &upload)
 {
     for (const auto &answer : answers) {
-        for (const auto *path : { "/once/x", "/safe/x", "/stream/x" }) {
+        for (const auto &path : paths) {
             BOOST_TEST_CONTEXT(path << ": " << brokenanswers::describe(answer))
             {
                 GatewayFixture fixture;
                 fixture.addEndpoint({ answer });
-                const auto received = fixture.sendRequest(path);
+                const auto received = send(fixture, path, upload);
                 BOOST_TEST(received.status_ == 502);
                 BOOST_TEST(headerValue(received.headers_, "Retry-After").empty());
                 BOOST_TEST(received.isComplete_);
@@ -36,22 +41,22 @@
     }
 }
 
-void checkIsRepeatedOnlyIfAllowed(const brokenanswers::Answers &answers)
+void checkIsRepeatedOnlyIfAllowed(const brokenanswers::Answers &answers, const std::string &upload)
 {
     for (const auto &answer : answers) {
         BOOST_TEST_CONTEXT(brokenanswers::describe(answer))
         {
             GatewayFixture safe;
             safe.addEndpoint({ answer });
-            safe.addEndpoint({ WholeAnswer });
-            const auto received = safe.sendRequest("/safe/x");
+            safe.addEndpoint({ { .bytes_ = WholeAnswer, .awaitedBytes_ = upload.size() } });
+            const auto received = send(safe, "/safe/x", upload);
             BOOST_TEST(received.status_ == 200);
             BOOST_TEST(received.body_ == "body");
             BOOST_TEST((received.duration_ < BeforeTimeout));
             GatewayFixture once;
             once.addEndpoint({ answer });
-            auto &second = once.addEndpoint({ WholeAnswer });
-            BOOST_TEST(once.sendRequest("/once/x").status_ == 502);
+            auto &second = once.addEndpoint({ { WholeAnswer } });
+            BOOST_TEST(send(once, "/once/x", upload).status_ == 502);
             BOOST_TEST(second.requests().empty());
         }
     }
@@ -93,4 +98,4 @@
     }
 }
 
-} // namespace brokenheadchecks
+} // namespace brokenanswerchecks
--- a/tests/gateway/cutoffuploadtest.cpp
+++ b/tests/gateway/cutoffuploadtest.cpp
@@ -1,21 +1,17 @@
 #include <boost/test/unit_test.hpp>
 
-#include "answers/brokenanswers.h"
+#include "brokenanswerchecks.h"
 #include "gatewayfixture.h"
 
 using namespace cowsliphead;
+using namespace brokenanswerchecks;
 using namespace std::chrono_literals;
 
 namespace
 {
 
-const std::string Fields = "X-Attempt-Id: ID\r\nX-Response-Stamp: s\r\n";
 const std::string Undelimited = "HTTP/1.1 200 OK\r\n" + Fields + "\r\n";
 const std::string Chunked = "HTTP/1.1 200 OK\r\n" + Fields + "Transfer-Encoding: chunked\r\n\r\n";
-const std::string WholeAnswer = "HTTP/1.1 200 OK\r\n" + Fields + "Content-Length: 4\r\n\r\nbody";
-
-/// The routes of the fixture limit a request to two seconds.
-constexpr auto BeforeTimeout = 1500ms;
 
 /// More than the kernel buffers for a server that does not read.
 const std::string Upload(std::size_t{ 3 } << 20U, 'u');
@@ -37,50 +33,13 @@
 BOOST_AUTO_TEST_CASE(does_not_reach_the_caller)
 {
     for (const auto &bytes : { Undelimited + "part", Undelimited, Chunked + "4\r\npart\r\n" }) {
-        for (const auto &answer : brokenanswers::cutOff(bytes)) {
-            for (const auto *path : { "/once/x", "/safe/x" }) {
-                BOOST_TEST_CONTEXT(path << ": " << brokenanswers::describe(answer))
-                {
-                    Fixture fixture;
-                    fixture.addEndpoint({ answer });
-                    const auto received = fixture.upload(path);
-                    BOOST_TEST(received.status_ == 502);
-                    BOOST_TEST(headerValue(received.headers_, "Retry-After").empty());
-                    BOOST_TEST(received.isComplete_);
-                    BOOST_TEST((received.duration_ < BeforeTimeout));
-                }
-            }
-        }
+        checkDoesNotReachTheCaller(brokenanswers::cutOff(bytes), { "/once/x", "/safe/x" }, Upload);
     }
 }
 
-BOOST_AUTO_TEST_CASE(is_followed_by_another_endpoint_if_the_request_may_be_repeated)
+BOOST_AUTO_TEST_CASE(is_followed_by_another_endpoint_only_if_the_request_may_be_repeated)
 {
-    for (const auto &answer : brokenanswers::cutOff(Undelimited + "part")) {
-        BOOST_TEST_CONTEXT(brokenanswers::describe(answer))
-        {
-            Fixture fixture;
-            fixture.addEndpoint({ answer });
-            fixture.addEndpoint({ { .bytes_ = WholeAnswer, .awaitedBytes_ = Upload.size() } });
-            const auto received = fixture.upload("/safe/x");
-            BOOST_TEST(received.status_ == 200);
-            BOOST_TEST(received.body_ == "body");
-        }
-    }
-}
-
-BOOST_AUTO_TEST_CASE(is_no_reason_to_run_the_request_elsewhere_unless_it_may_be_repeated)
-{
-    for (const auto &answer : brokenanswers::cutOff(Undelimited + "part")) {
-        BOOST_TEST_CONTEXT(brokenanswers::describe(answer))
-        {
-            Fixture fixture;
-            fixture.addEndpoint({ answer });
-            auto &second = fixture.addEndpoint({ { WholeAnswer } });
-            BOOST_TEST(fixture.upload("/once/x").status_ == 502);
-            BOOST_TEST(second.requests().empty());
-        }
-    }
+    checkIsRepeatedOnlyIfAllowed(brokenanswers::cutOff(Undelimited + "part"), Upload);
 }
 
 // The gateway has nothing left to write, but the kernel still holds a part of the upload.
@@ -140,7 +99,7 @@
 
 BOOST_AUTO_TEST_CASE(is_whole_before_the_upload_is_written_if_its_length_is_known)
 {
-    addEndpoint({ { .bytes_ = WholeAnswer, .stopsReading_ = true } });
+    addEndpoint({ { .bytes_ = brokenanswers::wholeAnswer("200", Fields, "body"), .stopsReading_ = true } });
     const auto received = upload("/once/x");
     BOOST_TEST(received.status_ == 200);
     BOOST_TEST(received.body_ == "body");
--- a/tests/gateway/invalidfieldnametest.cpp
+++ b/tests/gateway/invalidfieldnametest.cpp
@@ -1,10 +1,10 @@
 #include <boost/test/unit_test.hpp>
 
-#include "brokenheadchecks.h"
+#include "brokenanswerchecks.h"
 #include "gatewayfixture.h"
 
 using namespace cowsliphead;
-using namespace brokenheadchecks;
+using namespace brokenanswerchecks;
 
 // Guards against an endpoint in trouble in whose answer a field name holds a byte that no name may hold: callers got the answer with that line,
 // or with another body than the endpoint's, since the parser did not know the name of a field that frames the body.
@@ -12,7 +12,7 @@
 
 BOOST_AUTO_TEST_CASE(does_not_reach_the_caller)
 {
-    checkDoesNotReachTheCaller(brokenanswers::withInvalidFieldName(Fields, "broken"));
+    checkDoesNotReachTheCaller(brokenanswers::withInvalidFieldName(Fields, "broken"), { "/once/x", "/safe/x", "/stream/x" });
 }
 
 BOOST_AUTO_TEST_CASE(does_not_reach_the_caller_if_the_field_frames_the_body)
--- a/tests/gateway/invalidstatustest.cpp
+++ b/tests/gateway/invalidstatustest.cpp
@@ -1,9 +1,9 @@
 #include <boost/test/unit_test.hpp>
 
-#include "brokenheadchecks.h"
+#include "brokenanswerchecks.h"
 
 using namespace cowsliphead;
-using namespace brokenheadchecks;
+using namespace brokenanswerchecks;
 
 // Guards against an endpoint in trouble whose answer has a status outside 100 to 599: callers got it as an answer, or waited for the time-out of
 // their request, since a status below 200 was taken as that of an interim response.
@@ -11,7 +11,7 @@
 
 BOOST_AUTO_TEST_CASE(does_not_reach_the_caller)
 {
-    checkDoesNotReachTheCaller(brokenanswers::withInvalidStatus(Fields, "broken"));
+    checkDoesNotReachTheCaller(brokenanswers::withInvalidStatus(Fields, "broken"), { "/once/x", "/safe/x", "/stream/x" });
 }
 
 BOOST_AUTO_TEST_CASE(is_followed_by_another_endpoint_only_if_the_request_may_be_repeated)
--- a/tests/http/brokenanswertest.cpp
+++ b/tests/http/brokenanswertest.cpp
@@ -18,8 +18,7 @@
 constexpr auto CallTimeout = 30s;
 constexpr auto BeforeTimeout = 10s;
 
-/// More than the kernel buffers for a server that does not read.
-const std::string Upload(std::size_t{ 16 } << 20U, 'u');
+const std::string Upload(brokenanswers::LongUpload, 'u');
 
 /// What the caller of a client is told of an answer.
 struct Outcome {
--- a/tests/orders/brokenanswertest.cpp
+++ b/tests/orders/brokenanswertest.cpp
@@ -43,7 +43,7 @@
 
 BOOST_AUTO_TEST_CASE(if_it_is_cut_off_before_the_upload_is_written)
 {
-    order(LongUpload).checkFails(brokenanswers::cutOff("HTTP/1.1 200 OK\r\n\r\npart"));
+    order(brokenanswers::LongUpload).checkFails(brokenanswers::cutOff("HTTP/1.1 200 OK\r\n\r\npart"));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/brokenanswertest.cpp
+++ b/tests/platform/brokenanswertest.cpp
@@ -64,8 +64,8 @@
 BOOST_AUTO_TEST_CASE(if_it_is_cut_off_before_the_upload_is_written)
 {
     for (const auto &bytes : { Undelimited, Chunked }) {
-        write(LongUpload).checkFails(brokenanswers::cutOff(bytes));
-        report(LongUpload).checkFails(brokenanswers::cutOff(bytes));
+        write(brokenanswers::LongUpload).checkFails(brokenanswers::cutOff(bytes));
+        report(brokenanswers::LongUpload).checkFails(brokenanswers::cutOff(bytes));
     }
 }
 
