--- a/src/decide/crashregister.cpp
+++ b/src/decide/crashregister.cpp
@@ -69,14 +69,17 @@
     reconsider(now);
 }
 
-void CrashRegister::survived(IncarnationKey endpoint, MonotonicTime aliveAt, MonotonicTime now)
+std::size_t CrashRegister::survived(IncarnationKey endpoint, MonotonicTime aliveAt, MonotonicTime now)
 {
+    std::size_t refuted = 0;
     for (auto crash = crashes_.lower_bound({ endpoint, SuspectKey() }); crash != crashes_.end() && crash->first.first == endpoint; ++crash) {
         if (!crash->second.record_.isRefuted_ && crash->second.record_.crashedAt_ <= aliveAt) {
             refute(crash->second, now);
+            ++refuted;
         }
     }
     reconsider(now);
+    return refuted;
 }
 
 void CrashRegister::merge(const CrashReports &reports, MonotonicTime now)
--- a/src/decide/crashregister.h
+++ b/src/decide/crashregister.h
@@ -51,8 +51,9 @@
     /// An endpoint answered the request completely: neither the request nor its parts crash endpoints.
     void answered(const CrashSuspects &suspects, MonotonicTime now);
 
-    /// An endpoint was alive at the given time. If it was taken to have crashed before, it only lost answers.
-    void survived(IncarnationKey endpoint, MonotonicTime aliveAt, MonotonicTime now);
+    /// An endpoint was alive at the given time. If it was taken to have crashed before, it only lost answers. Returns how many crashes this
+    /// refuted.
+    std::size_t survived(IncarnationKey endpoint, MonotonicTime aliveAt, MonotonicTime now);
 
     /// Takes what another register knows.
     void merge(const CrashReports &reports, MonotonicTime now);
--- a/src/logs/eventcatalogue.cpp
+++ b/src/logs/eventcatalogue.cpp
@@ -68,6 +68,7 @@
       "endpoint_avoided",
       "Several gateways saw an endpoint fail, or one found another in its place; it gets no requests." },
     { LogEvent::EndpointAvoidanceEnded, LogLevel::Info, "endpoint_avoidance_ended", "An endpoint that was avoided may get requests again, or is gone." },
+    { LogEvent::EndpointSurvived, LogLevel::Info, "endpoint_survived", "An endpoint that was held to have crashed under requests had gone on running." },
     { LogEvent::RecordsAdvanced, LogLevel::Debug, "records_advanced", "The daemon's records are at a newer revision." },
     { LogEvent::StoreNotAnswering, LogLevel::Warning, "store_not_answering", "The platform's store did not answer; the daemon tries again." },
     { LogEvent::RelayTaken, LogLevel::Info, "relay_taken", "The daemon became a relay, which reads the store for its failure domain." },
--- a/src/logs/logevent.h
+++ b/src/logs/logevent.h
@@ -40,6 +40,7 @@
     EndpointPauseMalformed = 305,
     EndpointAvoided = 306,
     EndpointAvoidanceEnded = 307,
+    EndpointSurvived = 308,
 
     // 400 to 499: records and their distribution
     RecordsAdvanced = 400,
