--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -69,6 +69,9 @@
         const bool isNew = snapshot.configuration_ && (!context_.configuration_ || snapshot.configuration_->revision_ > context_.configuration_->revision_);
         if (isNew) {
             context_.configuration_ = std::move(snapshot.configuration_);
+            for (const auto &[number, session] : sessions_) {
+                session->connection().setLimits(context_.configuration_->limits_);
+            }
         }
         context_.endpoints_.update(*snapshot.endpoints_, context_.clock_.now());
         context_.roomChanged();
--- a/src/http1/callerconnection.cpp
+++ b/src/http1/callerconnection.cpp
@@ -1,5 +1,7 @@
 #include "http1/callerconnection.h"
 
+#include <algorithm>
+
 #include <sys/socket.h>
 
 #include <event2/buffer.h>
@@ -60,7 +62,7 @@
     bufferevent_setwatermark(buffer_.get(), EV_WRITE, DrainedBytes, 0);
     bufferevent_setcb(buffer_.get(), &CallerConnection::onReadable, &CallerConnection::onWritten, &CallerConnection::onEvent, this);
     bufferevent_enable(buffer_.get(), EV_READ | EV_WRITE);
-    timer_.startOnce(limits_.idleTimeout_);
+    beginIdleTime();
 }
 
 CallerConnection::~CallerConnection() = default;
@@ -78,6 +80,28 @@
     };
 }
 
+void CallerConnection::setLimits(const CallerConnectionLimits &limits)
+{
+    limits_ = limits;
+    if (isIdle()) {
+        const auto now = SystemClock().now();
+        idleUntil_ = std::max(idleSince_ + limits_.idleTimeout_, std::min(idleUntil_, now + limits_.idleTimeout_));
+        startIdleTimer(now);
+    }
+}
+
+void CallerConnection::beginIdleTime()
+{
+    idleSince_ = SystemClock().now();
+    idleUntil_ = idleSince_ + limits_.idleTimeout_;
+    startIdleTimer(idleSince_);
+}
+
+void CallerConnection::startIdleTimer(MonotonicTime now)
+{
+    timer_.startOnce(std::max(std::chrono::microseconds(0), std::chrono::ceil<std::chrono::microseconds>(idleUntil_ - now)));
+}
+
 bool CallerConnection::isIdle() const
 {
     return state_ == State::Reading && requestsBeingRead_ == 0;
@@ -158,7 +182,8 @@
 void CallerConnection::beginRequest()
 {
     requestsBeingRead_ = 1;
-    timer_.startOnce(limits_.headTimeout_);
+    requestLimits_ = limits_;
+    timer_.startOnce(requestLimits_.headTimeout_);
 }
 
 void CallerConnection::readAvailable()
@@ -189,7 +214,7 @@
             refuse(httpstatus::BadRequest);
         } else if (outcome == ParseOutcome::Stopped) {
             refuse(refusalStatus_);
-        } else if (!request_ && parser_.headSize() > limits_.maxHeadBytes_) {
+        } else if (!request_ && parser_.headSize() > requestLimits_.maxHeadBytes_) {
             refuse(RequestHeadTooLarge);
         } else if (isRequestComplete_) {
             isRequestComplete_ = false;
@@ -199,18 +224,18 @@
             buffers_.bodyComplete();
             events_.onRequest_(std::move(*std::exchange(request_, std::nullopt)));
         } else if (request_) {
-            timer_.startOnce(limits_.idleTimeout_);
+            timer_.startOnce(requestLimits_.idleTimeout_);
         }
     }
 }
 
 bool CallerConnection::handleHead(RequestHead head)
 {
-    if (parser_.headSize() > limits_.maxHeadBytes_ || totalHeaderSize(head.headers_) > limits_.maxHeadBytes_) {
+    if (parser_.headSize() > requestLimits_.maxHeadBytes_ || totalHeaderSize(head.headers_) > requestLimits_.maxHeadBytes_) {
         refusalStatus_ = RequestHeadTooLarge;
         return false;
     }
-    if (declaredContentLength(head.headers_) > limits_.maxBodyBytes_) {
+    if (declaredContentLength(head.headers_) > requestLimits_.maxBodyBytes_) {
         refusalStatus_ = httpstatus::PayloadTooLarge;
         return false;
     }
@@ -229,7 +254,7 @@
 
 bool CallerConnection::handleBody(std::string_view data)
 {
-    if (request_->body_.size() + data.size() > limits_.maxBodyBytes_) {
+    if (request_->body_.size() + data.size() > requestLimits_.maxBodyBytes_) {
         refusalStatus_ = httpstatus::PayloadTooLarge;
         return false;
     }
@@ -347,7 +372,7 @@
 void CallerConnection::awaitRequest()
 {
     state_ = State::Reading;
-    timer_.startOnce(limits_.idleTimeout_);
+    beginIdleTime();
     if (evbuffer_get_length(bufferevent_get_input(buffer_.get())) > 0) {
         // Read a pipelined request in a later iteration of the loop, after the callbacks of the current one have returned.
         bufferevent_trigger(buffer_.get(), EV_READ, static_cast<int>(BEV_OPT_DEFER_CALLBACKS) | static_cast<int>(BEV_TRIG_IGNORE_WATERMARKS));
--- a/src/http1/callerconnection.h
+++ b/src/http1/callerconnection.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "core/time.h"
 #include "http/httpheaders.h"
 #include "http1/buffereventdeleter.h"
 #include "http1/callerbuffers.h"
@@ -30,6 +31,11 @@
     CallerConnection(const CallerConnection &) = delete;
     CallerConnection &operator=(const CallerConnection &) = delete;
 
+    /// Puts other limits in force, for the next request and for the time until it. A request that is being read or answered keeps the limits that
+    /// were in force as it began. A shorter time between requests counts from now on, so that a caller that goes by the one before finds the
+    /// connection open.
+    void setLimits(const CallerConnectionLimits &limits);
+
     /// Sends a complete answer. Precondition: a request is unanswered and no head was sent.
     void respond(int status, std::string_view reason, HttpHeaders headers, std::string_view body);
 
@@ -86,9 +92,20 @@
     void handleDisconnect();
     void handleTimeout();
     void awaitRequest();
+    void beginIdleTime();
+    void startIdleTimer(MonotonicTime now);
 
     EventLoop &loop_;
+
+    /// The limits in force.
     CallerConnectionLimits limits_;
+
+    /// The limits that were in force as the present request began.
+    CallerConnectionLimits requestLimits_;
+
+    /// Since when the connection has been idle, and until when it may be. Valid while it is idle.
+    MonotonicTime idleSince_;
+    MonotonicTime idleUntil_;
     CallerConnectionEvents events_;
     std::unique_ptr<bufferevent, BufferEventDeleter> buffer_;
     CallerBuffers buffers_;
--- a/src/http1/requestparser.cpp
+++ b/src/http1/requestparser.cpp
@@ -7,6 +7,20 @@
 namespace cowsliphead
 {
 
+namespace
+{
+
+/// Above any limit on heads that is in force. The limit that http_parser is built with is below what configurations may allow.
+constexpr std::uint32_t ParserLimit = std::uint32_t(16) << 20U;
+
+/// http_parser has one limit for the whole process, so it is set before any task starts.
+const bool isParserLimitSet = [] {
+    http_parser_set_max_header_size(ParserLimit);
+    return true;
+}();
+
+} // namespace
+
 struct RequestParser::Callbacks {
     static RequestParser &owner(http_parser *parser)
     {
--- a/src/http1/responseparser.cpp
+++ b/src/http1/responseparser.cpp
@@ -19,7 +19,7 @@
     static int onReason(http_parser *parser, const char *at, std::size_t length)
     {
         owner(parser).head_.reason_.append(at, length);
-        return 0;
+        return owner(parser).isHeadTooLong() ? -1 : 0;
     }
 
     static int onBegin(http_parser *parser)
@@ -36,13 +36,13 @@
             return -1;
         }
         owner(parser).headers_.addName(fragment);
-        return 0;
+        return owner(parser).isHeadTooLong() ? -1 : 0;
     }
 
     static int onValue(http_parser *parser, const char *at, std::size_t length)
     {
         owner(parser).headers_.addValue({ at, length });
-        return 0;
+        return owner(parser).isHeadTooLong() ? -1 : 0;
     }
 
     static int onHeadersComplete(http_parser *parser)
@@ -103,6 +103,11 @@
     return keepsAlive_;
 }
 
+bool ResponseParser::isHeadTooLong() const
+{
+    return headers_.size() + head_.reason_.size() > MaxHeadBytes;
+}
+
 bool ResponseParser::finishHead()
 {
     if (!httpstatus::isValid(parser_->status_code)) {
--- a/src/http1/responseparser.h
+++ b/src/http1/responseparser.h
@@ -38,6 +38,10 @@
 private:
     struct Callbacks;
 
+    /// Limits what a faulty server can make the reader hold.
+    static constexpr std::size_t MaxHeadBytes = std::size_t(80) << 10U;
+
+    bool isHeadTooLong() const;
     bool finishHead();
     ParseOutcome outcome();
 
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -37,8 +37,9 @@
 
 } // namespace
 
-GatewayFixture::GatewayFixture(std::chrono::milliseconds configurationAge, std::chrono::milliseconds stopGrace)
+GatewayFixture::GatewayFixture(std::chrono::milliseconds configurationAge, std::chrono::milliseconds stopGrace, bool hasConfiguration)
     : configuration_(configuration())
+    , hasConfiguration_(hasConfiguration)
     , gateway_(loop_,
                settings(stopGrace),
                Address<RequestStarted>([this](const RequestStarted & /*request*/) { ++startedRequests_; }),
@@ -138,7 +139,7 @@
         }
         entries->push_back(entry);
     }
-    gateway_.receive(FleetSnapshot{ configuration_, entries });
+    gateway_.receive(FleetSnapshot{ hasConfiguration_ ? configuration_ : nullptr, entries });
 }
 
 void GatewayFixture::publishNothing()
@@ -179,6 +180,16 @@
     publish();
 }
 
+void GatewayFixture::setCallerLimits(const CallerConnectionLimits &limits)
+{
+    auto changed = std::make_shared<Configuration>(*configuration_);
+    ++changed->revision_;
+    changed->limits_ = limits;
+    configuration_ = std::move(changed);
+    hasConfiguration_ = true;
+    publish();
+}
+
 LocalLoad GatewayFixture::localLoad()
 {
     LocalLoad result;
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -28,8 +28,10 @@
     };
 
     /// configurationAge: time since the configuration was last confirmed. stopGrace: time from the stop signal until the process is killed.
+    /// hasConfiguration: false if the gateway has yet to read a configuration.
     explicit GatewayFixture(std::chrono::milliseconds configurationAge = std::chrono::milliseconds(0),
-                            std::chrono::milliseconds stopGrace = std::chrono::milliseconds(8000));
+                            std::chrono::milliseconds stopGrace = std::chrono::milliseconds(8000),
+                            bool hasConfiguration = true);
 
     /// Adds an endpoint of the only service. It answers requests with the scripts in order, and repeats the last one.
     RawEndpoint &addEndpoint(std::vector<RawEndpoint::Script> scripts);
@@ -67,6 +69,9 @@
     /// From now on the configuration has a further service, whose engines have a compact KV cache, and a route to it.
     void useAdaptiveServing();
 
+    /// From now on the configuration has these limits. The gateway has read it then.
+    void setCallerLimits(const cowsliphead::CallerConnectionLimits &limits);
+
     /// What the gateway tells the others.
     cowsliphead::LocalLoad localLoad();
 
@@ -108,6 +113,7 @@
 
     cowsliphead::EventLoop loop_;
     std::shared_ptr<cowsliphead::Configuration> configuration_;
+    bool hasConfiguration_;
     std::vector<std::unique_ptr<RawEndpoint>> endpoints_;
 
     /// The stages of the endpoints that are engines, by their index.
