Answers end an endpoint's avoidance only for failures from before their requests

An endpoint that had just failed was used again at once if an answer was on its way as it failed, and requests to it were lost.

Cause: EndpointAvoidance::answered() took an answer for later than every failure known, whenever its request was written, and endpointoutcome credited the state that is listed under the identifier as the answer ends, which may be another start's.

Change: answered() takes the time at which the request was written and ends only failures seen before it. endpointoutcome works on the dispatch's own state; what a start did says nothing once another one is listed.

Measured: with the comparison left out, stays_avoided_if_it_answers_a_request_ from_before_the_failure fails.

--- a/src/decide/endpointavoidance.cpp
+++ b/src/decide/endpointavoidance.cpp
@@ -28,12 +28,12 @@
     own_[{ endpoint, kind }] = { now };
 }
 
-void EndpointAvoidance::answered(IncarnationKey endpoint, MonotonicTime now)
+void EndpointAvoidance::answered(IncarnationKey endpoint, MonotonicTime askedAt)
 {
-    const auto isOfEndpoint = [endpoint](const auto &item) { return item.first.first == endpoint; };
-    std::erase_if(own_, isOfEndpoint);
-    if (std::erase_if(others_, isOfEndpoint) > 0) {
-        answeredAt_[endpoint] = now;
+    const auto isRefuted = [endpoint, askedAt](const auto &item) { return item.first.first == endpoint && item.second.at_ <= askedAt; };
+    std::erase_if(own_, isRefuted);
+    if (std::erase_if(others_, isRefuted) > 0) {
+        askedAt_[endpoint] = askedAt;
     }
 }
 
@@ -42,12 +42,12 @@
     others_.clear();
     for (const auto &failure : failures) {
         const auto seenAt = now - failure.age_;
-        const auto answered = answeredAt_.find(failure.endpoint_);
-        if (failure.age_ <= AvoidanceTime && (answered == answeredAt_.end() || seenAt > answered->second)) {
+        const auto asked = askedAt_.find(failure.endpoint_);
+        if (failure.age_ <= AvoidanceTime && (asked == askedAt_.end() || seenAt > asked->second)) {
             others_[{ failure.endpoint_, failure.kind_ }] = { seenAt, failure.gateways_ };
         }
     }
-    std::erase_if(answeredAt_, [now](const auto &item) { return now - item.second > ReportTime; });
+    std::erase_if(askedAt_, [now](const auto &item) { return now - item.second > ReportTime; });
 }
 
 EndpointFailures EndpointAvoidance::ownFailures(MonotonicTime now) const
--- a/src/decide/endpointavoidance.h
+++ b/src/decide/endpointavoidance.h
@@ -22,8 +22,9 @@
     /// This gateway saw the endpoint fail.
     void sawFailure(IncarnationKey endpoint, EndpointFailureKind kind, MonotonicTime now);
 
-    /// The endpoint answered this gateway; earlier failures no longer count here.
-    void answered(IncarnationKey endpoint, MonotonicTime now);
+    /// The endpoint answered a request of this gateway that was written at askedAt; failures seen before no longer count here. Those seen while
+    /// the request ran go on counting: the answer may have been on its way already.
+    void answered(IncarnationKey endpoint, MonotonicTime askedAt);
 
     /// Replaces what the other gateways have seen.
     void setFailuresOfOthers(const EndpointFailures &failures, MonotonicTime now);
@@ -57,8 +58,8 @@
     Sightings own_;
     Sightings others_;
 
-    /// Endpoints that answered although others saw them fail.
-    std::map<IncarnationKey, MonotonicTime> answeredAt_;
+    /// Endpoints that answered although others saw them fail, and when they were asked.
+    std::map<IncarnationKey, MonotonicTime> askedAt_;
 };
 
 } // namespace cowsliphead
--- a/src/gateway/avoidedendpoints.cpp
+++ b/src/gateway/avoidedendpoints.cpp
@@ -21,9 +21,9 @@
     avoidance_.sawFailure(state.incarnation_, kind, now);
 }
 
-void AvoidedEndpoints::answered(const EndpointState &state, MonotonicTime now)
+void AvoidedEndpoints::answered(const EndpointState &state, MonotonicTime askedAt)
 {
-    avoidance_.answered(state.incarnation_, now);
+    avoidance_.answered(state.incarnation_, askedAt);
 }
 
 void AvoidedEndpoints::setFailuresOfOthers(const EndpointFailures &failures, MonotonicTime now)
--- a/src/gateway/avoidedendpoints.h
+++ b/src/gateway/avoidedendpoints.h
@@ -23,8 +23,8 @@
     /// This gateway saw the endpoint fail. Call update() after it.
     void sawFailure(const EndpointState &state, EndpointFailureKind kind, MonotonicTime now);
 
-    /// The endpoint answered this gateway. Call update() after it.
-    void answered(const EndpointState &state, MonotonicTime now);
+    /// The endpoint answered a request of this gateway that was written at askedAt. Call update() after it.
+    void answered(const EndpointState &state, MonotonicTime askedAt);
 
     /// Replaces what the other gateways have seen. Call update() after it.
     void setFailuresOfOthers(const EndpointFailures &failures, MonotonicTime now);
--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -92,7 +92,7 @@
         return plan_;
     }
 
-    /// When the request was written. Precondition: isWritten().
+    /// When the request was written. Without meaning unless isWritten().
     MonotonicTime writtenAt() const
     {
         return writtenAt_;
--- a/src/gateway/endpointoutcome.cpp
+++ b/src/gateway/endpointoutcome.cpp
@@ -40,58 +40,61 @@
     return "replaced";
 }
 
-void share(GatewayContext &context, EndpointState &endpoint, const AttemptResult &result)
+void share(GatewayContext &context, EndpointState &endpoint, const AttemptResult &result, MonotonicTime writtenAt)
 {
     const auto now = context.clock_.now();
     if (const auto kind = sharedFailure(result)) {
         context.metrics_.endpointFailures_.increment({ { "kind", nameOf(*kind) } });
         context.endpoints_.sawFailure(endpoint, *kind, now);
     } else if (result.end_ == AttemptEnd::NotExecuted || result.end_ == AttemptEnd::Failed || result.end_ == AttemptEnd::Unproven) {
-        context.endpoints_.endAvoidance(endpoint, now);
+        context.endpoints_.endAvoidance(endpoint, writtenAt, now);
     }
 }
 
 } // namespace
 
-void answered(GatewayContext &context, const EndpointId &endpoint, std::chrono::nanoseconds responseTime, std::chrono::milliseconds target)
+void answered(GatewayContext &context, EndpointState &endpoint, MonotonicTime writtenAt, std::chrono::milliseconds target)
 {
-    const auto state = context.endpoints_.find(endpoint);
-    if (state && target.count() > 0) {
-        state->latencyRatio_.addAnswer(responseTime, target);
+    if (target.count() > 0) {
+        endpoint.latencyRatio_.addAnswer(context.clock_.now() - writtenAt, target);
     }
-    succeeded(context, endpoint);
+    succeeded(context, endpoint, writtenAt);
 }
 
-void succeeded(GatewayContext &context, const EndpointId &endpoint)
+void succeeded(GatewayContext &context, const EndpointState &endpoint, MonotonicTime writtenAt)
 {
-    context.endpoints_.health().answered(endpoint);
-    if (const auto state = context.endpoints_.find(endpoint)) {
-        context.endpoints_.endAvoidance(*state, context.clock_.now());
+    if (!context.endpoints_.isReplaced(endpoint)) {
+        context.endpoints_.health().answered(endpoint.entry_.id_);
     }
+    context.endpoints_.endAvoidance(endpoint, writtenAt, context.clock_.now());
 }
 
-void promptRead(GatewayContext &context, const EndpointState &engine, std::uint64_t tokens, std::chrono::milliseconds time)
+void promptRead(GatewayContext &context, const EndpointState &engine, std::uint64_t tokens, MonotonicTime writtenAt)
 {
     if (context.usesAdaptiveServing()) {
-        context.endpoints_.speeds().promptRead(engine.key_, tokens, time, context.clock_.now());
+        const auto now = context.clock_.now();
+        context.endpoints_.speeds().promptRead(engine.key_, tokens, now - writtenAt, now);
     }
-    succeeded(context, engine.entry_.id_);
+    succeeded(context, engine, writtenAt);
 }
 
-void failed(GatewayContext &context, EndpointState &endpoint, const DispatchPlan &plan, const AttemptResult &result, bool isWithheld)
+void failed(GatewayContext &context, EndpointState &endpoint, const DispatchPlan &plan, const AttemptResult &result, MonotonicTime writtenAt, bool isWithheld)
 {
     const auto &id = plan.metadata_.endpoint_;
     const auto now = context.clock_.now();
     // An endpoint may refuse a request with a KV cache because it cannot fetch the cache, which does not count as a failure of the
     // endpoint.
     const bool isRefusalOfCache = result.end_ == AttemptEnd::NotExecuted && !plan.metadata_.cacheSource_.empty();
+    if (context.endpoints_.isReplaced(endpoint)) {
+        return;
+    }
     if (result.end_ == AttemptEnd::Lost || (result.end_ == AttemptEnd::NotOffered && !isWithheld)) {
         context.endpoints_.health().crashed(id, now);
     } else if (result.end_ == AttemptEnd::NotExecuted && !isRefusalOfCache) {
         context.endpoints_.health().refused(id, now);
     }
     if (context.usesAdaptiveServing() && !isWithheld) {
-        share(context, endpoint, result);
+        share(context, endpoint, result, writtenAt);
         if (!isRefusalOfCache) {
             endpoint.latencyRatio_.addFailure();
         }
--- a/src/gateway/endpointtable.cpp
+++ b/src/gateway/endpointtable.cpp
@@ -237,7 +237,13 @@
     updateAvoidance(now);
 }
 
-void EndpointTable::endAvoidance(const EndpointState &state, MonotonicTime now)
+bool EndpointTable::isReplaced(const EndpointState &state) const
+{
+    const auto listed = states_.find(state.entry_.id_);
+    return listed != states_.end() && listed->second.get() != &state;
+}
+
+void EndpointTable::endAvoidance(const EndpointState &state, MonotonicTime askedAt, MonotonicTime now)
 {
     avoided_.answered(state, now);
     if (avoided_.contains(state)) {
--- a/src/gateway/endpointtable.h
+++ b/src/gateway/endpointtable.h
@@ -76,10 +76,13 @@
     EndpointHealth &health();
 
     /// This gateway saw the endpoint fail; several gateways that see it avoid it together.
+    /// True if another start of the endpoint is listed than the one whose state this is; what this one does says nothing of that.
+    bool isReplaced(const EndpointState &state) const;
+
     void sawFailure(const EndpointState &state, EndpointFailureKind kind, MonotonicTime now);
 
-    /// The endpoint answered, so that it is not avoided any longer.
-    void endAvoidance(const EndpointState &state, MonotonicTime now);
+    /// This start of the endpoint answered a request that was written at askedAt, so that failures seen before count no longer.
+    void endAvoidance(const EndpointState &state, MonotonicTime askedAt, MonotonicTime now);
 
     /// Replaces the failures that the other gateways have seen.
     void setFailuresOfOthers(const EndpointFailures &failures, MonotonicTime now);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -235,7 +235,7 @@
                 attempts_.prefillFailed();
             }
             logDispatch(result);
-            endpointoutcome::failed(context_, engine, dispatch_->plan(), result, withholdReason_.has_value());
+            endpointoutcome::failed(context_, engine, dispatch_->plan(), result, dispatch_->writtenAt(), withholdReason_.has_value());
         }
         dispatch_.reset();
         if (withholdReason_) {
@@ -252,7 +252,7 @@
         engine.prefillQueue_.addMeasurement(dispatch_->plan().promptTokens_, duration, now);
         cache_ = CacheHandle{ engine.entry_.address_, handle };
         requestlog::promptRead(dispatch_->plan(), router_->sharedParts(), metadata_.sharedTokens(), duration);
-        endpointoutcome::promptRead(context_, engine, dispatch_->tokensUntilRead(), duration);
+        endpointoutcome::promptRead(context_, engine, dispatch_->tokensUntilRead(), dispatch_->writtenAt());
     }
 
     void run()
@@ -333,7 +333,7 @@
             recordResponse();
             crashes_.answered();
         } else {
-            endpointoutcome::failed(context_, endpoint, dispatch_->plan(), result, withholdReason_.has_value());
+            endpointoutcome::failed(context_, endpoint, dispatch_->plan(), result, dispatch_->writtenAt(), withholdReason_.has_value());
             logDispatch(result);
         }
         showLife();
@@ -477,11 +477,11 @@
 
     void recordResponse()
     {
-        const auto &endpoint = dispatch_->endpoint().entry_.id_;
+        auto &endpoint = dispatch_->endpoint();
         if (response_.relay().hasBegun()) {
-            endpointoutcome::succeeded(context_, endpoint);
+            endpointoutcome::succeeded(context_, endpoint, dispatch_->writtenAt());
         } else {
-            endpointoutcome::answered(context_, endpoint, context_.clock_.now() - dispatch_->writtenAt(), route().targetLatency_);
+            endpointoutcome::answered(context_, endpoint, dispatch_->writtenAt(), route().targetLatency_);
         }
     }
 
--- a/tests/decide/endpointavoidancetest.cpp
+++ b/tests/decide/endpointavoidancetest.cpp
@@ -81,6 +81,27 @@
     BOOST_TEST(isAvoided());
 }
 
+// Regression test: an answer that was on its way as the endpoint failed ended its avoidance.
+BOOST_AUTO_TEST_CASE(stays_avoided_if_it_answers_a_request_from_before_the_failure)
+{
+    const auto askedAt = clock_.now();
+    clock_.advance(100ms);
+    avoidance_.sawFailure(First, Closed, clock_.now());
+    othersSaw({ { First, Closed, 1, 0ms } });
+    avoidance_.answered(First, askedAt);
+    BOOST_TEST(isAvoided());
+    avoidance_.answered(First, clock_.now());
+    BOOST_TEST(!isAvoided());
+}
+
+BOOST_AUTO_TEST_CASE(stays_avoided_if_another_start_of_it_answers)
+{
+    avoidance_.sawFailure(First, Closed, clock_.now());
+    othersSaw({ { First, Closed, 1, 0ms } });
+    avoidance_.answered(Second, clock_.now());
+    BOOST_TEST(isAvoided());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(an_endpoint_in_whose_place_another_answers, Fixture)
