Loads and reading speeds are told by the start of an endpoint

An endpoint that had started again under its identifier was passed over for requests that others had placed at the start before.

Cause: gateways told each other loads and speeds under a key of the identifier.

Change: the key is that of the start (identifier and born). Homes of shared parts still go by the identifier, so that they stay where they are.

--- a/src/gateway/endpointstate.h
+++ b/src/gateway/endpointstate.h
@@ -22,9 +22,14 @@
 /// This gateway's state of an endpoint.
 struct EndpointState {
     EndpointEntry entry_;
+
+    /// Of the endpoint, whichever start of it runs.
     EndpointKey key_ = 0;
     IncarnationKey incarnation_{};
 
+    /// Of this start: what gateways tell each other of loads and speeds.
+    EndpointKey startKey_ = 0;
+
     /// Requests of this gateway that the endpoint is processing.
     std::uint32_t running_ = 0;
 
--- a/src/gateway/endpointtable.cpp
+++ b/src/gateway/endpointtable.cpp
@@ -54,6 +54,7 @@
         const auto listed = states.find(id);
         if (listed == states.end() || listed->second != state) {
             state->isListed_ = false;
+        state->startKey_ = endpointKeyOf(state->incarnation_);
             closeIdle(*state);
             former_[id] = { state, now + FormerLifetime };
         }
@@ -69,7 +70,7 @@
     std::map<EndpointKey, ServiceName> engines;
     for (const auto &[id, state] : states_) {
         if (state->entry_.stage_ != EngineStage::None) {
-            engines.emplace(state->key_, state->entry_.service_);
+            engines.emplace(state->startKey_, state->entry_.service_);
         }
     }
     speeds_.setEngines(std::move(engines));
@@ -180,9 +181,9 @@
 {
     for (const auto &[id, state] : states_) {
         const auto found =
-            std::lower_bound(loads.begin(), loads.end(), state->key_, [](const EndpointLoad &load, EndpointKey key) { return load.endpoint_ < key; });
-        const bool isLoaded = found != loads.end() && found->endpoint_ == state->key_;
-        state->others_ = isLoaded ? *found : EndpointLoad{ state->key_, 0, 0 };
+            std::lower_bound(loads.begin(), loads.end(), state->startKey_, [](const EndpointLoad &load, EndpointKey key) { return load.endpoint_ < key; });
+        const bool isLoaded = found != loads.end() && found->endpoint_ == state->startKey_;
+        state->others_ = isLoaded ? *found : EndpointLoad{ state->startKey_, 0, 0 };
         state->othersAt_ = now;
     }
 }
@@ -192,7 +193,7 @@
     EndpointLoads loads;
     for (const auto &[id, state] : states_) {
         if (state->running_ > 0 || !state->prefillQueue_.isEmpty()) {
-            loads.push_back({ state->key_, state->running_, state->prefillQueue_.tokens() });
+            loads.push_back({ state->startKey_, state->running_, state->prefillQueue_.tokens() });
         }
     }
     std::sort(loads.begin(), loads.end());
--- a/src/relay/endpointload.cpp
+++ b/src/relay/endpointload.cpp
@@ -12,6 +12,11 @@
     return static_cast<EndpointKey>(XXH3_64bits(endpoint.value().data(), endpoint.value().size()));
 }
 
+EndpointKey endpointKeyOf(IncarnationKey start)
+{
+    return static_cast<EndpointKey>(start);
+}
+
 EndpointLoads sumOf(const EndpointLoads &left, const EndpointLoads &right)
 {
     EndpointLoads sum;
--- a/src/relay/endpointload.h
+++ b/src/relay/endpointload.h
@@ -5,6 +5,7 @@
 
 #include "core/endpointid.h"
 #include "core/endpointkey.h"
+#include "decide/incarnationkey.h"
 
 namespace cowsliphead
 {
@@ -12,8 +13,12 @@
 /// Returns the key of an endpoint; all gateways get the same one. Thread safety: any thread.
 EndpointKey endpointKeyOf(const EndpointId &endpoint);
 
-/// What some gateways have placed at an endpoint.
+/// Returns the key of one start of an endpoint. Thread safety: any thread.
+EndpointKey endpointKeyOf(IncarnationKey start);
+
+/// What some gateways have placed at one start of an endpoint; the next start has nothing of it.
 struct EndpointLoad {
+    /// Of the start.
     EndpointKey endpoint_ = 0;
 
     /// Requests that the endpoint is processing for them.
--- a/tests/gateway/fleetexchangetest.cpp
+++ b/tests/gateway/fleetexchangetest.cpp
@@ -81,7 +81,7 @@
     BOOST_TEST(sendRequest("/engine/x", { { "X-Api-Key", "key-1" }, { "X-Token-Count", "5000,10" } }).status_ == 200);
     const auto observations = localLoad().observations_;
     BOOST_REQUIRE(observations.size() == 1U);
-    BOOST_TEST(observations.front().endpoint_ == endpointKeyOf(EndpointId("endpoint-0")));
+    BOOST_TEST(observations.front().endpoint_ == startKeyOf(0));
     // The sums decay from the moment of the answer.
     BOOST_TEST((observations.front().tokensRead_ > 7900 && observations.front().tokensRead_ <= 8000));
     BOOST_TEST((observations.front().readingTime_ >= 59ms && observations.front().readingTime_ < 1s));
@@ -89,6 +89,30 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(takes_what_others_placed_at_an_endpoint, AdaptiveGateway)
+
+// Regression test: a load that others had placed at the start before was counted for the next one, which has nothing of it.
+BOOST_AUTO_TEST_CASE(for_the_start_at_which_they_placed_it)
+{
+    const std::string prefilled = "HTTP/1.1 200 OK" + Fields + "Content-Length: 14\r\n\r\n";
+    addEngine(EngineStage::Prefill, { { prefilled, false, R"({"handle":"h"})", 60ms } });
+    addEngine(EngineStage::Decode, { { "HTTP/1.1 200 OK" + Fields + "Content-Length: 7\r\n\r\nid: 1\n\n" } });
+    const HttpHeaders longPrompt{ { "X-Api-Key", "key-1" }, { "X-Token-Count", "5000,10" } };
+    sendRequest("/engine/x", longPrompt);
+    const auto told = localLoad().observations_;
+    BOOST_REQUIRE(told.size() == 1U);
+    const auto before = told.front().endpoint_;
+    restartEndpoints();
+    reportPromptTokens(before, 3000);
+    sendRequest("/engine/x", longPrompt);
+    const auto observations = localLoad().observations_;
+    BOOST_REQUIRE(observations.size() == 1U);
+    BOOST_TEST(observations.front().endpoint_ != before);
+    BOOST_TEST((observations.front().tokensRead_ > 4900 && observations.front().tokensRead_ <= 5000));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(sends_nothing_to_an_endpoint, AdaptiveGateway)
 
 BOOST_AUTO_TEST_CASE(that_others_saw_fail_until_their_reports_are_old)
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -199,11 +199,21 @@
 
 void GatewayFixture::reportPromptTokens(std::uint64_t tokens)
 {
-    gateway_.receive(FleetLoad{ { { endpointKeyOf(EndpointId("endpoint-0")), 1, tokens } } });
+    reportPromptTokens(startKeyOf(0), tokens);
+}
+
+void GatewayFixture::reportPromptTokens(EndpointKey start, std::uint64_t tokens)
+{
+    gateway_.receive(FleetLoad{ { { start, 1, tokens } } });
 }
 
 void GatewayFixture::reportFailure(EndpointFailureKind kind, std::uint32_t gateways)
 {
+EndpointKey GatewayFixture::startKeyOf(std::size_t number) const
+{
+    return endpointKeyOf(crashkeys::ofEndpoint(EndpointId("endpoint-" + std::to_string(number)), incarnation_));
+}
+
     FleetLoad load;
     load.failures_ = { { crashkeys::ofEndpoint(EndpointId("endpoint-0"), incarnation_), kind, gateways, 0ms } };
     gateway_.receive(load);
@@ -250,7 +260,7 @@
     const auto report = [this, running] {
         FleetLoad load;
         for (std::size_t number = 0; number < endpoints_.size(); ++number) {
-            load.loads_.push_back({ endpointKeyOf(EndpointId("endpoint-" + std::to_string(number))), running, 0 });
+            load.loads_.push_back({ startKeyOf(number), running, 0 });
         }
         std::sort(load.loads_.begin(), load.loads_.end());
         gateway_.receive(load);
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -78,9 +78,15 @@
     /// Tells the gateway that the first endpoint has yet to read these tokens for the others.
     void reportPromptTokens(std::uint64_t tokens);
 
+    /// The key of the listed start of an endpoint. number: the endpoint's, in the order in which they were added.
+    cowsliphead::EndpointKey startKeyOf(std::size_t number) const;
+
     /// Tells the gateway what the others have seen of the first endpoint.
     void reportFailure(cowsliphead::EndpointFailureKind kind, std::uint32_t gateways);
 
+    /// The same for the start with this key.
+    void reportPromptTokens(cowsliphead::EndpointKey start, std::uint64_t tokens);
+
     /// Tells the gateway that others saw the first three endpoints crash this long ago, one after the other, under requests with a part.
     void reportCrashes(const std::string &part, std::chrono::milliseconds age);
 
