A start keeps what it said in answers before the list named it

An endpoint that had started again, and said in an answer that it leaves or wants a pause before the list named that start, got requests as soon as the list did.

Cause: the wish was kept with the start that the list named as it was said, and that state ends as the list names the next one.

Change: a wish carries the time at which its connection was opened. A start that is listed for the first time takes the wishes from connections that were opened after it started; those of the start before end with that.

Measured: without that, gets_no_further_request_as_the_start_that_said_so_before_ the_list_named_it fails. Stand-ins of the tests name real starting times, since they are compared with the clock now.

--- a/src/gateway/dispatch.h
+++ b/src/gateway/dispatch.h
@@ -160,7 +160,7 @@
     AnswerHandling onHead(const ResponseHead &head)
     {
         const auto metadata = D::readResponse(head);
-        EndpointTable::answered(*endpoint_, metadata, context_.clock_.now());
+        EndpointTable::answered(*endpoint_, metadata, openedAt_, context_.clock_.now());
         if (!metadata.attemptId_.empty() && metadata.attemptId_ != plan_.attemptId_) {
             logEvent(LogEvent::AnswerCrossed,
                      { { "request", plan_.attemptId_ }, { "endpoint", endpoint_->entry_.id_.value() }, { "answerTo", metadata.attemptId_ } });
--- a/src/gateway/endpointstate.h
+++ b/src/gateway/endpointstate.h
@@ -54,6 +54,10 @@
     bool isLeaving_ = false;
     EndpointPause pause_;
 
+    /// When the connection was opened on which it last said that it leaves, or asked for a pause. The connection may have led to the next start of
+    /// the endpoint, if that was not listed yet.
+    MonotonicTime wishOpenedAt_;
+
     /// True if the endpoint may get another request. Thread safety: owner task only.
     bool mayDispatch(MonotonicTime now) const
     {
--- a/src/gateway/endpointtable.cpp
+++ b/src/gateway/endpointtable.cpp
@@ -19,6 +19,13 @@
 /// Limits the memory that endpoints occupy which are no longer listed; a fleet of 890 endpoints replaces fewer within their lifetime.
 constexpr std::size_t MaxFormerEndpoints = 4096;
 
+/// True if a connection that was opened at this time led to the start of the entry or a later one. The start is told by the endpoint's clock.
+bool isAfterStart(WallTime openedAt, const EndpointEntry &entry)
+{
+    const auto milliseconds = std::chrono::floor<std::chrono::milliseconds>(openedAt.time_since_epoch()).count();
+    return entry.incarnation_ > 0 && milliseconds >= static_cast<std::int64_t>(entry.incarnation_);
+}
+
 void closeIdle(EndpointState &state)
 {
     for (const auto &connection : std::exchange(state.idle_, {})) {
@@ -36,17 +43,18 @@
 
 EndpointTable::~EndpointTable() = default;
 
-void EndpointTable::update(const std::vector<EndpointEntry> &entries, MonotonicTime now)
+void EndpointTable::update(const std::vector<EndpointEntry> &entries, MonotonicTime now, WallTime wallNow)
 {
     std::map<EndpointId, std::shared_ptr<EndpointState>> states;
     for (const auto &entry : entries) {
         if (entry.isLeaving_) {
             continue;
         }
-        auto state = stateOf(entry);
+        auto state = stateOf(entry, now, wallNow);
         state->entry_ = entry;
         state->key_ = endpointKeyOf(entry.id_);
         state->incarnation_ = crashkeys::ofEndpoint(entry.id_, entry.incarnation_);
+        state->startKey_ = endpointKeyOf(state->incarnation_);
         state->isListed_ = true;
         states.emplace(entry.id_, std::move(state));
     }
@@ -54,7 +62,6 @@
         const auto listed = states.find(id);
         if (listed == states.end() || listed->second != state) {
             state->isListed_ = false;
-        state->startKey_ = endpointKeyOf(state->incarnation_);
             closeIdle(*state);
             former_[id] = { state, now + FormerLifetime };
         }
@@ -76,18 +83,25 @@
     speeds_.setEngines(std::move(engines));
 }
 
-std::shared_ptr<EndpointState> EndpointTable::stateOf(const EndpointEntry &entry) const
+std::shared_ptr<EndpointState> EndpointTable::stateOf(const EndpointEntry &entry, MonotonicTime now, WallTime wallNow) const
 {
-    const auto isSame = [&entry](const EndpointState &state) {
-        return state.entry_.incarnation_ == entry.incarnation_ && state.entry_.address_ == entry.address_;
-    };
-    if (const auto listed = states_.find(entry.id_); listed != states_.end() && isSame(*listed->second)) {
-        return listed->second;
-    }
-    if (const auto former = former_.find(entry.id_); former != former_.end() && isSame(*former->second.state_)) {
-        return former->second.state_;
+    auto fresh = std::make_shared<EndpointState>();
+    const auto listed = states_.find(entry.id_);
+    const auto former = former_.find(entry.id_);
+    for (const auto &state : { listed == states_.end() ? nullptr : listed->second, former == former_.end() ? nullptr : former->second.state_ }) {
+        if (!state || state->entry_.address_ != entry.address_) {
+            continue;
+        }
+        if (state->entry_.incarnation_ == entry.incarnation_) {
+            return state;
+        }
+        if (isAfterStart(wallNow - (now - state->wishOpenedAt_), entry)) {
+            fresh->isLeaving_ = fresh->isLeaving_ || state->isLeaving_;
+            fresh->pause_ = state->pause_;
+            fresh->wishOpenedAt_ = state->wishOpenedAt_;
+        }
     }
-    return std::make_shared<EndpointState>();
+    return fresh;
 }
 
 void EndpointTable::forgetOldest(MonotonicTime now)
@@ -127,8 +141,11 @@
     return soonest;
 }
 
-void EndpointTable::answered(EndpointState &state, const ResponseMetadata &answer, MonotonicTime now)
+void EndpointTable::answered(EndpointState &state, const ResponseMetadata &answer, MonotonicTime openedAt, MonotonicTime now)
 {
+    if (answer.isLeaving_ || answer.pause_) {
+        state.wishOpenedAt_ = std::max(state.wishOpenedAt_, openedAt);
+    }
     if (answer.isLeaving_ && !std::exchange(state.isLeaving_, true)) {
         logEvent(LogEvent::EndpointLeaves, { { "endpoint", state.entry_.id_.value() }, { "source", "answer" } });
         closeIdle(state);
@@ -246,7 +263,7 @@
 
 void EndpointTable::endAvoidance(const EndpointState &state, MonotonicTime askedAt, MonotonicTime now)
 {
-    avoided_.answered(state, now);
+    avoided_.answered(state, askedAt);
     if (avoided_.contains(state)) {
         updateAvoidance(now);
     }
--- a/src/gateway/endpointtable.h
+++ b/src/gateway/endpointtable.h
@@ -34,8 +34,9 @@
     EndpointTable &operator=(const EndpointTable &) = delete;
 
     /// Replaces the list of endpoints; idle connections to removed endpoints are closed. The state of a removed one is remembered for
-    /// FormerLifetime, since the same incarnation may be listed again.
-    void update(const std::vector<EndpointEntry> &entries, MonotonicTime now);
+    /// FormerLifetime, since the same incarnation may be listed again. A start that is listed for the first time keeps what it said in answers
+    /// before.
+    void update(const std::vector<EndpointEntry> &entries, MonotonicTime now, WallTime wallNow);
 
     /// Returns the endpoints of the service and stage that are not excluded and may get a request. Endpoints that failed recently, here or
     /// at several gateways, are returned only if there is no other, or rarely as a trial.
@@ -50,8 +51,8 @@
     /// How long until one of the service's endpoints may get requests again; nothing unless all of them have asked for a pause or leave.
     std::optional<std::chrono::milliseconds> timeUntilReturn(const ServiceName &service, MonotonicTime now) const;
 
-    /// Takes what an endpoint says of itself in the head of an answer to any request.
-    static void answered(EndpointState &state, const ResponseMetadata &answer, MonotonicTime now);
+    /// Takes what an endpoint says of itself in the head of an answer to any request. openedAt: when the connection was opened.
+    static void answered(EndpointState &state, const ResponseMetadata &answer, MonotonicTime openedAt, MonotonicTime now);
 
     /// True if an engine of this stage is listed.
     bool hasStage(const ServiceName &service, EngineStage stage) const;
@@ -75,10 +76,10 @@
     /// Endpoints that failed recently.
     EndpointHealth &health();
 
-    /// This gateway saw the endpoint fail; several gateways that see it avoid it together.
     /// True if another start of the endpoint is listed than the one whose state this is; what this one does says nothing of that.
     bool isReplaced(const EndpointState &state) const;
 
+    /// This gateway saw the endpoint fail; several gateways that see it avoid it together.
     void sawFailure(const EndpointState &state, EndpointFailureKind kind, MonotonicTime now);
 
     /// This start of the endpoint answered a request that was written at askedAt, so that failures seen before count no longer.
@@ -111,7 +112,7 @@
     };
 
     /// The state of this incarnation of the endpoint, or a new one.
-    std::shared_ptr<EndpointState> stateOf(const EndpointEntry &entry) const;
+    std::shared_ptr<EndpointState> stateOf(const EndpointEntry &entry, MonotonicTime now, WallTime wallNow) const;
     void forgetOldest(MonotonicTime now);
     void updateEngines();
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -73,7 +73,7 @@
                 session->connection().setLimits(context_.configuration_->limits_);
             }
         }
-        context_.endpoints_.update(*snapshot.endpoints_, context_.clock_.now());
+        context_.endpoints_.update(*snapshot.endpoints_, context_.clock_.now(), context_.clock_.wallNow());
         context_.roomChanged();
         logEvent(LogEvent::EndpointsUpdated,
                  { { "listed", std::uint64_t(snapshot.endpoints_->size()) },
--- a/tests/gateway/endpointwishestest.cpp
+++ b/tests/gateway/endpointwishestest.cpp
@@ -69,6 +69,19 @@
     BOOST_TEST(first.requests().size() == 2U);
 }
 
+// Regression test: what a start said before the list named it counted for the start before, and was forgotten with that.
+BOOST_AUTO_TEST_CASE(gets_no_further_request_as_the_start_that_said_so_before_the_list_named_it)
+{
+    auto &first = addEndpoint({ { LeavingSuccess } });
+    addEndpoint({ { Success } });
+    restartEndpointsUnlisted();
+    run(5ms);
+    sendRequest("/safe/x");
+    publish();
+    sendRequest("/safe/x");
+    BOOST_TEST(first.requests().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(leaves_callers_a_refusal_at_once_if_there_is_no_other)
 {
     addEndpoint({ { LeavingSuccess } });
@@ -113,6 +126,28 @@
     BOOST_TEST(first.requests().size() == 1U);
 }
 
+// Regression test: what a start said before the list named it counted for the start before, and was forgotten with that.
+BOOST_AUTO_TEST_CASE(gets_nothing_as_the_start_that_said_so_before_the_list_named_it)
+{
+    auto &first = addEndpoint({ { PauseOfOneSecond }, { Success } });
+    addEndpoint({ { Success } });
+    restartEndpointsUnlisted();
+    run(5ms);
+    sendRequest("/safe/x");
+    publish();
+    sendRequest("/safe/x");
+    BOOST_TEST(first.requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(gets_requests_at_once_as_another_start)
+{
+    auto &first = addEndpoint({ { PauseOfOneSecond }, { Success } });
+    sendRequest("/safe/x");
+    restartEndpoints();
+    sendRequest("/safe/x");
+    BOOST_TEST(first.requests().size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(leaves_callers_a_refusal_with_the_time_of_its_return_if_there_is_no_other)
 {
     auto &first = addEndpoint({ { PauseOfOneSecond } });
--- a/tests/gateway/expectedplacementtest.cpp
+++ b/tests/gateway/expectedplacementtest.cpp
@@ -35,7 +35,7 @@
             entry.stage_ = number < readers ? EngineStage::Prefill : EngineStage::Decode;
             entries.push_back(entry);
         }
-        context_.endpoints_.update(entries, context_.clock_.now());
+        context_.endpoints_.update(entries, context_.clock_.now(), context_.clock_.wallNow());
         context_.endpoints_.setLoadOfOthers({}, context_.clock_.now());
     }
 
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -162,11 +162,18 @@
 
 void GatewayFixture::restartEndpoints()
 {
-    ++incarnation_;
+    restartEndpointsUnlisted();
+    publish();
+}
+
+void GatewayFixture::restartEndpointsUnlisted()
+{
+    // Connections that are open were opened before.
+    const auto startedAt = std::chrono::ceil<std::chrono::milliseconds>(SystemClock().wallNow().time_since_epoch()) + 1ms;
+    incarnation_ = static_cast<std::uint64_t>(startedAt.count());
     for (const auto &endpoint : endpoints_) {
         endpoint->setIncarnation(incarnation_);
     }
-    publish();
 }
 
 void GatewayFixture::useAdaptiveServing()
@@ -197,6 +204,11 @@
     return result;
 }
 
+EndpointKey GatewayFixture::startKeyOf(std::size_t number) const
+{
+    return endpointKeyOf(crashkeys::ofEndpoint(EndpointId("endpoint-" + std::to_string(number)), incarnation_));
+}
+
 void GatewayFixture::reportPromptTokens(std::uint64_t tokens)
 {
     reportPromptTokens(startKeyOf(0), tokens);
@@ -209,11 +221,6 @@
 
 void GatewayFixture::reportFailure(EndpointFailureKind kind, std::uint32_t gateways)
 {
-EndpointKey GatewayFixture::startKeyOf(std::size_t number) const
-{
-    return endpointKeyOf(crashkeys::ofEndpoint(EndpointId("endpoint-" + std::to_string(number)), incarnation_));
-}
-
     FleetLoad load;
     load.failures_ = { { crashkeys::ofEndpoint(EndpointId("endpoint-0"), incarnation_), kind, gateways, 0ms } };
     gateway_.receive(load);
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -66,6 +66,9 @@
     /// From now on the list names new incarnations of all endpoints.
     void restartEndpoints();
 
+    /// The endpoints have started again, which the list will say as it is published next.
+    void restartEndpointsUnlisted();
+
     /// From now on the configuration has a further service, whose engines have a compact KV cache, and a route to it.
     void useAdaptiveServing();
 
@@ -75,18 +78,18 @@
     /// What the gateway tells the others.
     cowsliphead::LocalLoad localLoad();
 
-    /// Tells the gateway that the first endpoint has yet to read these tokens for the others.
-    void reportPromptTokens(std::uint64_t tokens);
-
     /// The key of the listed start of an endpoint. number: the endpoint's, in the order in which they were added.
     cowsliphead::EndpointKey startKeyOf(std::size_t number) const;
 
-    /// Tells the gateway what the others have seen of the first endpoint.
-    void reportFailure(cowsliphead::EndpointFailureKind kind, std::uint32_t gateways);
+    /// Tells the gateway that the first endpoint has yet to read these tokens for the others.
+    void reportPromptTokens(std::uint64_t tokens);
 
     /// The same for the start with this key.
     void reportPromptTokens(cowsliphead::EndpointKey start, std::uint64_t tokens);
 
+    /// Tells the gateway what the others have seen of the first endpoint.
+    void reportFailure(cowsliphead::EndpointFailureKind kind, std::uint32_t gateways);
+
     /// Tells the gateway that others saw the first three endpoints crash this long ago, one after the other, under requests with a part.
     void reportCrashes(const std::string &part, std::chrono::milliseconds age);
 
--- a/tests/gateway/manyfailurestest.cpp
+++ b/tests/gateway/manyfailurestest.cpp
@@ -57,7 +57,7 @@
             entries.push_back(entry);
         }
         for (const auto &table : tables_) {
-            table->update(entries, clock_.now());
+            table->update(entries, clock_.now(), clock_.wallNow());
         }
     }
 
--- a/tests/gateway/requestadmissiontest.cpp
+++ b/tests/gateway/requestadmissiontest.cpp
@@ -39,7 +39,8 @@
 struct LongPromptFixture {
     LongPromptFixture()
     {
-        context_.endpoints_.update({ engine("p1", EngineStage::Prefill), engine("p2", EngineStage::Prefill), engine("d1", EngineStage::Decode) }, now());
+        context_.endpoints_.update(
+            { engine("p1", EngineStage::Prefill), engine("p2", EngineStage::Prefill), engine("d1", EngineStage::Decode) }, now(), context_.clock_.wallNow());
         route_.kind_ = RouteKind::Streaming;
         route_.timeout_ = 6000ms;
         route_.targetLatency_ = 600ms;
@@ -141,7 +142,8 @@
     }
     BOOST_TEST((decide() == AdmissionKind::Send));
     reportTokens(4 * TokensPerSecond, 4 * TokensPerSecond);
-    context_.endpoints_.update({ engine("p1", EngineStage::Prefill), engine("p2", EngineStage::Prefill), engine("p3", EngineStage::Prefill) }, now());
+    context_.endpoints_.update(
+        { engine("p1", EngineStage::Prefill), engine("p2", EngineStage::Prefill), engine("p3", EngineStage::Prefill) }, now(), context_.clock_.wallNow());
     BOOST_TEST((decide() == AdmissionKind::Send));
 }
 
--- a/tests/gateway/servicequeuetest.cpp
+++ b/tests/gateway/servicequeuetest.cpp
@@ -29,7 +29,7 @@
     QueueFixture()
     {
         context_.gatewayCount_ = 5;
-        context_.endpoints_.update({ endpoint("e1"), endpoint("e2") }, now());
+        context_.endpoints_.update({ endpoint("e1"), endpoint("e2") }, now(), context_.clock_.wallNow());
     }
 
     MonotonicTime now() const
@@ -137,7 +137,7 @@
 BOOST_AUTO_TEST_CASE(if_there_is_no_endpoint_to_wait_for)
 {
     // They are then refused as unavailable, with the time of an endpoint's return.
-    context_.endpoints_.update({}, now());
+    context_.endpoints_.update({}, now(), context_.clock_.wallNow());
     BOOST_TEST((arrive() == AdmissionKind::Send));
 }
 
