A head is checked before a lenient parser reads it

What callers saw: answers of a server in trouble with a status line of another version (HTTP/2.7 200 OK), a status of other than three digits (0200, 200x in serve), or control characters in the reason (gateway) or in a value (serve) reached them as answers.

Cause: http_parser takes any version and any digits, libevent ignores what follows the digits and joins folded lines.

Change: ResponseHeadCheck (StatusLine, HeadLines) judges the bytes of each head, interim ones too, for both readers: ResponseParser asks it, ResponseHeadObserver sees what libevent is about to read (HttpCall, HeldRequest).

--- a/src/duty/heldrequest.cpp
+++ b/src/duty/heldrequest.cpp
@@ -20,6 +20,7 @@
     , connection_(loop, host, port, timeout)
 {
 }
+    , head_(evhttp_connection_get_bufferevent(connection_.handle()))
 
 HeldRequest::~HeldRequest()
 {
@@ -82,10 +83,15 @@
     bufferevent_enable(connection, EV_WRITE);
 }
 
-int HeldRequest::onHeadRead(evhttp_request *request, void * /*self*/)
+int HeldRequest::onHeadRead(evhttp_request *request, void *self)
 {
-    // A negative result fails the request.
-    return readResponseHead(request) ? 0 : -1;
+    if (!static_cast<HeldRequest *>(self)->head_.isValid() || !readResponseHead(request)) {
+        // Fails the request.
+        return -1;
+    }
+    // With this field libevent would close the socket before onCompleted(), which reads from it how the connection ended.
+    evhttp_remove_header(evhttp_request_get_input_headers(request), "Connection");
+    return 0;
 }
 
 void HeldRequest::onCompleted(evhttp_request *request, void *self)
--- a/src/duty/heldrequest.h
+++ b/src/duty/heldrequest.h
@@ -8,6 +8,7 @@
 
 #include "core/result.h"
 #include "http/httpconnection.h"
+#include "http/responseheadobserver.h"
 
 struct evbuffer;
 struct evbuffer_cb_info;
@@ -48,6 +49,7 @@
 
     EventLoop &loop_;
     HttpConnection connection_;
+    ResponseHeadObserver head_;
     MayAct mayAct_;
     Reply reply_;
     bool isHeld_ = false;
--- a/src/http1/headlines.cpp
+++ b/src/http/headlines.cpp
@@ -1,30 +1,31 @@
-#include "http1/headlines.h"
+#include "http/headlines.h"
 
 #include <utility>
 
 namespace cowsliphead
 {
 
-bool HeadLines::add(std::string_view bytes)
+namespace
 {
-    for (const char character : bytes) {
-        if (isHeadEnded_) {
-            return true;
-        }
-        if (!addCharacter(character)) {
-            return false;
-        }
-    }
-    return true;
+
+/// True for a character that no line of a head may hold. A carriage return may stand before a line feed.
+bool isControl(char character)
+{
+    constexpr unsigned char FirstPrintable = 0x20;
+    constexpr unsigned char Delete = 0x7F;
+    const auto code = static_cast<unsigned char>(character);
+    return (code < FirstPrintable && character != '\t' && character != '\r') || code == Delete;
 }
 
-bool HeadLines::addCharacter(char character)
+} // namespace
+
+bool HeadLines::add(char character)
 {
     if (character == '\n') {
         return endLine();
     }
     const bool isBlankAtBegin = isLineEmpty_ && (character == ' ' || character == '\t');
-    if (isAfterReturn_ || isBlankAtBegin) {
+    if (isAfterReturn_ || isBlankAtBegin || isControl(character)) {
         return false;
     }
     isAfterReturn_ = character == '\r';
--- a/src/http/httpcall.cpp
+++ b/src/http/httpcall.cpp
@@ -8,9 +8,9 @@
 
 #include "core/errorcode.h"
 #include "http/connectionend.h"
+#include "http/delimitedbody.h"
 #include "http/httpconnection.h"
 #include "http/httprequest.h"
-#include "http/httpstatus.h"
 #include "http/readresponsehead.h"
 #include "task/eventloop.h"
 
@@ -84,7 +84,7 @@
     evhttp_request_set_error_cb(request_, [](evhttp_request_error error, void *self) { onRequestError(error, self); });
     writeRequest(request_, request);
     connection_->markUsed();
-    addOutputCallback();
+    beginObserving();
     const auto target = request.query_.empty() ? request.path_ : request.path_ + "?" + request.query_;
     if (evhttp_make_request(connection_->handle(), request_, toEvhttpCommand(request.method_), target.c_str()) != 0) {
         // libevent has freed the request and will not call back. Report the failure through onEnd_, like any other.
@@ -115,7 +115,7 @@
 int HttpCall::onHeadRead(evhttp_request *request, void *self)
 {
     auto *call = static_cast<HttpCall *>(self);
-    const auto head = readResponseHead(request);
+    const auto head = call->head_->isValid() ? readResponseHead(request) : failure(ErrorCode::EndpointAnswerMalformed);
     if (!head) {
         call->error_ = head.error();
         return -1;
@@ -169,12 +169,12 @@
     }
     const auto self = std::exchange(self_, nullptr);
     const bool isAnswerRead = request != nullptr && isHeadRead_ && !error_;
-    const bool isDelimited = isAnswerRead && isBodyDelimited(request);
+    const bool isDelimited = isAnswerRead && hasDelimitedBody(request);
     // A body with neither a length nor chunks is complete if the connection ended in order; libevent reports most resets as errors.
     const bool isAnswerComplete = isDelimited || (isAnswerRead && hasEndedInOrder(evhttp_connection_get_bufferevent(connection_->handle())));
     const bool canReuse = isDelimited && isConnectionReusable();
     request_ = nullptr;
-    removeOutputCallback();
+    endObserving();
     const auto onEnd = std::exchange(events_, {}).onEnd_;
     if (canReuse) {
         returnConnection_(std::move(connection_));
@@ -198,32 +198,25 @@
         return;
     }
     const auto self = std::exchange(self_, nullptr);
-    removeOutputCallback();
+    endObserving();
     if (request_ != nullptr) {
         evhttp_cancel_request(std::exchange(request_, nullptr));
     }
     connection_.reset();
 }
 
-void HttpCall::addOutputCallback()
+void HttpCall::beginObserving()
 {
     auto *output = bufferevent_get_output(evhttp_connection_get_bufferevent(connection_->handle()));
     evbuffer_add_cb(output, &HttpCall::onOutputChanged, this);
+    head_.emplace(evhttp_connection_get_bufferevent(connection_->handle()));
 }
 
-void HttpCall::removeOutputCallback()
+void HttpCall::endObserving()
 {
     auto *output = bufferevent_get_output(evhttp_connection_get_bufferevent(connection_->handle()));
     evbuffer_remove_cb(output, &HttpCall::onOutputChanged, this);
-}
-
-bool HttpCall::isBodyDelimited(evhttp_request *request) const
-{
-    const auto *fields = evhttp_request_get_input_headers(request);
-    const bool hasLength = evhttp_find_header(fields, "Content-Length") != nullptr || evhttp_find_header(fields, "Transfer-Encoding") != nullptr;
-    const auto status = evhttp_request_get_response_code(request);
-    const bool hasNoBody = status == httpstatus::NoContent || status == httpstatus::NotModified || evhttp_request_get_command(request) == EVHTTP_REQ_HEAD;
-    return hasLength || hasNoBody;
+    head_.reset();
 }
 
 bool HttpCall::isConnectionReusable() const
--- a/src/http/httpcall.h
+++ b/src/http/httpcall.h
@@ -2,8 +2,10 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "http/httpcallevents.h"
+#include "http/responseheadobserver.h"
 
 struct evbuffer;
 struct evbuffer_cb_info;
@@ -51,9 +53,8 @@
 
     void end(evhttp_request *request);
     void closeConnection();
-    void addOutputCallback();
-    void removeOutputCallback();
-    bool isBodyDelimited(evhttp_request *request) const;
+    void beginObserving();
+    void endObserving();
     bool isConnectionReusable() const;
 
     EventLoop &loop_;
@@ -61,6 +62,7 @@
     HttpCallEvents events_;
     ReturnConnection returnConnection_;
     evhttp_request *request_ = nullptr;
+    std::optional<ResponseHeadObserver> head_;
 
     /// Keeps the call alive while libevent callbacks may still refer to it.
     std::shared_ptr<HttpCall> self_;
--- a/src/http1/responseparser.cpp
+++ b/src/http1/responseparser.cpp
@@ -126,7 +126,8 @@
 ParseOutcome ResponseParser::parse(std::string_view bytes, std::size_t &consumed)
 {
     consumed = 0;
-    if (!lines_.add(bytes)) {
+    check_.add(bytes);
+    if (!check_.isValid()) {
         return ParseOutcome::Malformed;
     }
     consumed = http_parser_execute(parser_.get(), &Callbacks::settings(), bytes.data(), bytes.size());
@@ -146,7 +147,7 @@
     }
     if (isComplete_) {
         isComplete_ = false;
-        lines_ = {};
+        check_ = {};
         http_parser_init(parser_.get(), HTTP_RESPONSE);
         return ParseOutcome::Complete;
     }
--- a/src/http1/responseparser.h
+++ b/src/http1/responseparser.h
@@ -4,8 +4,8 @@
 #include <memory>
 #include <string_view>
 
+#include "http/responseheadcheck.h"
 #include "http1/headercollector.h"
-#include "http1/headlines.h"
 #include "http1/parseoutcome.h"
 #include "http1/responseparserevents.h"
 
@@ -48,7 +48,7 @@
     ResponseParserEvents events_;
     std::unique_ptr<http_parser> parser_;
     ResponseHead head_;
-    HeadLines lines_;
+    ResponseHeadCheck check_;
     HeaderCollector headers_;
     bool isComplete_ = false;
     bool isStopped_ = false;
--- a/tests/answers/brokenanswers.h
+++ b/tests/answers/brokenanswers.h
@@ -51,6 +51,30 @@
     return answers;
 }
 
+/// Whole answers but for a line of their head: of another version, with a status of other than three digits, with a control character, or folded.
+inline Answers withInvalidHeadLine(const std::string &fields, const std::string &body)
+{
+    Answers answers;
+    const auto rest = fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    for (const auto *line : { "HTTP/2.7 200 OK",
+                              "HTTP/1.2 200 OK",
+                              "HTTP/0.9 200 OK",
+                              "HTTP/01.1 200 OK",
+                              "HTTP/1.1 0200 OK",
+                              "HTTP/1.1 200x OK",
+                              "HTTP/1.1 2000 OK",
+                              "HTTP/1.1  200 OK",
+                              "HTTP/1.1 200 O\x01K",
+                              "HTTP/1.1 200 O\x7fK",
+                              "HTTP/1.1 200 \x1b[2J" }) {
+        answers.push_back({ std::string(line) + "\r\n" + rest });
+    }
+    for (const auto &line : { std::string("Other: a\x01z"), std::string("Other: a\0z", 10), std::string("Other: a\r\n z"), std::string("Other: a\nMore: z") }) {
+        answers.push_back({ "HTTP/1.1 200 OK\r\n" + line + "\r\n" + rest });
+    }
+    return answers;
+}
+
 /// These bytes, cut off in each way in which a server that has not read its request may end the connection.
 inline Answers cutOff(const std::string &bytes)
 {
--- a/tests/gateway/crashverifiertest.cpp
+++ b/tests/gateway/crashverifiertest.cpp
@@ -155,7 +155,8 @@
 BOOST_AUTO_TEST_CASE(takes_no_broken_answer_for_a_sign_of_life)
 {
     const std::string body = R"({"born":7})";
-    for (const auto &answers : { brokenanswers::withInvalidStatus({}, body), brokenanswers::withInvalidFieldName({}, body) }) {
+    for (const auto &answers :
+         { brokenanswers::withInvalidStatus({}, body), brokenanswers::withInvalidFieldName({}, body), brokenanswers::withInvalidHeadLine({}, body) }) {
         for (const auto &broken : answers) {
             BOOST_TEST(!isTakenForAlive(broken), broken.bytes_);
         }
@@ -166,7 +167,8 @@
 BOOST_AUTO_TEST_CASE(takes_no_unasked_bytes_for_a_sign_of_life)
 {
     const std::string body = R"({"born":7})";
-    for (const auto &answers : { brokenanswers::withInvalidStatus({}, body), brokenanswers::withInvalidFieldName({}, body) }) {
+    for (const auto &answers :
+         { brokenanswers::withInvalidStatus({}, body), brokenanswers::withInvalidFieldName({}, body), brokenanswers::withInvalidHeadLine({}, body) }) {
         for (const auto &broken : answers) {
             BOOST_TEST(!isTakenForAliveUnasked(broken.bytes_), broken.bytes_);
         }
--- a/tests/gateway/releasecachetest.cpp
+++ b/tests/gateway/releasecachetest.cpp
@@ -42,7 +42,8 @@
 
 BOOST_AUTO_TEST_CASE(ends_with_a_broken_answer)
 {
-    for (const auto &answers : { brokenanswers::withInvalidStatus({}, "body"), brokenanswers::withInvalidFieldName({}, "body") }) {
+    for (const auto &answers :
+         { brokenanswers::withInvalidStatus({}, "body"), brokenanswers::withInvalidFieldName({}, "body"), brokenanswers::withInvalidHeadLine({}, "body") }) {
         for (auto answer : answers) {
             // Otherwise the release would end with the last byte.
             answer.bytes_.pop_back();
--- a/tests/http/brokenanswertest.cpp
+++ b/tests/http/brokenanswertest.cpp
@@ -89,6 +89,25 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(with_an_invalid_line_in_its_head)
+
+BOOST_AUTO_TEST_CASE(is_malformed_and_its_head_is_not_passed_on)
+{
+    for (const auto &answer : brokenanswers::withInvalidHeadLine({}, "broken")) {
+        checkMalformed(answer);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(is_malformed_after_an_interim_answer_too)
+{
+    for (auto answer : brokenanswers::withInvalidHeadLine({}, "broken")) {
+        answer.bytes_.insert(0, "HTTP/1.1 100 Continue\r\n\r\n");
+        checkMalformed(answer);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(cut_off_before_the_upload_is_written)
 
 BOOST_AUTO_TEST_CASE(is_incomplete)
--- a/tests/http1/parsertest.cpp
+++ b/tests/http1/parsertest.cpp
@@ -148,6 +148,51 @@
     }
 }
 
+// Regression test: any version, and a status of any number of digits, was taken for an answer.
+BOOST_AUTO_TEST_CASE(is_malformed_unless_its_first_line_is_one_of_http_1_0_or_1_1_with_a_status_of_three_digits)
+{
+    for (const auto *line : { "HTTP/2.7 200 OK",
+                              "HTTP/1.2 200 OK",
+                              "HTTP/1.10 200 OK",
+                              "HTTP/11.1 200 OK",
+                              "HTTP/0.9 200 OK",
+                              "http/1.1 200 OK",
+                              "HTTP/1.1 0200 OK",
+                              "HTTP/1.1 2000 OK",
+                              "HTTP/1.1 20 OK",
+                              "HTTP/1.1 200x",
+                              "HTTP/1.1  200 OK",
+                              "HTTP/1.1 200\tOK",
+                              "HTTP/1.1 2 0 OK",
+                              "HTTP/1.1",
+                              "HTTP/1.1 " }) {
+        ParsedResponse response;
+        BOOST_TEST((response.parse(std::string(line) + "\r\nContent-Length: 0\r\n\r\n") == ParseOutcome::Malformed), line);
+    }
+    for (const auto *line : { "HTTP/1.0 200 OK", "HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.1 200 Any \x80 reason\t(1)" }) {
+        ParsedResponse response;
+        BOOST_TEST((response.parse(std::string(line) + "\r\nContent-Length: 0\r\n\r\n") == ParseOutcome::Complete), line);
+    }
+}
+
+// Regression test: control characters of a reason reached callers.
+BOOST_AUTO_TEST_CASE(is_malformed_exactly_if_its_reason_or_a_value_holds_a_control_character)
+{
+    for (int byte = 0; byte < 256; ++byte) {
+        // These end lines.
+        if (byte == '\r' || byte == '\n') {
+            continue;
+        }
+        const bool isAllowed = byte == '\t' || (byte >= 0x20 && byte != 0x7F);
+        const std::string text = "a" + std::string(1, static_cast<char>(byte)) + "b";
+        for (const auto &head : { "HTTP/1.1 200 " + text + "\r\n", "HTTP/1.1 200 OK\r\nName: " + text + "\r\n" }) {
+            ParsedResponse response;
+            const bool isMalformed = response.parse(head + "Content-Length: 0\r\n\r\n") == ParseOutcome::Malformed;
+            BOOST_TEST(isMalformed == !isAllowed, "byte " << byte);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(may_end_each_line_with_a_line_feed_alone)
 {
     ParsedResponse response;
--- a/tests/orders/brokenanswertest.cpp
+++ b/tests/orders/brokenanswertest.cpp
@@ -41,6 +41,11 @@
     order(1).checkFails(brokenanswers::withInvalidFieldName({}, "broken"));
 }
 
+BOOST_AUTO_TEST_CASE(if_a_line_of_its_head_is_invalid)
+{
+    order(1).checkFails(brokenanswers::withInvalidHeadLine({}, "broken"));
+}
+
 BOOST_AUTO_TEST_CASE(if_it_is_cut_off_before_the_upload_is_written)
 {
     order(brokenanswers::LongUpload).checkFails(brokenanswers::cutOff("HTTP/1.1 200 OK\r\n\r\npart"));
--- a/tests/platform/brokenanswertest.cpp
+++ b/tests/platform/brokenanswertest.cpp
@@ -61,6 +61,12 @@
     report(1).checkFails(brokenanswers::withInvalidFieldName({}, Written));
 }
 
+BOOST_AUTO_TEST_CASE(if_a_line_of_its_head_is_invalid)
+{
+    write(1).checkFails(brokenanswers::withInvalidHeadLine({}, Written));
+    report(1).checkFails(brokenanswers::withInvalidHeadLine({}, Written));
+}
+
 BOOST_AUTO_TEST_CASE(if_it_is_cut_off_before_the_upload_is_written)
 {
     for (const auto &bytes : { Undelimited, Chunked }) {
--- a/tests/relay/brokenanswertest.cpp
+++ b/tests/relay/brokenanswertest.cpp
@@ -51,6 +51,7 @@
 {
     for (const auto &answers : { brokenanswers::withInvalidStatus({}, "body"),
                                  brokenanswers::withInvalidFieldName({}, "body"),
+                                 brokenanswers::withInvalidHeadLine({}, "body"),
                                  brokenanswers::cutOff("HTTP/1.1 200 OK\r\n\r\npart") }) {
         for (const auto &answer : answers) {
             BOOST_TEST(!reachesTheGateway(answer), brokenanswers::describe(answer));
--- a/tests/serve/brokenanswertest.cpp
+++ b/tests/serve/brokenanswertest.cpp
@@ -144,6 +144,11 @@
     checkOutcomeIsUnknown(brokenanswers::withInvalidFieldName(Id, "part"));
 }
 
+BOOST_AUTO_TEST_CASE(if_a_line_of_its_head_is_invalid)
+{
+    checkOutcomeIsUnknown(brokenanswers::withInvalidHeadLine(Id, "part"));
+}
+
 BOOST_AUTO_TEST_CASE(if_it_is_cut_off_before_the_upload_is_written)
 {
     const std::string head = "HTTP/1.1 200 OK\r\n" + Id;
