Orders go by how the connection ended, too

An answer without a length that was cut off could confirm an order.

Change: such an answer counts only if the connection ended in order (hasEndedInOrder), as in HttpCall.

Measured: the new case with a reset passes without the change as well, since libevent reports that reset as an error; what is new is the question after it, for ends that libevent does not report.

--- a/src/duty/heldrequest.cpp
+++ b/src/duty/heldrequest.cpp
@@ -8,6 +8,8 @@
 #include <event2/http.h>
 
 #include "core/errorcode.h"
+#include "http/connectionend.h"
+#include "http/delimitedbody.h"
 #include "http/httpstatus.h"
 #include "http/readresponsehead.h"
 #include "task/eventloop.h"
@@ -18,9 +20,9 @@
 HeldRequest::HeldRequest(EventLoop &loop, const std::string &host, std::uint16_t port, std::chrono::milliseconds timeout)
     : loop_(loop)
     , connection_(loop, host, port, timeout)
+    , head_(evhttp_connection_get_bufferevent(connection_.handle()))
 {
 }
-    , head_(evhttp_connection_get_bufferevent(connection_.handle()))
 
 HeldRequest::~HeldRequest()
 {
@@ -97,7 +99,9 @@
 void HeldRequest::onCompleted(evhttp_request *request, void *self)
 {
     auto *held = static_cast<HeldRequest *>(self);
-    const int status = request == nullptr ? 0 : evhttp_request_get_response_code(request);
+    const bool isComplete = request != nullptr && evhttp_request_get_response_code(request) != 0
+        && (hasDelimitedBody(request) || hasEndedInOrder(evhttp_connection_get_bufferevent(held->connection_.handle())));
+    const int status = isComplete ? evhttp_request_get_response_code(request) : 0;
     if (status == httpstatus::Ok) {
         held->end({});
     } else if (status == httpstatus::Conflict) {
--- a/tests/orders/brokenanswertest.cpp
+++ b/tests/orders/brokenanswertest.cpp
@@ -51,6 +51,34 @@
     order(brokenanswers::LongUpload).checkFails(brokenanswers::cutOff("HTTP/1.1 200 OK\r\n\r\npart"));
 }
 
+// Regression test: an order went by the status alone, not by how the connection ended.
+BOOST_AUTO_TEST_CASE(if_it_has_no_length_and_is_cut_off_by_a_reset)
+{
+    order(1).checkFails(brokenanswers::Answers{ { .bytes_ = "HTTP/1.1 200 OK\r\n\r\npart", .resetsConnection_ = true } });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(confirms_the_order)
+
+BOOST_AUTO_TEST_CASE(if_only_its_body_has_no_length_and_ends_in_order)
+{
+    EventLoop loop;
+    RawEndpoint engine(loop, { { .bytes_ = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole", .closesConnection_ = true } });
+    HeldOrderClient client(loop, "127.0.0.1", engine.port(), CallTimeout);
+    std::optional<Result<void>> result;
+    client.send(
+        { "engine1", OrderAction::LoadModel, "v", 1, 1 },
+        [] { return true; },
+        [&](Result<void> reply) {
+            result = std::move(reply);
+            loop.stop();
+        });
+    loop.run();
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST(result->has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
