Requests with invalid field names are refused

Blanks and other bytes in field names of callers' requests were accepted, so that the gateway, and servers behind it, could know a field by different names.

Change: RequestParser refuses other than token characters in names, folded lines and control characters in a head; serve refuses such names: 400.

--- a/src/caller/requestreader.cpp
+++ b/src/caller/requestreader.cpp
@@ -56,7 +56,9 @@
 
 Result<RequestFacts> readRequestFacts(const HttpRequest &request)
 {
-    if (hasSeveralAuthorizations(request.headers_)) {
+    const bool hasInvalidName =
+        std::any_of(request.headers_.begin(), request.headers_.end(), [](const auto &field) { return !hasOnlyNameCharacters(field.first); });
+    if (hasInvalidName || hasSeveralAuthorizations(request.headers_)) {
         return failure(ErrorCode::RequestMalformed);
     }
     RequestFacts facts;
--- a/src/http1/requestparser.cpp
+++ b/src/http1/requestparser.cpp
@@ -1,5 +1,6 @@
 #include "http1/requestparser.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <http_parser.h>
@@ -41,7 +42,12 @@
 
     static int onName(http_parser *parser, const char *at, std::size_t length)
     {
-        owner(parser).headers_.addName({ at, length });
+        const std::string_view fragment(at, length);
+        // The parser accepts blanks, and then does not know the field by its name.
+        if (!hasOnlyNameCharacters(fragment)) {
+            return -1;
+        }
+        owner(parser).headers_.addName(fragment);
         return 0;
     }
 
@@ -110,14 +116,25 @@
     return !isStopped_;
 }
 
+/// Returns false if the bytes cannot be those of a head.
+bool RequestParser::addToHead(std::string_view bytes)
+{
+    return std::all_of(bytes.begin(), bytes.end(), [this](char character) { return lines_.isEnded() || lines_.add(character); });
+}
+
 ParseOutcome RequestParser::parse(std::string_view bytes, std::size_t &consumed)
 {
+    consumed = 0;
+    if (!addToHead(bytes)) {
+        return ParseOutcome::Malformed;
+    }
     consumed = http_parser_execute(parser_.get(), &Callbacks::settings(), bytes.data(), bytes.size());
     if (isStopped_) {
         return ParseOutcome::Stopped;
     }
     if (isComplete_) {
         isComplete_ = false;
+        lines_ = {};
         const bool isUpgrade = parser_->upgrade != 0;
         http_parser_init(parser_.get(), HTTP_REQUEST);
         if (!events_.onComplete_()) {
--- a/src/http1/requestparser.h
+++ b/src/http1/requestparser.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string_view>
 
+#include "http/headlines.h"
 #include "http1/headercollector.h"
 #include "http1/parseoutcome.h"
 #include "http1/requestparserevents.h"
@@ -32,11 +33,13 @@
 private:
     struct Callbacks;
 
+    bool addToHead(std::string_view bytes);
     bool finishHead();
 
     RequestParserEvents events_;
     std::unique_ptr<http_parser> parser_;
     RequestHead head_;
+    HeadLines lines_;
     HeaderCollector headers_;
     bool isComplete_ = false;
     bool isStopped_ = false;
--- a/tests/http1/parsertest.cpp
+++ b/tests/http1/parsertest.cpp
@@ -243,6 +243,35 @@
     BOOST_TEST(request.body_ == "abc");
 }
 
+// Regression test: blanks in field names were accepted, so that a request could have fields that other readers know by another name.
+BOOST_AUTO_TEST_CASE(with_a_byte_in_a_field_name_that_may_not_stand_there_is_malformed)
+{
+    for (const auto *line :
+         { "Content-Length : 3", "Content Length: 3", " Content-Length: 3", "Content-Length\t: 3", "Con(tent: 3", "Con\x01tent: 3", "Con\x80tent: 3" }) {
+        ParsedRequest request;
+        BOOST_TEST((request.parse("POST / HTTP/1.1\r\nHost: h\r\n" + std::string(line) + "\r\n\r\nabc") == ParseOutcome::Malformed), line);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(with_a_folded_line_or_a_control_character_in_its_head_is_malformed)
+{
+    for (const auto *lines : { "Other: a\r\n b", "Other: a\r\n\tb", "Other: a\x01z", "Other: a\rb", "Other: a\nMore: b" }) {
+        ParsedRequest request;
+        BOOST_TEST((request.parse("GET / HTTP/1.1\r\nHost: h\r\n" + std::string(lines) + "\r\n\r\n") == ParseOutcome::Malformed), lines);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(may_hold_any_byte_in_its_body_and_be_followed_by_another)
+{
+    ParsedRequest request;
+    const std::string first = "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n \x01\r\r";
+    const std::string second = "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n\n\n";
+    BOOST_TEST((request.parse(first + second) == ParseOutcome::Complete));
+    BOOST_TEST(request.consumed_ == first.size());
+    BOOST_TEST((request.parse(second) == ParseOutcome::Complete));
+    BOOST_TEST(request.head_.target_ == "/2");
+}
+
 BOOST_AUTO_TEST_CASE(with_a_length_and_chunks_is_malformed)
 {
     ParsedRequest request;
