Only connections from before a lost request refute its crash

Cause: a loss may be noticed late, as of an endpoint that goes dark and starts again meanwhile. A connection that was opened between the request and the noticed loss may lead to the next start, and its answers would have released the suspect.

Change: the connection must be older than the request.

--- a/src/decide/crashregister.cpp
+++ b/src/decide/crashregister.cpp
@@ -84,9 +84,10 @@
 
 bool CrashRegister::refutes(const LifeSign &sign, const Crash &crash)
 {
-    const auto crashedAt = crash.record_.crashedAt_;
-    const bool isOfSameStart = !sign.openedAt_ || (crash.isSeenHere_ && *sign.openedAt_ < crashedAt);
-    return isOfSameStart && crashedAt <= sign.askedAt_;
+    const auto &record = crash.record_;
+    // A loss may be noticed only once the endpoint has started again, so the connection must be older than the request.
+    const bool isOfSameStart = !sign.openedAt_ || (crash.isSeenHere_ && *sign.openedAt_ <= record.writtenAt_);
+    return isOfSameStart && record.crashedAt_ <= sign.askedAt_;
 }
 
 void CrashRegister::merge(const CrashReports &reports, MonotonicTime now)
--- a/src/decide/lifesign.h
+++ b/src/decide/lifesign.h
@@ -13,7 +13,7 @@
 struct LifeSign {
     IncarnationKey endpoint_{};
 
-    /// When the connection was opened on which the endpoint answered, which a crash would have closed. Absent if the answer names the start.
+    /// When the connection was opened on which the endpoint answered; a crash after that would have closed it. Absent if the answer names the start.
     std::optional<MonotonicTime> openedAt_;
 
     /// When the endpoint was asked: it was alive then.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -39,7 +39,7 @@
                     .usage_ = std::move(usage),
                     .spans_ = std::move(spans),
                     .crashReports_ = std::move(crashes),
-                    .startQuery_ = { D::startRequest, D::readIncarnation } }
+                    .startQuery_ = startQuery() }
         , listener_(loop, [this](int socket) { accept(socket); })
         , readiness_(loop, [this] { return isReady(); })
         , drain_(loop, [this] { continueDrain(); })
@@ -64,6 +64,11 @@
     /// Time within which the first request arrives on a new connection: two round trips to a caller.
     static constexpr std::chrono::milliseconds FirstRequestTime{ 200 };
 
+    static StartQuery startQuery()
+    {
+        return { D::startRequest, D::readIncarnation };
+    }
+
     void handle(FleetSnapshot snapshot)
     {
         const bool isNew = snapshot.configuration_ && (!context_.configuration_ || snapshot.configuration_->revision_ > context_.configuration_->revision_);
--- a/src/http1/requestparser.cpp
+++ b/src/http1/requestparser.cpp
@@ -15,7 +15,7 @@
 constexpr std::uint32_t ParserLimit = std::uint32_t(16) << 20U;
 
 /// http_parser has one limit for the whole process, so it is set before any task starts.
-const bool isParserLimitSet = [] {
+const bool IsParserLimitSet = [] {
     http_parser_set_max_header_size(ParserLimit);
     return true;
 }();
--- a/tests/decide/crashregistertest.cpp
+++ b/tests/decide/crashregistertest.cpp
@@ -173,7 +173,7 @@
     BOOST_TEST(isQuarantined());
 }
 
-BOOST_AUTO_TEST_CASE(is_released_by_an_answer_on_a_connection_that_was_open_before_the_crash)
+BOOST_AUTO_TEST_CASE(is_released_by_an_answer_on_a_connection_that_was_open_before_the_request)
 {
     const auto openedAt = clock_.now();
     const auto endpoint = crashOnce();
@@ -194,6 +194,21 @@
     BOOST_TEST(isQuarantined());
 }
 
+// Guards against a loss that is noticed late, as of an endpoint that goes dark: a connection that was opened before may lead to the next start.
+BOOST_AUTO_TEST_CASE(is_not_released_by_an_answer_on_a_connection_that_was_opened_between_the_request_and_its_loss)
+{
+    const auto writtenAt = clock_.now();
+    clock_.advance(1ms);
+    const auto openedAt = clock_.now();
+    clock_.advance(3s);
+    const auto endpoint = nextEndpoint();
+    crashes_.crashed(Request, endpoint, writtenAt, clock_.now());
+    crashOnce();
+    crashOnce();
+    BOOST_TEST(crashes_.survived({ endpoint, openedAt, clock_.now() }, clock_.now()) == 0U);
+    BOOST_TEST(isQuarantined());
+}
+
 BOOST_AUTO_TEST_CASE(is_not_released_by_an_answer_to_a_request_from_before_the_crash)
 {
     const auto openedAt = clock_.now();
