--- a/src/decide/crashregister.cpp
+++ b/src/decide/crashregister.cpp
@@ -86,8 +86,8 @@
 {
     const auto &record = crash.record_;
     // A loss may be noticed only once the endpoint has started again, so the connection must be older than the request.
-    const bool isOfSameStart = !sign.openedAt_ || (crash.isSeenHere_ && *sign.openedAt_ <= record.writtenAt_);
-    return isOfSameStart && record.crashedAt_ <= sign.askedAt_;
+    const bool isOfSameIncarnation = !sign.openedAt_ || (crash.isSeenHere_ && *sign.openedAt_ <= record.writtenAt_);
+    return isOfSameIncarnation && record.crashedAt_ <= sign.askedAt_;
 }
 
 void CrashRegister::merge(const CrashReports &reports, MonotonicTime now)
--- a/src/decide/crashregister.h
+++ b/src/decide/crashregister.h
@@ -53,7 +53,7 @@
     void answered(const CrashSuspects &suspects, MonotonicTime now);
 
     /// An endpoint was alive. If it was taken to have crashed before, it only lost answers. Returns how many crashes this refutes. The time of a
-    /// crash that another gateway saw is known too roughly to compare connections with it; only an answer that names the start refutes that.
+    /// crash that another gateway saw is known too roughly to compare connections with it; only an answer that names the incarnation refutes that.
     std::size_t survived(const LifeSign &sign, MonotonicTime now);
 
     /// Takes what another register knows.
--- a/src/gateway/crashverifier.cpp
+++ b/src/gateway/crashverifier.cpp
@@ -14,7 +14,7 @@
 namespace cowsliphead
 {
 
-CrashVerifier::CrashVerifier(EventLoop &loop, StartQuery query)
+CrashVerifier::CrashVerifier(EventLoop &loop, IncarnationQuery query)
     : loop_(loop)
     , query_(std::move(query))
 {
@@ -22,7 +22,7 @@
 
 CrashVerifier::~CrashVerifier()
 {
-    for (const auto &[start, check] : checks_) {
+    for (const auto &[incarnation, check] : checks_) {
         check.connection_->close();
     }
 }
@@ -32,19 +32,19 @@
     if (!query_.request_ || endpoint.incarnation_ == 0) {
         return;
     }
-    const auto start = crashkeys::ofEndpoint(endpoint.id_, endpoint.incarnation_);
-    auto &check = checks_[start];
+    const auto incarnation = crashkeys::ofEndpoint(endpoint.id_, endpoint.incarnation_);
+    auto &check = checks_[incarnation];
     check.onAlive_.push_back(std::move(onAlive));
     if (!check.connection_) {
         check.incarnation_ = endpoint.incarnation_;
-        ask(start, endpoint);
+        ask(incarnation, endpoint);
     }
 }
 
-void CrashVerifier::ask(IncarnationKey start, const EndpointEntry &endpoint)
+void CrashVerifier::ask(IncarnationKey incarnation, const EndpointEntry &endpoint)
 {
-    auto &check = checks_.at(start);
-    check.timeout_ = std::make_unique<Timer>(loop_, [this, start] { finish(start, false); });
+    auto &check = checks_.at(incarnation);
+    check.timeout_ = std::make_unique<Timer>(loop_, [this, incarnation] { finish(incarnation, false); });
     check.timeout_->startOnce(AnswerTimeout);
     check.connection_ = std::make_shared<ClientConnection>(loop_, endpoint.address_);
     check.connection_->begin({
@@ -59,19 +59,19 @@
                                          return AnswerHandling::Accept;
                                      },
                                  .onData_ =
-                                     [this, start, &check](std::string_view data) {
+                                     [this, incarnation, &check](std::string_view data) {
                                          check.body_.append(data);
                                          if (check.body_.size() > MaxAnswerBytes) {
-                                             finish(start, false);
+                                             finish(incarnation, false);
                                          }
                                      },
-                                 .onComplete_ = [this, start] { finish(start, true); },
-                                 .onFailed_ = [this, start](ConnectionFailure /*failure*/) { finish(start, false); },
+                                 .onComplete_ = [this, incarnation] { finish(incarnation, true); },
+                                 .onFailed_ = [this, incarnation](ConnectionFailure /*failure*/) { finish(incarnation, false); },
                              },
                              ConnectTimeout);
 }
 
-bool CrashVerifier::isSameStart(const Check &check) const
+bool CrashVerifier::isSameIncarnation(const Check &check) const
 {
     if (check.status_ != httpstatus::Ok) {
         return false;
@@ -80,16 +80,16 @@
     return incarnation && *incarnation == check.incarnation_;
 }
 
-void CrashVerifier::finish(IncarnationKey start, bool isAnswered)
+void CrashVerifier::finish(IncarnationKey incarnation, bool isAnswered)
 {
     // Destroyed in a later iteration: this runs within a callback of the timer or of the connection.
-    const auto check = std::make_shared<Check>(std::move(checks_.at(start)));
-    checks_.erase(start);
+    const auto check = std::make_shared<Check>(std::move(checks_.at(incarnation)));
+    checks_.erase(incarnation);
     check->connection_->close();
     loop_.defer([check] {});
-    if (isAnswered && isSameStart(*check)) {
+    if (isAnswered && isSameIncarnation(*check)) {
         for (const auto &onAlive : check->onAlive_) {
-            onAlive({ start, std::nullopt, check->askedAt_ });
+            onAlive({ incarnation, std::nullopt, check->askedAt_ });
         }
     }
 }
--- a/src/gateway/crashverifier.h
+++ b/src/gateway/crashverifier.h
@@ -11,7 +11,7 @@
 #include "core/time.h"
 #include "decide/incarnationkey.h"
 #include "decide/lifesign.h"
-#include "gateway/startquery.h"
+#include "gateway/incarnationquery.h"
 
 namespace cowsliphead
 {
@@ -21,18 +21,18 @@
 struct EndpointEntry;
 class Timer;
 
-/// Tells a start of an endpoint that has crashed from one that only lost an answer, by asking the endpoint which start is running. That
+/// Tells an incarnation of an endpoint that has crashed from one that only lost an answer, by asking the endpoint which one is running. That
 /// something accepts connections at the address shows neither. Thread safety: the loop's task only.
 class CrashVerifier
 {
 public:
     /// Precondition: the loop outlives the verifier.
-    CrashVerifier(EventLoop &loop, StartQuery query);
+    CrashVerifier(EventLoop &loop, IncarnationQuery query);
     ~CrashVerifier();
     CrashVerifier(const CrashVerifier &) = delete;
     CrashVerifier &operator=(const CrashVerifier &) = delete;
 
-    /// Calls onAlive, in a later iteration of the loop, if the endpoint answers that this start of it is running. Checks of one start at the same
+    /// Calls onAlive, in a later iteration of the loop, if the endpoint answers that this incarnation of it is running. Checks of one incarnation at the same
     /// time share the query.
     void verify(const EndpointEntry &endpoint, std::function<void(const LifeSign &)> onAlive);
 
@@ -54,12 +54,12 @@
         std::vector<std::function<void(const LifeSign &)>> onAlive_;
     };
 
-    void ask(IncarnationKey start, const EndpointEntry &endpoint);
-    bool isSameStart(const Check &check) const;
-    void finish(IncarnationKey start, bool isAnswered);
+    void ask(IncarnationKey incarnation, const EndpointEntry &endpoint);
+    bool isSameIncarnation(const Check &check) const;
+    void finish(IncarnationKey incarnation, bool isAnswered);
 
     EventLoop &loop_;
-    StartQuery query_;
+    IncarnationQuery query_;
     std::map<IncarnationKey, Check> checks_;
 };
 
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -37,7 +37,7 @@
         T::releaseRequest(CacheHandle())
         } -> std::same_as<RequestHead>;
     {
-        T::startRequest(endpoint)
+        T::stateRequest(endpoint)
         } -> std::same_as<RequestHead>;
     {
         T::readIncarnation(text)
--- a/src/gateway/endpointoutcome.cpp
+++ b/src/gateway/endpointoutcome.cpp
@@ -73,7 +73,7 @@
 {
     if (context.usesAdaptiveServing()) {
         const auto now = context.clock_.now();
-        context.endpoints_.speeds().promptRead(engine.startKey_, tokens, now - writtenAt, now);
+        context.endpoints_.speeds().promptRead(engine.reportKey_, tokens, now - writtenAt, now);
     }
     succeeded(context, engine, writtenAt);
 }
--- a/src/gateway/endpointstate.h
+++ b/src/gateway/endpointstate.h
@@ -23,12 +23,12 @@
 struct EndpointState {
     EndpointEntry entry_;
 
-    /// Of the endpoint, whichever start of it runs.
+    /// Of the endpoint, whichever incarnation of it runs.
     EndpointKey key_ = 0;
     IncarnationKey incarnation_{};
 
-    /// Of this start: what gateways tell each other of loads and speeds.
-    EndpointKey startKey_ = 0;
+    /// Of this incarnation, under which gateways tell each other of loads and speeds.
+    EndpointKey reportKey_ = 0;
 
     /// Requests of this gateway that the endpoint is processing.
     std::uint32_t running_ = 0;
@@ -54,7 +54,7 @@
     bool isLeaving_ = false;
     EndpointPause pause_;
 
-    /// When the connection was opened on which it last said that it leaves, or asked for a pause. The connection may have led to the next start of
+    /// When the connection was opened on which it last said that it leaves, or asked for a pause. The connection may have led to the next incarnation of
     /// the endpoint, if that was not listed yet.
     MonotonicTime wishOpenedAt_;
 
--- a/src/gateway/endpointsurvival.cpp
+++ b/src/gateway/endpointsurvival.cpp
@@ -18,7 +18,7 @@
         logEvent(LogEvent::EndpointSurvived,
                  { { "endpoint", endpoint.id_.value() },
                    { "incarnation", endpoint.incarnation_ },
-                   { "evidence", sign.openedAt_ ? "open_connection" : "named_start" },
+                   { "evidence", sign.openedAt_ ? "open_connection" : "named_incarnation" },
                    { "refutedCrashes", std::uint64_t(refuted) } });
         context.crashesChanged();
     }
--- a/src/gateway/endpointsurvival.h
+++ b/src/gateway/endpointsurvival.h
@@ -11,10 +11,10 @@
 namespace endpointsurvival
 {
 
-/// The start of the endpoint that is listed has shown that it is alive. Thread safety: the context's task only.
+/// The incarnation of the endpoint that is listed has shown that it is alive. Thread safety: the context's task only.
 void survived(GatewayContext &context, const EndpointEntry &endpoint, const LifeSign &sign);
 
-/// Asks the endpoint whether the start that is listed is alive. Precondition: the context outlives its loop's run. Thread safety: the context's
+/// Asks the endpoint whether the incarnation that is listed is alive. Precondition: the context outlives its loop's run. Thread safety: the context's
 /// task only.
 void verify(GatewayContext &context, const EndpointEntry &endpoint);
 
--- a/src/gateway/endpointtable.cpp
+++ b/src/gateway/endpointtable.cpp
@@ -20,7 +20,7 @@
 constexpr std::size_t MaxFormerEndpoints = 4096;
 
 /// True if a connection that was opened at this time led to the start of the entry or a later one. The start is told by the endpoint's clock.
-bool isAfterStart(WallTime openedAt, const EndpointEntry &entry)
+bool isSinceStartOf(WallTime openedAt, const EndpointEntry &entry)
 {
     const auto milliseconds = std::chrono::floor<std::chrono::milliseconds>(openedAt.time_since_epoch()).count();
     return entry.incarnation_ > 0 && milliseconds >= static_cast<std::int64_t>(entry.incarnation_);
@@ -54,7 +54,7 @@
         state->entry_ = entry;
         state->key_ = endpointKeyOf(entry.id_);
         state->incarnation_ = crashkeys::ofEndpoint(entry.id_, entry.incarnation_);
-        state->startKey_ = endpointKeyOf(state->incarnation_);
+        state->reportKey_ = endpointKeyOf(state->incarnation_);
         state->isListed_ = true;
         states.emplace(entry.id_, std::move(state));
     }
@@ -77,7 +77,7 @@
     std::map<EndpointKey, ServiceName> engines;
     for (const auto &[id, state] : states_) {
         if (state->entry_.stage_ != EngineStage::None) {
-            engines.emplace(state->startKey_, state->entry_.service_);
+            engines.emplace(state->reportKey_, state->entry_.service_);
         }
     }
     speeds_.setEngines(std::move(engines));
@@ -95,7 +95,7 @@
         if (state->entry_.incarnation_ == entry.incarnation_) {
             return state;
         }
-        if (isAfterStart(wallNow - (now - state->wishOpenedAt_), entry)) {
+        if (isSinceStartOf(wallNow - (now - state->wishOpenedAt_), entry)) {
             fresh->isLeaving_ = fresh->isLeaving_ || state->isLeaving_;
             fresh->pause_ = state->pause_;
             fresh->wishOpenedAt_ = state->wishOpenedAt_;
@@ -167,9 +167,9 @@
     return found == states_.end() ? nullptr : found->second;
 }
 
-std::shared_ptr<EndpointState> EndpointTable::findStart(IncarnationKey start) const
+std::shared_ptr<EndpointState> EndpointTable::findIncarnation(IncarnationKey incarnation) const
 {
-    const auto found = std::find_if(states_.begin(), states_.end(), [start](const auto &item) { return item.second->incarnation_ == start; });
+    const auto found = std::find_if(states_.begin(), states_.end(), [incarnation](const auto &item) { return item.second->incarnation_ == incarnation; });
     return found == states_.end() ? nullptr : found->second;
 }
 
@@ -198,9 +198,9 @@
 {
     for (const auto &[id, state] : states_) {
         const auto found =
-            std::lower_bound(loads.begin(), loads.end(), state->startKey_, [](const EndpointLoad &load, EndpointKey key) { return load.endpoint_ < key; });
-        const bool isLoaded = found != loads.end() && found->endpoint_ == state->startKey_;
-        state->others_ = isLoaded ? *found : EndpointLoad{ state->startKey_, 0, 0 };
+            std::lower_bound(loads.begin(), loads.end(), state->reportKey_, [](const EndpointLoad &load, EndpointKey key) { return load.endpoint_ < key; });
+        const bool isLoaded = found != loads.end() && found->endpoint_ == state->reportKey_;
+        state->others_ = isLoaded ? *found : EndpointLoad{ state->reportKey_, 0, 0 };
         state->othersAt_ = now;
     }
 }
@@ -210,7 +210,7 @@
     EndpointLoads loads;
     for (const auto &[id, state] : states_) {
         if (state->running_ > 0 || !state->prefillQueue_.isEmpty()) {
-            loads.push_back({ state->startKey_, state->running_, state->prefillQueue_.tokens() });
+            loads.push_back({ state->reportKey_, state->running_, state->prefillQueue_.tokens() });
         }
     }
     std::sort(loads.begin(), loads.end());
--- a/src/gateway/endpointtable.h
+++ b/src/gateway/endpointtable.h
@@ -34,7 +34,7 @@
     EndpointTable &operator=(const EndpointTable &) = delete;
 
     /// Replaces the list of endpoints; idle connections to removed endpoints are closed. The state of a removed one is remembered for
-    /// FormerLifetime, since the same incarnation may be listed again. A start that is listed for the first time keeps what it said in answers
+    /// FormerLifetime, since the same incarnation may be listed again. An incarnation that is listed for the first time keeps what it said in answers
     /// before.
     void update(const std::vector<EndpointEntry> &entries, MonotonicTime now, WallTime wallNow);
 
@@ -45,8 +45,8 @@
     /// Returns shared ownership, since a running dispatch may outlive the endpoint's entry. Null if the endpoint is not listed.
     std::shared_ptr<EndpointState> find(const EndpointId &id) const;
 
-    /// The listed endpoint whose present start this is. Null if another start of it is listed, or none.
-    std::shared_ptr<EndpointState> findStart(IncarnationKey start) const;
+    /// The listed endpoint whose present incarnation this is. Null if another one is listed, or none.
+    std::shared_ptr<EndpointState> findIncarnation(IncarnationKey incarnation) const;
 
     /// How long until one of the service's endpoints may get requests again; nothing unless all of them have asked for a pause or leave.
     std::optional<std::chrono::milliseconds> timeUntilReturn(const ServiceName &service, MonotonicTime now) const;
@@ -76,13 +76,13 @@
     /// Endpoints that failed recently.
     EndpointHealth &health();
 
-    /// True if another start of the endpoint is listed than the one whose state this is; what this one does says nothing of that.
+    /// True if another incarnation of the endpoint is listed than the one whose state this is; what this one does says nothing of that.
     bool isReplaced(const EndpointState &state) const;
 
     /// This gateway saw the endpoint fail; several gateways that see it avoid it together.
     void sawFailure(const EndpointState &state, EndpointFailureKind kind, MonotonicTime now);
 
-    /// This start of the endpoint answered a request that was written at askedAt, so that failures seen before count no longer.
+    /// This incarnation of the endpoint answered a request that was written at askedAt, so that failures seen before count no longer.
     void endAvoidance(const EndpointState &state, MonotonicTime askedAt, MonotonicTime now);
 
     /// Replaces the failures that the other gateways have seen.
--- a/src/gateway/expectedplacement.cpp
+++ b/src/gateway/expectedplacement.cpp
@@ -103,7 +103,7 @@
             .slots_ = state->entry_.slots_,
             // Engines do not report their cache; what they have yet to read is the part that is known to be in use soon.
             .usedCacheTokens_ = queued,
-            .tokensPerMillisecond_ = context_.endpoints_.speeds().tokensPerMillisecond(state->startKey_),
+            .tokensPerMillisecond_ = context_.endpoints_.speeds().tokensPerMillisecond(state->reportKey_),
             .isStreaming_ = state->entry_.stage_ == EngineStage::Decode,
         });
     }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -39,7 +39,7 @@
                     .usage_ = std::move(usage),
                     .spans_ = std::move(spans),
                     .crashReports_ = std::move(crashes),
-                    .startQuery_ = startQuery() }
+                    .incarnationQuery_ = incarnationQuery() }
         , listener_(loop, [this](int socket) { accept(socket); })
         , readiness_(loop, [this] { return isReady(); })
         , drain_(loop, [this] { continueDrain(); })
@@ -64,9 +64,9 @@
     /// Time within which the first request arrives on a new connection: two round trips to a caller.
     static constexpr std::chrono::milliseconds FirstRequestTime{ 200 };
 
-    static StartQuery startQuery()
+    static IncarnationQuery incarnationQuery()
     {
-        return { D::startRequest, D::readIncarnation };
+        return { D::stateRequest, D::readIncarnation };
     }
 
     void handle(FleetSnapshot snapshot)
--- a/src/gateway/gatewaycontext.h
+++ b/src/gateway/gatewaycontext.h
@@ -16,11 +16,11 @@
 #include "gateway/endpointtable.h"
 #include "gateway/gatewaymetrics.h"
 #include "gateway/gatewaysettings.h"
+#include "gateway/incarnationquery.h"
 #include "gateway/quarantinelog.h"
 #include "gateway/quarantinereview.h"
 #include "gateway/retryallowance.h"
 #include "gateway/servicequeue.h"
-#include "gateway/startquery.h"
 #include "http1/bufferbudget.h"
 #include "task/address.h"
 #include "task/eventloop.h"
@@ -39,7 +39,7 @@
 
     /// Leads to the other gateways.
     Address<CrashReports> crashReports_;
-    StartQuery startQuery_{};
+    IncarnationQuery incarnationQuery_{};
     SystemClock clock_{};
     std::shared_ptr<const Configuration> configuration_{};
     ConfigurationAge age_{};
@@ -56,7 +56,7 @@
     /// How often this gateway gets requests for the shared parts of prompts.
     PartDemand partDemand_{};
     CrashRegister crashes_{};
-    CrashVerifier crashVerifier_{ loop_, startQuery_ };
+    CrashVerifier crashVerifier_{ loop_, incarnationQuery_ };
 
     /// The version of crashes_ that the other gateways are told.
     std::uint64_t publishedCrashes_ = 0;
--- a/src/gateway/startquery.h
+++ b/src/gateway/incarnationquery.h
@@ -13,7 +13,7 @@
 struct EndpointEntry;
 
 /// How an endpoint is asked when it started. Without functions, it is not asked.
-struct StartQuery {
+struct IncarnationQuery {
     std::function<RequestHead(const EndpointEntry &)> request_;
 
     /// Returns the endpoint's incarnation from the body of its answer. Errors: EndpointAnswerMalformed.
--- a/src/gateway/quarantinereview.cpp
+++ b/src/gateway/quarantinereview.cpp
@@ -39,9 +39,9 @@
         }
     }
     std::erase_if(queries_, [&crashed](const auto &item) { return !crashed.contains(item.first); });
-    for (const auto start : crashed) {
-        const auto state = context_.endpoints_.findStart(start);
-        if (state && queries_[start]++ < MaxQueries) {
+    for (const auto incarnation : crashed) {
+        const auto state = context_.endpoints_.findIncarnation(incarnation);
+        if (state && queries_[incarnation]++ < MaxQueries) {
             endpointsurvival::verify(context_, state->entry_);
         }
     }
--- a/src/gateway/quarantinereview.h
+++ b/src/gateway/quarantinereview.h
@@ -11,7 +11,7 @@
 
 struct GatewayContext;
 
-/// While requests are quarantined, asks the endpoints that are held to have crashed under them, and are still listed as the same start, whether
+/// While requests are quarantined, asks the endpoints that are held to have crashed under them, and are still listed as the same incarnation, whether
 /// they went on running. The gateway that lost the answers may have been unable to ask, or may be gone. Thread safety: the context's task only.
 class QuarantineReview
 {
@@ -42,7 +42,7 @@
     Timer timer_;
     bool isScheduled_ = false;
 
-    /// How often each start was asked.
+    /// How often each incarnation was asked.
     std::map<IncarnationKey, int> queries_;
 };
 
--- a/src/relay/endpointload.cpp
+++ b/src/relay/endpointload.cpp
@@ -12,9 +12,9 @@
     return static_cast<EndpointKey>(XXH3_64bits(endpoint.value().data(), endpoint.value().size()));
 }
 
-EndpointKey endpointKeyOf(IncarnationKey start)
+EndpointKey endpointKeyOf(IncarnationKey incarnation)
 {
-    return static_cast<EndpointKey>(start);
+    return static_cast<EndpointKey>(incarnation);
 }
 
 EndpointLoads sumOf(const EndpointLoads &left, const EndpointLoads &right)
--- a/src/relay/endpointload.h
+++ b/src/relay/endpointload.h
@@ -13,12 +13,12 @@
 /// Returns the key of an endpoint; all gateways get the same one. Thread safety: any thread.
 EndpointKey endpointKeyOf(const EndpointId &endpoint);
 
-/// Returns the key of one start of an endpoint. Thread safety: any thread.
-EndpointKey endpointKeyOf(IncarnationKey start);
+/// Returns the key of one incarnation of an endpoint. Thread safety: any thread.
+EndpointKey endpointKeyOf(IncarnationKey incarnation);
 
-/// What some gateways have placed at one start of an endpoint; the next start has nothing of it.
+/// What some gateways have placed at one incarnation of an endpoint; the next incarnation has nothing of it.
 struct EndpointLoad {
-    /// Of the start.
+    /// Of the incarnation.
     EndpointKey endpoint_ = 0;
 
     /// Requests that the endpoint is processing for them.
--- a/src/relay/endpointobservation.h
+++ b/src/relay/endpointobservation.h
@@ -11,7 +11,7 @@
 
 /// How fast some gateways have seen an engine read prompts. Both sums decay with the same half-life, so that sums over gateways can be added.
 struct EndpointObservation {
-    /// Of the engine's start.
+    /// Of the engine's incarnation.
     EndpointKey endpoint_ = 0;
     std::uint64_t tokensRead_ = 0;
     std::chrono::milliseconds readingTime_{ 0 };
--- a/tests/answers/brokenanswers.h
+++ b/tests/answers/brokenanswers.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "gateway/rawendpoint.h"
@@ -70,7 +71,9 @@
         answers.push_back({ std::string(line) + "\r\n" + rest });
     }
     for (const auto &line : { std::string("Other: a\x01z"), std::string("Other: a\0z", 10), std::string("Other: a\r\n z"), std::string("Other: a\nMore: z") }) {
-        answers.push_back({ "HTTP/1.1 200 OK\r\n" + line + "\r\n" + rest });
+        std::string bytes = "HTTP/1.1 200 OK\r\n";
+        bytes.append(line).append("\r\n").append(rest);
+        answers.push_back({ std::move(bytes) });
     }
     return answers;
 }
--- a/tests/gateway/crashverifiertest.cpp
+++ b/tests/gateway/crashverifiertest.cpp
@@ -41,7 +41,7 @@
 /// An endpoint that is asked for its start, and the check whether it is alive.
 struct AskedEndpoint {
     EventLoop loop_;
-    CrashVerifier verifier_{ loop_, { PlatformDialect::startRequest, PlatformDialect::readIncarnation } };
+    CrashVerifier verifier_{ loop_, { PlatformDialect::stateRequest, PlatformDialect::readIncarnation } };
     std::unique_ptr<RawEndpoint> endpoint_;
     std::vector<LifeSign> signs_;
 
--- a/tests/gateway/fleetexchangetest.cpp
+++ b/tests/gateway/fleetexchangetest.cpp
@@ -81,7 +81,7 @@
     BOOST_TEST(sendRequest("/engine/x", { { "X-Api-Key", "key-1" }, { "X-Token-Count", "5000,10" } }).status_ == 200);
     const auto observations = localLoad().observations_;
     BOOST_REQUIRE(observations.size() == 1U);
-    BOOST_TEST(observations.front().endpoint_ == startKeyOf(0));
+    BOOST_TEST(observations.front().endpoint_ == reportKeyOf(0));
     // The sums decay from the moment of the answer.
     BOOST_TEST((observations.front().tokensRead_ > 7900 && observations.front().tokensRead_ <= 8000));
     BOOST_TEST((observations.front().readingTime_ >= 59ms && observations.front().readingTime_ < 1s));
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -204,14 +204,14 @@
     return result;
 }
 
-EndpointKey GatewayFixture::startKeyOf(std::size_t number) const
+EndpointKey GatewayFixture::reportKeyOf(std::size_t number) const
 {
     return endpointKeyOf(crashkeys::ofEndpoint(EndpointId("endpoint-" + std::to_string(number)), incarnation_));
 }
 
 void GatewayFixture::reportPromptTokens(std::uint64_t tokens)
 {
-    reportPromptTokens(startKeyOf(0), tokens);
+    reportPromptTokens(reportKeyOf(0), tokens);
 }
 
 void GatewayFixture::reportPromptTokens(EndpointKey start, std::uint64_t tokens)
@@ -267,7 +267,7 @@
     const auto report = [this, running] {
         FleetLoad load;
         for (std::size_t number = 0; number < endpoints_.size(); ++number) {
-            load.loads_.push_back({ startKeyOf(number), running, 0 });
+            load.loads_.push_back({ reportKeyOf(number), running, 0 });
         }
         std::sort(load.loads_.begin(), load.loads_.end());
         gateway_.receive(load);
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -79,7 +79,7 @@
     cowsliphead::LocalLoad localLoad();
 
     /// The key of the listed start of an endpoint. number: the endpoint's, in the order in which they were added.
-    cowsliphead::EndpointKey startKeyOf(std::size_t number) const;
+    cowsliphead::EndpointKey reportKeyOf(std::size_t number) const;
 
     /// Tells the gateway that the first endpoint has yet to read these tokens for the others.
     void reportPromptTokens(std::uint64_t tokens);
--- a/tests/http1/callerlimitstest.cpp
+++ b/tests/http1/callerlimitstest.cpp
@@ -30,6 +30,7 @@
     EventLoop loop_;
     std::array<int, 2> sockets_{ -1, -1 };
     std::unique_ptr<CallerConnection> connection_;
+    CallerConnectionLimits limits_ = limits();
     bool isClosed_ = false;
 
     Caller()
@@ -102,9 +103,12 @@
         return exchange("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n" + std::string(2000, 'a') + "\r\n0\r\n\r\n");
     }
 
-    void set(const CallerConnectionLimits &changed)
+    /// Puts limits in force of which one has changed.
+    template <typename Limit, typename Value>
+    void change(Limit CallerConnectionLimits::*limit, Value value)
     {
-        connection_->setLimits(changed);
+        limits_.*limit = value;
+        connection_->setLimits(limits_);
     }
 };
 
@@ -126,51 +130,39 @@
 
 BOOST_AUTO_TEST_CASE(accepts_longer_bodies_once_they_are_allowed)
 {
-    auto changed = limits();
-    changed.maxBodyBytes_ = 5000;
-    set(changed);
+    change(&CallerConnectionLimits::maxBodyBytes_, 5000);
     BOOST_TEST(exchangeBody(2000) == 200);
     BOOST_TEST(exchangeChunkedBody() == 200);
 }
 
 BOOST_AUTO_TEST_CASE(refuses_bodies_that_are_no_longer_allowed)
 {
-    auto changed = limits();
-    changed.maxBodyBytes_ = 500;
-    set(changed);
+    change(&CallerConnectionLimits::maxBodyBytes_, 500);
     BOOST_TEST(exchangeBody(800) == 413);
 }
 
 BOOST_AUTO_TEST_CASE(accepts_longer_heads_once_they_are_allowed)
 {
-    auto changed = limits();
-    changed.maxHeadBytes_ = 5000;
-    set(changed);
+    change(&CallerConnectionLimits::maxHeadBytes_, 5000);
     BOOST_TEST(exchangeHead(2000) == 200);
 }
 
 BOOST_AUTO_TEST_CASE(accepts_heads_of_any_length_that_is_allowed)
 {
-    auto changed = limits();
-    changed.maxHeadBytes_ = 200000;
-    set(changed);
+    change(&CallerConnectionLimits::maxHeadBytes_, 200000);
     BOOST_TEST(exchangeHead(150000) == 200);
     BOOST_TEST(exchangeHead(210000) == 431);
 }
 
 BOOST_AUTO_TEST_CASE(refuses_heads_that_are_no_longer_allowed)
 {
-    auto changed = limits();
-    changed.maxHeadBytes_ = 500;
-    set(changed);
+    change(&CallerConnectionLimits::maxHeadBytes_, 500);
     BOOST_TEST(exchangeHead(800) == 431);
 }
 
 BOOST_AUTO_TEST_CASE(waits_longer_for_a_head_once_that_is_allowed)
 {
-    auto changed = limits();
-    changed.headTimeout_ = 2s;
-    set(changed);
+    change(&CallerConnectionLimits::headTimeout_, 2s);
     send("GET / HTTP/1.1\r\n");
     run(300ms);
     BOOST_TEST(exchange("Host: h\r\n\r\n") == 200);
@@ -178,9 +170,7 @@
 
 BOOST_AUTO_TEST_CASE(waits_no_longer_for_a_head_than_is_allowed_now)
 {
-    auto changed = limits();
-    changed.headTimeout_ = 60ms;
-    set(changed);
+    change(&CallerConnectionLimits::headTimeout_, 60ms);
     send("GET / HTTP/1.1\r\n");
     run(80ms);
     BOOST_TEST(status() == 408);
@@ -188,9 +178,7 @@
 
 BOOST_AUTO_TEST_CASE(waits_longer_between_two_parts_of_a_body_once_that_is_allowed)
 {
-    auto changed = limits();
-    changed.idleTimeout_ = 2s;
-    set(changed);
+    change(&CallerConnectionLimits::idleTimeout_, 2s);
     send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na");
     run(500ms);
     BOOST_TEST(exchange("b") == 200);
@@ -198,9 +186,7 @@
 
 BOOST_AUTO_TEST_CASE(waits_no_longer_between_two_parts_of_a_body_than_is_allowed_now)
 {
-    auto changed = limits();
-    changed.idleTimeout_ = 60ms;
-    set(changed);
+    change(&CallerConnectionLimits::idleTimeout_, 60ms);
     send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na");
     run(80ms);
     BOOST_TEST(status() == 408);
@@ -209,9 +195,7 @@
 BOOST_AUTO_TEST_CASE(stays_open_for_longer_once_that_is_allowed)
 {
     run(200ms);
-    auto changed = limits();
-    changed.idleTimeout_ = 2s;
-    set(changed);
+    change(&CallerConnectionLimits::idleTimeout_, 2s);
     run(400ms);
     BOOST_TEST(exchangeBody(10) == 200);
 }
@@ -219,9 +203,7 @@
 BOOST_AUTO_TEST_CASE(is_closed_after_a_shorter_time_that_counts_from_the_change)
 {
     run(200ms);
-    auto changed = limits();
-    changed.idleTimeout_ = 100ms;
-    set(changed);
+    change(&CallerConnectionLimits::idleTimeout_, 100ms);
     run(50ms);
     BOOST_TEST(!isClosed_);
     run(100ms);
@@ -231,9 +213,7 @@
 BOOST_AUTO_TEST_CASE(is_closed_no_later_than_before_if_the_shorter_time_would_end_later)
 {
     run(250ms);
-    auto changed = limits();
-    changed.idleTimeout_ = 300ms;
-    set(changed);
+    change(&CallerConnectionLimits::idleTimeout_, 300ms);
     run(200ms);
     BOOST_TEST(isClosed_);
 }
@@ -243,7 +223,7 @@
     for (int time = 0; time < 10 && !isClosed_; ++time) {
         run(50ms);
         if (!isClosed_) {
-            set(limits());
+            connection_->setLimits(limits());
         }
     }
     BOOST_TEST(isClosed_);
@@ -255,10 +235,8 @@
 
 BOOST_AUTO_TEST_CASE(goes_by_the_new_ones)
 {
-    auto changed = limits();
-    changed.maxBodyBytes_ = 5000;
-    changed.maxHeadBytes_ = 5000;
-    set(changed);
+    change(&CallerConnectionLimits::maxBodyBytes_, 5000);
+    change(&CallerConnectionLimits::maxHeadBytes_, 5000);
     BOOST_TEST(exchangeBody(2000) == 200);
     BOOST_TEST(exchangeHead(2000) == 200);
 }
@@ -266,9 +244,7 @@
 BOOST_AUTO_TEST_CASE(stays_open_for_longer_once_that_is_allowed)
 {
     run(200ms);
-    auto changed = limits();
-    changed.idleTimeout_ = 2s;
-    set(changed);
+    change(&CallerConnectionLimits::idleTimeout_, 2s);
     run(400ms);
     BOOST_TEST(exchangeBody(10) == 200);
 }
@@ -280,10 +256,8 @@
 BOOST_AUTO_TEST_CASE(judges_it_by_those_from_before_and_the_next_by_the_new_ones)
 {
     send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 800\r\n\r\n");
-    auto changed = limits();
-    changed.maxBodyBytes_ = 500;
-    changed.maxHeadBytes_ = 10;
-    set(changed);
+    change(&CallerConnectionLimits::maxBodyBytes_, 500);
+    change(&CallerConnectionLimits::maxHeadBytes_, 10);
     BOOST_TEST(exchange(std::string(800, 'a')) == 200);
     BOOST_TEST(exchangeBody(800) == 431);
 }
@@ -291,9 +265,7 @@
 BOOST_AUTO_TEST_CASE(refuses_what_was_too_long_as_it_began)
 {
     send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n");
-    auto changed = limits();
-    changed.maxBodyBytes_ = 5000;
-    set(changed);
+    change(&CallerConnectionLimits::maxBodyBytes_, 5000);
     BOOST_TEST(exchange(std::string(2000, 'a') + "\r\n0\r\n\r\n") == 413);
 }
 
