--- a/tests/orders/brokenanswertest.cpp
+++ b/tests/orders/brokenanswertest.cpp
@@ -71,7 +71,7 @@
         { "engine1", OrderAction::LoadModel, "v", 1, 1 },
         [] { return true; },
         [&](Result<void> reply) {
-            result = std::move(reply);
+            result = reply;
             loop.stop();
         });
     loop.run();
