--- a/review/common-3/http.h
+++ b/review/common-3/http.h
@@ -174,10 +174,8 @@
     // Ends the channel with a reset.
     void reset()
     {
-        // Sends a reset at once, also while another thread reads.
-        sockaddr none{};
-        none.sa_family = AF_UNSPEC;
-        connect(fd_, &none, sizeof none);
+        const linger option{ 1, 0 };
+        setsockopt(fd_, SOL_SOCKET, SO_LINGER, &option, sizeof option);
         shutdown(fd_, SHUT_RDWR);
     }
 
--- a/review/common-3/world.h
+++ b/review/common-3/world.h
@@ -190,8 +190,7 @@
     std::string path_;
 };
 
-// Stand-in of a server of an application, or of a model server, which answers with a stream of events. It writes its entry into the store each
-// 1.2 s while it is registered.
+// Stand-in of a server of an application. It writes its entry into the store each 1.2 s while it is registered.
 class AppServer
 {
 public:
@@ -257,12 +256,6 @@
         onRun_ = std::move(onRun);
     }
 
-    // The server goes on running its requests, and resets the channels of this share of them instead of answering.
-    void loseAnswers(double share)
-    {
-        lostShare_ = share;
-    }
-
     std::vector<Run> runs()
     {
         const std::lock_guard lock(mutex_);
@@ -316,20 +309,10 @@
         if (request.word(1) == "/health") {
             return channel.send(answerBytes(200, { { "X-Instance-Id", id_ } }, ""));
         }
-        if (request.word(1).starts_with("/api/kv-handle/")) {
-            return channel.send(answerBytes(200, {}, ""));
-        }
         if (attempt.empty()) {
             headers.emplace_back("X-Not-Executed", "1");
             return channel.send(answerBytes(400, headers, ""));
         }
-        if (request.header("X-Stage") == "prefill") {
-            // The prompt is read; the request does not run.
-            sleepFor(20ms);
-            const Json handle{ { "handle", attempt }, { "tokens", 17000 }, { "version", 1 } };
-            headers.emplace_back("Content-Type", "application/json");
-            return channel.send(answerBytes(200, headers, handle.dump()));
-        }
         OnRun onRun;
         {
             const std::lock_guard lock(mutex_);
@@ -341,35 +324,8 @@
             return false;
         }
         sleepFor(20ms);
-        thread_local std::minstd_rand random(std::random_device{}());
-        if (std::bernoulli_distribution(lostShare_)(random)) {
-            record_.add(id_ + ": loses the answer to " + attempt);
-            channel.reset();
-            return false;
-        }
         headers.emplace_back("X-Response-Stamp", id_ + "." + attempt);
-        return stage_.empty() ? channel.send(answerBytes(200, headers, "answer to " + attempt))
-                              : stream(channel, headers, request.word(1).starts_with("/review/") ? 12 : 5);
-    }
-
-    static bool stream(Channel &channel, const Headers &headers, int events)
-    {
-        std::string bytes = "HTTP/1.1 200 x\r\n";
-        for (const auto &[name, value] : headers) {
-            bytes += name + ": " + value + "\r\n";
-        }
-        bytes += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-        for (int number = 1; number <= events; ++number) {
-            const auto event = "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) + "\n\n";
-            char size[16];
-            std::snprintf(size, sizeof size, "%zx\r\n", event.size());
-            if (!channel.send(bytes + size + event + "\r\n")) {
-                return false;
-            }
-            bytes.clear();
-            sleepFor(20ms);
-        }
-        return channel.send("0\r\n\r\n");
+        return channel.send(answerBytes(200, headers, "answer to " + attempt));
     }
 
     Store &store_;
@@ -380,7 +336,6 @@
     std::string stage_;
     std::atomic<std::uint64_t> born_;
     std::atomic<bool> isRegistered_ = true;
-    std::atomic<double> lostShare_ = 0;
     std::mutex beating_;
     std::mutex mutex_;
     std::vector<Run> runs_;
@@ -404,56 +359,6 @@
     return text;
 }
 
-// A caller with one channel that it keeps for many requests.
-class KeptCaller
-{
-public:
-    KeptCaller(Gateway &gateway, Record &record)
-        : gateway_(gateway)
-        , record_(record)
-    {
-    }
-
-    // isKept: another request was answered on the channel before this one.
-    Answer send(const std::string &method, const std::string &path, const std::string &key, const std::string &body, const Headers &more, bool &isKept,
-                std::chrono::milliseconds limit = 3000ms)
-    {
-        Answer answer{ .attempt_ = newAttempt() };
-        isKept = channel_ != nullptr;
-        if (!channel_) {
-            channel_ = connectTo(gateway_.ip(), gateway_.front_, 1000ms);
-        }
-        answer.sentAt_ = Steady::now();
-        if (channel_) {
-            std::string bytes = method + " " + path + " HTTP/1.1\r\nHost: review.example\r\nX-Attempt-Id: " + answer.attempt_
-                + "\r\nX-Deadline-Ms: " + std::to_string(limit.count()) + "\r\nX-Api-Key: " + key + "\r\n";
-            for (const auto &[name, value] : more) {
-                bytes += name + ": " + value + "\r\n";
-            }
-            if (method != "GET") {
-                bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n";
-            }
-            channel_->send(bytes + "\r\n" + body);
-            const auto got = channel_->read(limit);
-            if (got) {
-                answer.status_ = std::atoi(got->word(1).c_str());
-                answer.body_ = got->body_;
-            }
-            if (!got || lowered(got->header("Connection")) == "close") {
-                channel_.reset();
-            }
-        }
-        record_.add("caller: " + answer.attempt_ + " " + method + " " + path + " at " + gateway_.name() + " -> "
-                    + (answer.status_ == 0 ? std::string("no answer") : std::to_string(answer.status_)));
-        return answer;
-    }
-
-private:
-    Gateway &gateway_;
-    Record &record_;
-    std::unique_ptr<Channel> channel_;
-};
-
 class World
 {
 public:
