Add a case of a usage window reported twice with different counts

After a drill of the store the sealed counts of a window are gone, and the next holder of the duties adds up what the copy has of it. Done: review/13, a script: one drill (away 0.5 s, copy 3 s old), then a planned stop of the holder.

--- a/review/13/main.cpp
+++ b/review/13/main.cpp
@@ -1,4 +1,4 @@
-// After a drill of the store, two machines act as holders of one duty with the same fence number.
+// After a drill of the store, the next holder of the duties reports a window of usage once more, with other counts.
 
 #include "world.h"
 
@@ -7,16 +7,29 @@
 namespace
 {
 
+constexpr std::chrono::milliseconds WindowLength{ 5000 };
+
 Json routes()
 {
     return Json::array({ routeOf("read", "idempotent", "press-ledger", 2) });
 }
 
-// The machine that sent the newest call that was not refused for its fence number.
-std::optional<DutyCall> newestCall(World &world)
+std::int64_t wallMs()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+std::int64_t windowOf(const DutyCall &call)
+{
+    return Json::parse(call.body_).at("windowSeq").get<std::int64_t>();
+}
+
+// The reports of usage that the platform accepted.
+std::vector<DutyCall> reports(World &world)
 {
-    const auto calls = world.platform().calls();
-    return calls.empty() ? std::nullopt : std::optional(calls.back());
+    auto calls = world.platform().calls();
+    std::erase_if(calls, [](const DutyCall &call) { return call.subject_ != "usage" || call.status_ != 200; });
+    return calls;
 }
 
 Gateway *gatewayNamed(World &world, const std::string &name)
@@ -29,24 +42,19 @@
     return nullptr;
 }
 
-// Calls of two machines with one fence number for one duty and subject.
-std::vector<std::string> violations(const std::vector<DutyCall> &calls)
+// Windows that were reported twice with different counts.
+std::vector<std::string> violations(const std::vector<DutyCall> &accepted)
 {
     std::vector<std::string> found;
-    std::map<std::pair<std::string, std::uint64_t>, std::string> machines;
-    std::map<std::string, std::string> reports;
-    for (const auto &call : calls) {
-        const auto [known, isNew] = machines.try_emplace({ call.subject_, call.fence_ }, call.machine_);
-        if (!isNew && known->second != call.machine_) {
-            found.push_back("fence " + std::to_string(call.fence_) + " for " + call.subject_ + ": " + known->second + " and " + call.machine_);
-            known->second = call.machine_;
-        }
-        if (call.subject_ == "usage" && call.status_ == 200) {
-            const auto body = Json::parse(call.body_);
-            const auto [report, isFirst] = reports.try_emplace(body.at("windowSeq").dump(), body.at("counts").dump());
-            if (!isFirst && report->second != body.at("counts").dump()) {
-                found.push_back("window " + report->first + " reported as " + report->second + " and as " + body.at("counts").dump());
-            }
+    std::map<std::int64_t, DutyCall> known;
+    for (const auto &call : accepted) {
+        const auto [first, isNew] = known.try_emplace(windowOf(call), call);
+        const auto before = Json::parse(first->second.body_).at("counts");
+        const auto now = Json::parse(call.body_).at("counts");
+        if (!isNew && before != now) {
+            found.push_back("window " + std::to_string(first->first) + " reported by " + first->second.machine_ + ", fence "
+                            + std::to_string(first->second.fence_) + ", as " + before.dump() + " and by " + call.machine_ + ", fence "
+                            + std::to_string(call.fence_) + ", as " + now.dump());
         }
     }
     return found;
@@ -65,61 +73,59 @@
         finish(world, 2, "the gateways did not get ready");
     }
     std::atomic<bool> isOver = false;
-    std::thread caller([&] {
-        for (std::size_t number = 0; !isOver; ++number) {
-            world.send(world.gateway(number % world.gatewayCount()), "GET", "/read/1", number % 3 == 0 ? "key-b" : "key-a");
-            sleepFor(20ms);
-        }
-    });
-    sleepFor(15s);
-    const auto first = newestCall(world);
-    if (!first) {
-        finish(world, 2, "no machine took the duties");
+    std::vector<std::thread> callers;
+    for (std::size_t caller = 0; caller < 4; ++caller) {
+        callers.emplace_back([&, caller] {
+            for (std::size_t number = caller; !isOver; ++number) {
+                world.send(world.gateway(number % world.gatewayCount()), "GET", "/read/1", number % 3 == 0 ? "key-b" : "key-a");
+                sleepFor(20ms);
+            }
+        });
     }
-    // Planned work: the machine that holds the duties is stopped, and started again once it has ended.
-    auto *stopped = gatewayNamed(world, first->machine_);
-    const auto stoppedAt = Steady::now();
-    stopped->signal(SIGTERM);
-    const auto next = [&]() -> std::optional<DutyCall> {
-        for (const auto &call : world.platform().calls()) {
-            if (call.fence_ > first->fence_) {
-                return call;
+    sleepFor(15s);
+    // The first window that ends after this is the one to look at.
+    const auto window = wallMs() / WindowLength.count();
+    const auto windowEnd = (window + 1) * WindowLength.count();
+    std::optional<DutyCall> report;
+    while (!report && wallMs() < windowEnd + 8000) {
+        for (const auto &call : reports(world)) {
+            if (windowOf(call) == window) {
+                report = call;
             }
         }
-        return std::nullopt;
-    };
-    while (!next() && Steady::now() < stoppedAt + 10s) {
-        sleepFor(20ms);
+        sleepFor(10ms);
     }
-    if (!next()) {
-        finish(world, 2, "no other machine took the duties");
+    if (!report) {
+        finish(world, 2, "the window was not reported");
     }
-    world.record().add("next holder: " + next()->machine_ + " with fence " + std::to_string(next()->fence_));
+    world.record().add("the platform has accepted the report of window " + std::to_string(window));
     if (hasTrouble()) {
-        // The copy is from before the planned stop.
-        world.store().drill(4s, 500ms);
+        world.store().drill(3s, 500ms);
+    } else {
+        sleepFor(500ms);
     }
-    // The restart goes on in turn: the next one is the machine that has just taken the duties.
-    const auto end = Steady::now() + 40s;
-    std::vector<Gateway *> turn{ stopped, gatewayNamed(world, next()->machine_) };
-    for (std::size_t index = 0; Steady::now() < end; sleepFor(50ms)) {
-        if (index < turn.size() && turn[index]->end()) {
+    // Planned work: the machine that holds the duties is stopped, and started again once it has ended.
+    sleepFor(2s);
+    auto *stopped = gatewayNamed(world, report->machine_);
+    stopped->signal(SIGTERM);
+    const auto end = Steady::now() + 16s;
+    for (bool isStarted = false; Steady::now() < end; sleepFor(50ms)) {
+        if (!isStarted && stopped->end()) {
             sleepFor(300ms);
-            turn[index]->start();
-            sleepFor(200ms);
-            ++index;
-            if (index < turn.size()) {
-                turn[index]->signal(SIGTERM);
-            }
+            stopped->start();
+            isStarted = true;
         }
     }
     isOver = true;
-    caller.join();
-    const auto calls = world.platform().calls();
-    const auto found = violations(calls);
+    for (auto &caller : callers) {
+        caller.join();
+    }
+    const auto accepted = reports(world);
+    const auto found = violations(accepted);
     for (const auto &violation : found) {
         world.record().add("violation: " + violation);
     }
     finish(world, found.empty() ? 0 : 1,
-           std::to_string(calls.size()) + " calls of the duties, " + std::to_string(found.size()) + " violations" + (found.empty() ? "" : ", the first: " + found.front()));
+           std::to_string(accepted.size()) + " accepted reports of usage, " + std::to_string(found.size()) + " windows reported with different counts"
+               + (found.empty() ? "" : "; " + found.front()));
 }
