Keep two cases that run at the same time from sharing addresses

Cause: each case drew one of 200 loopback ranges; two cases with the same one share the fixed port of the metrics, and no gateway of them gets ready. Shown by fixing the range: both exit with 2. Done: a case takes its range by a listener until it ends.

--- a/review/common-3/world.h
+++ b/review/common-3/world.h
@@ -359,14 +359,29 @@
     return text;
 }
 
+// Takes a range of addresses 127.N.x.y that no other running case uses, until the process ends: gateways of one address share the port of the
+// metrics, which is fixed. Returns "127.N.".
+inline std::string freeNet()
+{
+    for (int attempt = 0; attempt < 1000; ++attempt) {
+        const auto net = "127." + std::to_string(20 + std::random_device()() % 200) + ".";
+        std::uint16_t port = 9464;
+        if (listenOn(net + "250.1", port) >= 0) {
+            return net;
+        }
+    }
+    std::cout << "no free loopback addresses" << std::endl;
+    std::_Exit(2);
+}
+
 class World
 {
 public:
-    // machines: the zone of each gateway. Everything listens on addresses 127.N.x.y with a random N.
+    // machines: the zone of each gateway. Everything listens on addresses 127.N.x.y with a free N.
     World(const std::string &folder, const std::vector<std::string> &machines)
         : record_(folder + "/record.txt")
         , folder_(std::filesystem::temp_directory_path() / ("review-3-" + std::to_string(getpid())))
-        , net_("127." + std::to_string(20 + std::random_device()() % 200) + ".")
+        , net_(freeNet())
         , store_(net_ + "200.1", record_)
         , platform_(record_)
     {
