--- a/src/duty/scalebasepersistence.h
+++ b/src/duty/scalebasepersistence.h
@@ -12,7 +12,7 @@
 {
 
 /// Persists the scale base in the store, so that the next holder of the duty plans from the same base: from the endpoints that it sees it
-/// cannot tell how many there were before any were ordered.
+/// cannot tell how many there were before any were ordered. Whoever knows the base writes it again after the store came back from a copy.
 /// Thread safety: all members, on the store's task only.
 template <Store S>
 class ScaleBasePersistence
@@ -31,17 +31,26 @@
         if (isCallPending_) {
             return;
         }
-        if (!isLoaded_) {
+        if (!isLoaded()) {
             read();
         } else if (planner_.base() != stored_) {
             write();
         }
     }
 
+    /// Writes the base again if the store has lost it; to be called by processes that hold the duty no longer.
+    void restore()
+    {
+        isRestoring_ = !planner_.base().empty() && (!isReadInThisEra() || (isRestoring_ && planner_.base() != stored_));
+        if (isRestoring_) {
+            tick();
+        }
+    }
+
     /// True once the stored base has been merged into the planner's.
     bool isLoaded() const
     {
-        return isLoaded_;
+        return isLoaded_ && isReadInThisEra();
     }
 
     /// Makes the next tick() read the base again, because another process may have written it.
@@ -53,6 +62,11 @@
 private:
     static constexpr const char *Key = "duty/scale-base";
 
+    bool isReadInThisEra() const
+    {
+        return readInEra_ == store_.era();
+    }
+
     void read()
     {
         isCallPending_ = true;
@@ -67,17 +81,18 @@
     void load(const std::optional<StoreEntry> &entry)
     {
         stored_.clear();
-        revision_ = entry ? entry->revision_ : 0;
+        revision_ = entry ? entry->revision_ : StoreRevision();
         if (entry) {
             const auto base = scalebasecodec::fromText(entry->value_);
             if (base) {
                 stored_ = *base;
             } else {
-                logEvent(LogEvent::ScaleBaseMalformed, { { "revision", entry->revision_ } });
+                logEvent(LogEvent::ScaleBaseMalformed, { { "revision", entry->revision_.number_ } });
             }
         }
         planner_.restore(stored_);
         isLoaded_ = true;
+        readInEra_ = store_.era();
     }
 
     void write()
@@ -102,8 +117,10 @@
     S &store_;
     ScalePlanner &planner_;
     ScaleBase stored_;
-    StoreRevision revision_ = 0;
+    StoreRevision revision_;
+    StoreEra readInEra_ = 0;
     bool isLoaded_ = false;
+    bool isRestoring_ = false;
     bool isCallPending_ = false;
 };
 
--- a/src/duty/scaleduty.h
+++ b/src/duty/scaleduty.h
@@ -40,6 +40,15 @@
         basePersistence_.invalidate();
     }
 
+    /// Writes again what a store that came back from a copy has lost. To be called while this process does not hold the duties.
+    void restore(MonotonicTime now)
+    {
+        if (now - orderedAt_ >= OrderInterval) {
+            orderedAt_ = now;
+            basePersistence_.restore();
+        }
+    }
+
     /// Sends the orders that are due, at most once per OrderInterval. Precondition: lease.mayAct().
     void tick(MonotonicTime now)
     {
--- a/src/fleet/configuration.h
+++ b/src/fleet/configuration.h
@@ -5,11 +5,11 @@
 #include <unordered_map>
 #include <vector>
 
-#include "core/revision.h"
 #include "fleet/account.h"
 #include "fleet/route.h"
 #include "fleet/servicespec.h"
 #include "http1/callerconnectionlimits.h"
+#include "store/storerevision.h"
 
 namespace cowsliphead
 {
@@ -17,7 +17,7 @@
 /// One version of the operator's configuration.
 struct Configuration {
     /// The store's revision of this configuration; a gateway ignores any with a lower one.
-    Revision revision_ = 0;
+    StoreRevision revision_;
     std::uint64_t version_ = 0;
     std::vector<Route> routes_;
     std::map<ServiceName, ServiceSpec> services_;
--- a/src/fleet/configurationreader.h
+++ b/src/fleet/configurationreader.h
@@ -22,6 +22,9 @@
 {
 
 /// Follows the configuration with its own watch on the store. Each answer to the watch confirms that the configuration is up to date.
+///
+/// A store that came back from a copy may hold an older version than the one in force. That one stays in force, but nothing confirms it until the
+/// operator has written it, or a later one, again: what the store lost may have been a still newer version.
 /// Thread safety: the loop's task only.
 template <RangedStore S, FleetCodec Codec, Clock C>
 class ConfigurationReader
@@ -32,7 +35,8 @@
         /// text: the stored form of the configuration.
         std::function<void(std::shared_ptr<const Configuration>, const std::string &text)> onChanged_;
 
-        /// The configuration last passed to onChanged_ was the newest one when the confirming call was sent.
+        /// The configuration last passed to onChanged_ was the newest one when the confirming call was sent. Not called while the store has an
+        /// older version than that.
         std::function<void(ConfigurationConfirmed)> onConfirmed_;
 
         /// Whether the store answered the last call.
@@ -105,29 +109,38 @@
 
     void apply(const StoreEntry &entry)
     {
-        const bool isOutdated = configuration_ && entry.revision_ <= configuration_->revision_;
-        if (entry.key_ != Codec::configurationKey() || entry.isErased_ || isOutdated) {
+        const bool isKnown = configuration_ && entry.revision_ <= configuration_->revision_;
+        if (entry.key_ != Codec::configurationKey() || entry.isErased_ || isKnown) {
             return;
         }
         auto decoded = Codec::decodeConfiguration(entry);
         if (!decoded) {
-            logEvent(LogEvent::ConfigurationMalformed, { { "revision", entry.revision_ }, { "error", decoded.error().message() } });
+            logEvent(LogEvent::ConfigurationMalformed, { { "revision", entry.revision_.number_ }, { "error", decoded.error().message() } });
+            return;
+        }
+        if (configuration_ && decoded->version_ < configuration_->version_) {
+            logEvent(LogEvent::ConfigurationOutdated,
+                     { { "version", decoded->version_ }, { "inForce", configuration_->version_ }, { "era", entry.revision_.era_ } });
             return;
         }
         configuration_ = std::make_shared<const Configuration>(std::move(*decoded));
-        logEvent(LogEvent::ConfigurationTaken, { { "version", configuration_->version_ }, { "revision", configuration_->revision_ } });
+        logEvent(LogEvent::ConfigurationTaken,
+                 { { "version", configuration_->version_ }, { "revision", configuration_->revision_.number_ }, { "era", configuration_->revision_.era_ } });
         events_.onChanged_(configuration_, entry.value_);
     }
 
-    void answered(StoreRevision revision, MonotonicTime askedAt)
+    void answered(const StoreRevision &revision, MonotonicTime askedAt)
     {
         cursor_ = std::max(cursor_, revision);
         availability_.answered(cursor_, clock_.now());
-        if (configuration_) {
-            backoff_.reset();
-            events_.onConfirmed_(ConfigurationConfirmed{ askedAt });
-            events_.onAnswered_(true);
+        if (!configuration_) {
+            return;
+        }
+        backoff_.reset();
+        if (configuration_->revision_.era_ == revision.era_) {
+            events_.onConfirmed_(ConfigurationConfirmed{ askedAt, configuration_->revision_ });
         }
+        events_.onAnswered_(true);
     }
 
     void failed(std::error_code error)
@@ -148,7 +161,7 @@
     RetryBackoff backoff_;
     Timer nextCall_;
     std::shared_ptr<const Configuration> configuration_;
-    StoreRevision cursor_ = 0;
+    StoreRevision cursor_;
     bool isReadDue_ = true;
 };
 
--- a/src/fleet/endpointreader.h
+++ b/src/fleet/endpointreader.h
@@ -103,6 +103,10 @@
             if (isFirst) {
                 // Pages are not read from one snapshot, so the watch starts from the first page's revision.
                 watchStartRevision_ = answer->revision_;
+            } else if (answer->revision_.era_ != watchStartRevision_.era_) {
+                // Pages of two eras do not add up to what the store has.
+                read();
+                return;
             }
             pages_.insert(pages_.end(), answer->entries_.begin(), answer->entries_.end());
             if (answer->hasMore_ && !answer->entries_.empty()) {
@@ -161,12 +165,13 @@
         }
     }
 
-    void apply(const EndpointEntry &endpoint, StoreRevision revision)
+    void apply(const EndpointEntry &endpoint, const StoreRevision &revision)
     {
         if (!directory_.update(endpoint, revision)) {
-            logEvent(LogEvent::EndpointEntryOutdated, { { "endpoint", endpoint.id_.value() }, { "revision", revision }, { "sequence", endpoint.sequence_ } });
+            logEvent(LogEvent::EndpointEntryOutdated,
+                     { { "endpoint", endpoint.id_.value() }, { "revision", revision.number_ }, { "sequence", endpoint.sequence_ } });
         } else if (endpoint.isLeaving_) {
-            logEvent(LogEvent::EndpointLeaves, { { "endpoint", endpoint.id_.value() }, { "revision", revision } });
+            logEvent(LogEvent::EndpointLeaves, { { "endpoint", endpoint.id_.value() }, { "revision", revision.number_ } });
         }
     }
 
@@ -174,7 +179,8 @@
     {
         auto decoded = Codec::decodeEndpoint(entry);
         if (!decoded) {
-            logEvent(LogEvent::EndpointEntryMalformed, { { "key", entry.key_ }, { "revision", entry.revision_ }, { "error", decoded.error().message() } });
+            logEvent(LogEvent::EndpointEntryMalformed,
+                     { { "key", entry.key_ }, { "revision", entry.revision_.number_ }, { "error", decoded.error().message() } });
         }
         return decoded;
     }
@@ -186,7 +192,7 @@
         }
     }
 
-    void answered(StoreRevision revision)
+    void answered(const StoreRevision &revision)
     {
         backoff_.reset();
         availability_.answered(revision, clock_.now());
@@ -213,8 +219,8 @@
     Timer nextCall_;
     Timer expiry_;
     std::vector<StoreEntry> pages_;
-    StoreRevision watchStartRevision_ = 0;
-    StoreRevision cursor_ = 0;
+    StoreRevision watchStartRevision_;
+    StoreRevision cursor_;
     bool isReadDue_ = true;
 };
 
--- a/src/fleet/endpointregistration.h
+++ b/src/fleet/endpointregistration.h
@@ -14,7 +14,7 @@
     EndpointEntry entry_;
 
     /// Revision of a write since which the entry has stood without a break.
-    StoreRevision since_ = 0;
+    StoreRevision since_;
 
     /// Set if the entry was removed, and may have expired only because the store was unavailable: the endpoint stays usable until then.
     std::optional<MonotonicTime> keepUntil_;
--- a/src/fleet/storeavailability.cpp
+++ b/src/fleet/storeavailability.cpp
@@ -1,5 +1,6 @@
 #include "fleet/storeavailability.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "logs/log.h"
@@ -27,8 +28,12 @@
 {
 }
 
-void StoreAvailability::answered(StoreRevision revision, MonotonicTime now)
+void StoreAvailability::answered(const StoreRevision &revision, MonotonicTime now)
 {
+    const auto eraBefore = std::exchange(era_, std::max(era_, revision.era_));
+    if (eraBefore != 0 && eraBefore != era_) {
+        logEvent(LogEvent::StoreEraChanged, { { "reader", reader_ }, { "era", era_ }, { "eraBefore", eraBefore }, { "revision", revision.number_ } });
+    }
     if (!std::exchange(isUnavailable_, false)) {
         return;
     }
@@ -36,14 +41,14 @@
     if (awayFor >= MinOutageForExpiry) {
         recoveredAt_ = now;
     }
-    logEvent(LogEvent::StoreRegained, { { "reader", reader_ }, { "revision", revision }, { "awayMs", std::uint64_t(awayFor.count()) } });
+    logEvent(LogEvent::StoreRegained, { { "reader", reader_ }, { "revision", revision.number_ }, { "awayMs", std::uint64_t(awayFor.count()) } });
 }
 
-void StoreAvailability::failed(std::error_code error, StoreRevision revision, MonotonicTime now)
+void StoreAvailability::failed(std::error_code error, const StoreRevision &revision, MonotonicTime now)
 {
     if (!std::exchange(isUnavailable_, true)) {
         unavailableSince_ = now;
-        logEvent(LogEvent::StoreLost, { { "reader", reader_ }, { "error", error.message() }, { "revision", revision } });
+        logEvent(LogEvent::StoreLost, { { "reader", reader_ }, { "error", error.message() }, { "revision", revision.number_ } });
     }
 }
 
--- a/src/fleet/storeavailability.h
+++ b/src/fleet/storeavailability.h
@@ -10,7 +10,7 @@
 namespace cowsliphead
 {
 
-/// Tracks whether the store answers one of its readers, and since when. Logs each change. Thread safety: owner task only.
+/// Tracks whether the store answers one of its readers, and since when, and whether it came back from a copy. Logs each change. Thread safety: owner task only.
 class StoreAvailability
 {
 public:
@@ -18,10 +18,10 @@
     explicit StoreAvailability(const char *reader);
 
     /// A call was answered; revision: the store revision up to which the reader has read.
-    void answered(StoreRevision revision, MonotonicTime now);
+    void answered(const StoreRevision &revision, MonotonicTime now);
 
     /// A call was not answered.
-    void failed(std::error_code error, StoreRevision revision, MonotonicTime now);
+    void failed(std::error_code error, const StoreRevision &revision, MonotonicTime now);
 
     /// Returns the time until which an entry that is missing now may be written again, or nothing if it did not expire during an
     /// outage of the store.
@@ -34,6 +34,7 @@
     /// The end of the last outage that was long enough for entries to expire.
     std::optional<MonotonicTime> recoveredAt_;
     bool isUnavailable_ = false;
+    StoreEra era_ = 0;
 };
 
 } // namespace cowsliphead
--- a/src/http1/bufferedhttpclient.cpp
+++ b/src/http1/bufferedhttpclient.cpp
@@ -78,6 +78,7 @@
                                  .onHead_ =
                                      [call](const ResponseHead &answer) {
                                          call->answer_.status_ = answer.status_;
+                                         call->answer_.headers_ = answer.headers_;
                                          return AnswerHandling::Accept;
                                      },
                                  .onData_ =
--- a/src/logs/logevent.h
+++ b/src/logs/logevent.h
@@ -55,6 +55,8 @@
     EndpointEntryOutdated = 409,
     EndpointLeaves = 410,
     EndpointsTaken = 411,
+    StoreEraChanged = 412,
+    ConfigurationOutdated = 413,
 
     // 500 to 599: claims
     ClaimStoreNotAnswering = 500,
@@ -68,11 +70,14 @@
     DutyCallUnanswered = 603,
     ServersOrdered = 604,
     ScaleBaseMalformed = 605,
+    DutyTermContinued = 606,
 
     // 700 to 799: usage and reports
     UsageLeftBehind = 700,
     UsageReported = 701,
     UsageCountsLost = 702,
+    UsageWindowInDoubt = 703,
+    UsageSealRestored = 704,
 
     // 800 to 899: peers and membership
     PeerMessageMalformed = 800,
--- a/src/relay/endpointlistcodec.cpp
+++ b/src/relay/endpointlistcodec.cpp
@@ -27,6 +27,7 @@
     bool isReclaimable_ = false;
     std::uint64_t since_ = 0;
     bool isKept_ = false;
+    std::uint64_t sinceEra_ = 0;
 
     MSGPACK_DEFINE_MAP(MSGPACK_NVP("i", id_),
                        MSGPACK_NVP("n", incarnation_),
@@ -39,7 +40,8 @@
                        MSGPACK_NVP("g", stage_),
                        MSGPACK_NVP("r", isReclaimable_),
                        MSGPACK_NVP("v", since_),
-                       MSGPACK_NVP("k", isKept_))
+                       MSGPACK_NVP("k", isKept_),
+                       MSGPACK_NVP("e", sinceEra_))
 };
 
 std::uint8_t codeOf(EngineStage stage)
@@ -70,9 +72,11 @@
 WireEndpoint toWire(const EndpointRegistration &registration)
 {
     const auto &endpoint = registration.entry_;
-    return { endpoint.id_.value(),    endpoint.incarnation_,    endpoint.service_.value(), endpoint.address_.host_,
-             endpoint.address_.port_, endpoint.domain_.value(), endpoint.slots_,           endpoint.isLeaving_,
-             codeOf(endpoint.stage_), endpoint.isReclaimable_,  registration.since_,       registration.keepUntil_.has_value() };
+    return { endpoint.id_.value(),    endpoint.incarnation_,       endpoint.service_.value(),
+             endpoint.address_.host_, endpoint.address_.port_,     endpoint.domain_.value(),
+             endpoint.slots_,         endpoint.isLeaving_,         codeOf(endpoint.stage_),
+             endpoint.isReclaimable_, registration.since_.number_, registration.keepUntil_.has_value(),
+             registration.since_.era_ };
 }
 
 EndpointEntry fromWire(const WireEndpoint &wire)
@@ -112,7 +116,7 @@
     return leases;
 }
 
-Result<EndpointList> decode(StoreRevision revision, std::string_view bytes, const EndpointLeases &leases, MonotonicTime askedAt)
+Result<EndpointList> decode(const StoreRevision &revision, std::string_view bytes, const EndpointLeases &leases, MonotonicTime askedAt)
 {
     const auto wire = messagepack::unpack<std::vector<WireEndpoint>>(bytes);
     if (!wire) {
@@ -128,7 +132,7 @@
         if (endpoint.since_ == 0) {
             return failure(ErrorCode::CodecMalformed);
         }
-        EndpointRegistration registration{ fromWire(endpoint), endpoint.since_, std::nullopt };
+        EndpointRegistration registration{ fromWire(endpoint), { endpoint.sinceEra_, endpoint.since_ }, std::nullopt };
         if (endpoint.isKept_) {
             const auto found = keptUntil.find(endpointKeyOf(registration.entry_.id_));
             if (found == keptUntil.end()) {
--- a/src/relay/endpointlistcodec.h
+++ b/src/relay/endpointlistcodec.h
@@ -20,6 +20,6 @@
 
 /// Reverses encode() and leasesOf(). askedAt: when the receiver asked for the list, so that it keeps no entry longer than the sender does.
 /// Errors: CodecMalformed.
-Result<EndpointList> decode(StoreRevision revision, std::string_view bytes, const EndpointLeases &leases, MonotonicTime askedAt);
+Result<EndpointList> decode(const StoreRevision &revision, std::string_view bytes, const EndpointLeases &leases, MonotonicTime askedAt);
 
 } // namespace cowsliphead::endpointlistcodec
--- a/src/relay/fleetreader.h
+++ b/src/relay/fleetreader.h
@@ -63,7 +63,7 @@
         return {
             .onConfiguration_ = [this](std::shared_ptr<const Configuration> configuration,
                                        const std::string &text) { context_.publishIf(context_.state_.setConfiguration(std::move(configuration), text)); },
-            .onConfirmed_ = [this](const ConfigurationConfirmed &confirmation) { context_.confirmed(confirmation.askedAt_); },
+            .onConfirmed_ = [this](const ConfigurationConfirmed &confirmation) { context_.confirmed(confirmation); },
             .onEndpoints_ = [this] { context_.publishIf(context_.state_.endpointsRead()); },
             .onReachable_ = [this](bool isReachable) { storeReachable(isReachable); },
         };
--- a/src/relay/fleetstate.h
+++ b/src/relay/fleetstate.h
@@ -18,7 +18,7 @@
 {
 
 /// The configuration and the endpoints that a gateway knows, read from the store or received from a relay, with the last versions that it
-/// can pass on. Neither ever goes back to what an older revision says. Thread safety: owner task only.
+/// can pass on. Neither ever goes back to what an older revision says, nor the configuration to a lower version. Thread safety: owner task only.
 template <FleetCodec Codec>
 class FleetState
 {
@@ -26,7 +26,7 @@
     /// Takes a configuration read from the store. Returns false if it is not newer.
     bool setConfiguration(std::shared_ptr<const Configuration> configuration, const std::string &text)
     {
-        if (!configurations_.add(configuration->revision_, text)) {
+        if (isLowerVersion(*configuration) || !configurations_.add(configuration->revision_, text)) {
             return false;
         }
         snapshot_.configuration_ = std::move(configuration);
@@ -50,17 +50,25 @@
     /// Takes a configuration received from a relay. Returns true if it is newer. Errors: CodecMalformed; the whole text is needed then.
     Result<bool> applyConfiguration(const TextUpdate &update)
     {
-        auto isNew = configurations_.apply(update);
-        if (!isNew || !*isNew) {
-            return isNew;
+        auto text = configurations_.expand(update);
+        if (!text) {
+            return tl::unexpected(text.error());
         }
-        auto decoded = Codec::decodeConfiguration({ std::string(Codec::configurationKey()), configurations_.text(), update.revision_, false });
+        if (!text->has_value()) {
+            return false;
+        }
+        auto decoded = Codec::decodeConfiguration({ std::string(Codec::configurationKey()), **text, update.revision_, false });
+        if (decoded && isLowerVersion(*decoded)) {
+            return false;
+        }
+        configurations_.add(update.revision_, std::move(**text));
         if (!decoded) {
-            logEvent(LogEvent::ConfigurationMalformed, { { "revision", update.revision_ }, { "error", decoded.error().message() } });
+            logEvent(LogEvent::ConfigurationMalformed, { { "revision", update.revision_.number_ }, { "error", decoded.error().message() } });
             return false;
         }
         snapshot_.configuration_ = std::make_shared<const Configuration>(std::move(*decoded));
-        logEvent(LogEvent::ConfigurationTaken, { { "version", snapshot_.configuration_->version_ }, { "revision", update.revision_ } });
+        logEvent(LogEvent::ConfigurationTaken,
+                 { { "version", snapshot_.configuration_->version_ }, { "revision", update.revision_.number_ }, { "era", update.revision_.era_ } });
         return true;
     }
 
@@ -83,7 +91,7 @@
     }
 
     /// The relay that was asked with this version of its list had no other one up to the revision.
-    void confirmEndpoints(const TextVersion &version, StoreRevision revision)
+    void confirmEndpoints(const TextVersion &version, const StoreRevision &revision)
     {
         if (version == endpointLists_.version() && isListCurrent_) {
             endpointLists_.confirm(revision);
@@ -108,7 +116,7 @@
     std::optional<EndpointUpdate> endpointUpdateFor(const TextVersion &known, MonotonicTime now)
     {
         passOnDirectory();
-        if (known.revision_ != 0 && known.digest_ == endpointLists_.version().digest_) {
+        if (!known.revision_.isNone() && known.digest_ == endpointLists_.version().digest_) {
             return std::nullopt;
         }
         auto update = endpointLists_.updateFor(known);
@@ -129,9 +137,15 @@
     }
 
 private:
+    /// True for a version below the one in force: a store that came back from a copy has lost the latter, and a key that it withdrew stays withdrawn.
+    bool isLowerVersion(const Configuration &configuration) const
+    {
+        return snapshot_.configuration_ && configuration.version_ < snapshot_.configuration_->version_;
+    }
+
     void passOnDirectory()
     {
-        if (directory_.revision() == 0) {
+        if (directory_.revision().isNone()) {
             return;
         }
         if (!isListCurrent_) {
--- a/src/relay/quarantinerelay.h
+++ b/src/relay/quarantinerelay.h
@@ -30,10 +30,10 @@
     /// Follows the store, as the relay of the failure domain.
     void startReading(std::unique_ptr<S> store)
     {
-        store_.emplace(loop_, std::move(store), [this](const CrashReports &reports) { exchange_.received(reports, clock_.now()); });
+        store_.emplace(
+            loop_, std::move(store), [this](const CrashReports &reports) { exchange_.received(reports, clock_.now()); }, [this] { storeAgain(); });
         store_->start();
-        storedVersion_ = 0;
-        storeQuarantined(OtherRelayTime);
+        storeAgain();
     }
 
     void stopReading()
@@ -73,6 +73,12 @@
     /// Time for the relay of the failure domain that found the suspect to store it, so that not every relay does.
     static constexpr std::chrono::milliseconds OtherRelayTime{ 2000 };
 
+    void storeAgain()
+    {
+        storedVersion_ = 0;
+        storeQuarantined(OtherRelayTime);
+    }
+
     void storeQuarantined(std::chrono::milliseconds delay)
     {
         const auto version = exchange_.crashes().version();
--- a/src/relay/quarantinestore.h
+++ b/src/relay/quarantinestore.h
@@ -29,11 +29,14 @@
 {
 public:
     using OnReports = std::function<void(const CrashReports &)>;
+    using OnNewEra = std::function<void()>;
 
-    /// onReports receives the entries of the store. Precondition: the loop outlives the object. No reply follows once it is destroyed.
-    QuarantineStore(EventLoop &loop, std::unique_ptr<S> store, OnReports onReports)
+    /// onReports receives the entries of the store; onNewEra is called once all entries of a store that came back from a copy are read, so that the
+    /// evidence that it has lost can be put there again. Precondition: the loop outlives the object. No reply follows once it is destroyed.
+    QuarantineStore(EventLoop &loop, std::unique_ptr<S> store, OnReports onReports, OnNewEra onNewEra)
         : store_(std::move(store))
         , onReports_(std::move(onReports))
+        , onNewEra_(std::move(onNewEra))
         , nextCall_(loop, [this] { proceed(); })
         , nextWrite_(loop, [this] { write(); })
     {
@@ -85,8 +88,13 @@
             }
             if (isFirst) {
                 // Pages are not read from one snapshot, so the watch starts from the first page's revision.
+                isNewEra_ = isNewEra_ || (!cursor_.isNone() && cursor_.era_ != answer->revision_.era_);
                 cursor_ = answer->revision_;
                 stored_.clear();
+            } else if (answer->revision_.era_ != cursor_.era_) {
+                // Pages of two eras do not add up to what the store has.
+                read({});
+                return;
             }
             apply(answer->entries_);
             if (answer->hasMore_ && !answer->entries_.empty()) {
@@ -95,6 +103,9 @@
             }
             isReadDue_ = false;
             backoff_.reset();
+            if (std::exchange(isNewEra_, false)) {
+                onNewEra_();
+            }
             watch();
         });
     }
@@ -131,7 +142,7 @@
                 pending_.erase(entry.key_);
                 reports.sightings_.insert(reports.sightings_.end(), evidence->sightings_.begin(), evidence->sightings_.end());
             } else {
-                logEvent(LogEvent::QuarantineEntryMalformed, { { "key", entry.key_ }, { "revision", entry.revision_ } });
+                logEvent(LogEvent::QuarantineEntryMalformed, { { "key", entry.key_ }, { "revision", entry.revision_.number_ } });
             }
         }
         if (reports.size() > 0) {
@@ -169,6 +180,7 @@
 
     std::unique_ptr<S> store_;
     OnReports onReports_;
+    OnNewEra onNewEra_;
     RetryBackoff backoff_;
     Timer nextCall_;
     Timer nextWrite_;
@@ -176,7 +188,8 @@
     /// Keys of the store.
     std::set<std::string> stored_;
     std::map<std::string, Pending> pending_;
-    StoreRevision cursor_ = 0;
+    StoreRevision cursor_;
+    bool isNewEra_ = false;
     bool isReadDue_ = true;
     bool isWriting_ = false;
 };
--- a/src/relay/relayanswer.h
+++ b/src/relay/relayanswer.h
@@ -14,6 +14,7 @@
 #include "relay/relaystatus.h"
 #include "relay/retrygrant.h"
 #include "relay/textupdate.h"
+#include "store/storerevision.h"
 #include "usage/countsstored.h"
 
 namespace cowsliphead
@@ -24,8 +25,11 @@
     GatewayMember from_;
     RelayStatus status_;
 
-    /// The newest configuration that the answering gateway has; 0 for none.
-    std::uint64_t configuration_ = 0;
+    /// False from the version before, which knows no eras of the store: its facts may be older than their revisions say.
+    bool tellsEras_ = true;
+
+    /// The newest configuration that the answering gateway has; none if it has no configuration.
+    StoreRevision configuration_;
 
     /// When it was last confirmed as the newest one, as time before the answer; absent if it never was.
     std::optional<std::chrono::milliseconds> configurationAge_;
@@ -35,7 +39,7 @@
     std::optional<EndpointUpdate> endpointUpdate_;
 
     /// The revision up to which the answering gateway knows the endpoints.
-    std::uint64_t endpoints_ = 0;
+    StoreRevision endpoints_;
 
     /// The gateways of the failure domain, if their version differs from the one that the asking gateway has.
     std::uint64_t membersVersion_ = 0;
--- a/src/relay/relaycontext.h
+++ b/src/relay/relaycontext.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <optional>
 #include <utility>
 
 #include "core/clock.h"
 #include "core/time.h"
+#include "fleet/configurationconfirmed.h"
 #include "fleet/registry.h"
 #include "relay/domainmembers.h"
 #include "relay/failureboard.h"
@@ -14,6 +16,7 @@
 #include "relay/loadboard.h"
 #include "relay/observationboard.h"
 #include "relay/quarantinerelay.h"
+#include "relay/relayanswer.h"
 #include "relay/relaylinks.h"
 #include "relay/relayselection.h"
 #include "relay/relaysettings.h"
@@ -59,6 +62,15 @@
     /// The newest configuration was confirmed by a read sent at this time.
     std::optional<MonotonicTime> confirmedAt_{};
 
+    /// The newest era of the store that this gateway has heard of; 0 if the store tells none.
+    StoreEra storeEra_ = 0;
+
+    /// False for an answer by the version before, if the store tells eras: that gateway would not notice that the store came back from a copy.
+    bool mayFollow(const RelayAnswer &answer) const
+    {
+        return answer.tellsEras_ || storeEra_ == 0;
+    }
+
     bool isRelay() const
     {
         return selection_ && selection_->role() == RelayRole::Relay;
@@ -72,13 +84,14 @@
         }
     }
 
-    /// The newest configuration was confirmed by a read sent at askedAt.
-    void confirmed(MonotonicTime askedAt)
+    /// A configuration was confirmed as the newest one. What was said of another one than that in force changes nothing.
+    void confirmed(const ConfigurationConfirmed &confirmation)
     {
-        if (!confirmedAt_ || askedAt > *confirmedAt_) {
-            confirmedAt_ = askedAt;
+        if (confirmation.revision_ != state_.configurations().revision()) {
+            return;
         }
-        links_.configurationConfirmations_.send({ askedAt });
+        confirmedAt_ = std::max(confirmedAt_.value_or(confirmation.askedAt_), confirmation.askedAt_);
+        links_.configurationConfirmations_.send(confirmation);
     }
 
     /// gateways is zero while unknown.
--- a/src/relay/relayentry.h
+++ b/src/relay/relayentry.h
@@ -10,7 +10,7 @@
 /// keeps to it while it answers, whatever the entry says.
 struct RelayEntry {
     GatewayMember relay_;
-    StoreRevision revision_ = 0;
+    StoreRevision revision_;
 };
 
 } // namespace cowsliphead
--- a/src/relay/relayentrycalls.h
+++ b/src/relay/relayentrycalls.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <utility>
@@ -51,6 +52,7 @@
     void read()
     {
         entries_.read([this](const Result<std::vector<RelayEntry>> &entries) {
+            context_.storeEra_ = std::max(context_.storeEra_, entries_.era());
             if (entries) {
                 onEntries_(*entries);
                 context_.selection_->entriesRead(*entries, context_.clock_.now());
@@ -61,7 +63,7 @@
         });
     }
 
-    void write(StoreRevision expectedRevision)
+    void write(const StoreRevision &expectedRevision)
     {
         entries_.write(context_.self_, expectedRevision, [this](const Result<StoreRevision> &answer) {
             const auto now = context_.clock_.now();
--- a/src/relay/relayentrystore.h
+++ b/src/relay/relayentrystore.h
@@ -42,7 +42,7 @@
 
     /// Writes the entry of the relay's failure domain. expectedRevision: of the present entry; 0 if there must be none. Errors: StoreConflict;
     /// after any other one the entry may have been written.
-    void write(const GatewayMember &relay, StoreRevision expectedRevision, OnWritten reply)
+    void write(const GatewayMember &relay, const StoreRevision &expectedRevision, OnWritten reply)
     {
         StoreWrite write;
         write.key_ = relayentrycodec::keyOf(relay.domain_);
@@ -51,6 +51,12 @@
         store_->compareAndSwap(write, std::move(reply));
     }
 
+    /// The newest era that the store has told; 0 if it tells none.
+    StoreEra era() const
+    {
+        return store_->era();
+    }
+
 private:
     static std::vector<RelayEntry> decoded(const std::vector<StoreEntry> &stored)
     {
@@ -59,7 +65,7 @@
             if (auto relay = relayentrycodec::fromEntry(entry)) {
                 entries.push_back(std::move(*relay));
             } else {
-                logEvent(LogEvent::RelayEntryMalformed, { { "key", entry.key_ }, { "revision", entry.revision_ } });
+                logEvent(LogEvent::RelayEntryMalformed, { { "key", entry.key_ }, { "revision", entry.revision_.number_ } });
             }
         }
         return entries;
--- a/src/relay/relayselection.cpp
+++ b/src/relay/relayselection.cpp
@@ -165,7 +165,7 @@
     if (writeRevision_) {
         return { RelayStep::Kind::WriteEntry, *writeRevision_ };
     }
-    return { RelayStep::Kind::ReadEntries, 0 };
+    return { RelayStep::Kind::ReadEntries, {} };
 }
 
 void RelaySelection::entriesRead(const std::vector<RelayEntry> &entries, MonotonicTime now)
@@ -207,7 +207,7 @@
         nextCallAt_ = now + randomUpTo(MaxStartDelay);
         return;
     }
-    writeRevision_ = entry ? entry->revision_ : 0;
+    writeRevision_ = entry ? entry->revision_ : StoreRevision();
     nextCallAt_ = now;
 }
 
--- a/src/relay/relaystep.h
+++ b/src/relay/relaystep.h
@@ -15,8 +15,8 @@
 
     Kind kind_ = Kind::None;
 
-    /// For WriteEntry: the revision that the entry must have; 0 if it must not exist.
-    StoreRevision expectedRevision_ = 0;
+    /// For WriteEntry: the revision that the entry must have; none if it must not exist.
+    StoreRevision expectedRevision_;
 };
 
 } // namespace cowsliphead
--- a/src/relay/targetexchange.h
+++ b/src/relay/targetexchange.h
@@ -65,8 +65,8 @@
         applyUpdates(peer, answer, askedAt);
         takeEndpointState(answer, now);
         // The answering gateway counts the age until it answers, which is not before it was asked.
-        if (answer.configurationAge_ && answer.configuration_ != 0 && answer.configuration_ == context_.state_.configurations().revision()) {
-            context_.confirmed(askedAt - *answer.configurationAge_);
+        if (answer.configurationAge_ && !answer.configuration_.isNone() && answer.configuration_ == context_.state_.configurations().revision()) {
+            context_.confirmed({ askedAt - *answer.configurationAge_, answer.configuration_ });
         }
         if (answer.members_) {
             membersOf_ = answer.from_.incarnation_;
@@ -78,8 +78,10 @@
         if (answer.status_.isRelay_) {
             context_.quarantine_.answered(peer, answer.from_.incarnation_, answer.crashes_);
         }
-        context_.selection_->answered(peer, answer.status_, now);
-        if (answer.status_.isFit_) {
+        auto status = answer.status_;
+        status.isFit_ = status.isFit_ && context_.mayFollow(answer);
+        context_.selection_->answered(peer, status, now);
+        if (status.isFit_) {
             context_.publishFleet({ differenceOf(answer.loads_, sentLoads_),
                                     receivedObservations_.fleetWithout(context_.self_.incarnation_, now),
                                     receivedFailures_.fleetWithout(context_.self_.incarnation_, now),
@@ -127,7 +129,8 @@
             isChanged = isChanged || isNew;
             logEvent(LogEvent::EndpointsTaken,
                      { { "relay", textOf(peer) },
-                       { "revision", answer.endpointUpdate_->list_.revision_ },
+                       { "revision", answer.endpointUpdate_->list_.revision_.number_ },
+                       { "era", answer.endpointUpdate_->list_.revision_.era_ },
                        { "kept", std::uint64_t(answer.endpointUpdate_->leases_.size()) },
                        { "listed", std::uint64_t(context_.state_.snapshot().endpoints_->size()) } });
         } else if (answer.status_.isRelay_) {
--- a/src/relay/texthistory.cpp
+++ b/src/relay/texthistory.cpp
@@ -22,7 +22,7 @@
 
 } // namespace
 
-bool TextHistory::add(std::uint64_t revision, std::string text)
+bool TextHistory::add(const StoreRevision &revision, std::string text)
 {
     const TextVersion added{ revision, digestOf(text) };
     if (revision < this->revision() || added == version()) {
@@ -36,7 +36,7 @@
     return true;
 }
 
-void TextHistory::confirm(std::uint64_t revision)
+void TextHistory::confirm(const StoreRevision &revision)
 {
     if (!versions_.empty()) {
         auto &newest = versions_.back().version_.revision_;
@@ -44,10 +44,10 @@
     }
 }
 
-Result<bool> TextHistory::apply(const TextUpdate &update)
+Result<std::optional<std::string>> TextHistory::expand(const TextUpdate &update) const
 {
     if (update.revision_ < revision() || version() == TextVersion{ update.revision_, update.digest_ }) {
-        return false;
+        return std::optional<std::string>();
     }
     const std::string none;
     const auto *base = update.baseDigest_ == 0 ? &none : textOf(update.baseDigest_);
@@ -58,7 +58,16 @@
     if (!text || digestOf(*text) != update.digest_) {
         return failure(ErrorCode::CodecMalformed);
     }
-    return add(update.revision_, std::move(*text));
+    return std::optional(std::move(*text));
+}
+
+Result<bool> TextHistory::apply(const TextUpdate &update)
+{
+    auto text = expand(update);
+    if (!text) {
+        return tl::unexpected(text.error());
+    }
+    return text->has_value() && add(update.revision_, std::move(**text));
 }
 
 std::optional<TextUpdate> TextHistory::updateFor(const TextVersion &known)
@@ -66,11 +75,11 @@
     if (versions_.empty() || known.revision_ > revision() || known == version()) {
         return std::nullopt;
     }
-    const auto *base = known.revision_ == 0 ? nullptr : textOf(known.digest_);
+    const auto *base = known.revision_.isNone() ? nullptr : textOf(known.digest_);
     const auto baseDigest = base == nullptr ? 0 : known.digest_;
     const auto [found, isNew] = updates_.try_emplace(baseDigest);
     if (isNew) {
-        found->second = TextUpdate{ 0, baseDigest, version().digest_, textdelta::compress(text(), base == nullptr ? std::string_view() : *base) };
+        found->second = TextUpdate{ {}, baseDigest, version().digest_, textdelta::compress(text(), base == nullptr ? std::string_view() : *base) };
     }
     found->second.revision_ = revision();
     return found->second;
@@ -87,7 +96,7 @@
     return versions_.empty() ? TextVersion{} : versions_.back().version_;
 }
 
-std::uint64_t TextHistory::revision() const
+StoreRevision TextHistory::revision() const
 {
     return version().revision_;
 }
--- a/src/relay/texthistory.h
+++ b/src/relay/texthistory.h
@@ -19,23 +19,26 @@
 {
 public:
     /// Adds a version. Returns false if it is not newer than the newest known one.
-    bool add(std::uint64_t revision, std::string text);
+    bool add(const StoreRevision &revision, std::string text);
 
     /// The newest text was still the same at this revision.
-    void confirm(std::uint64_t revision);
+    void confirm(const StoreRevision &revision);
 
-    /// Adds the version that the update leads to. Returns false if it is older or the one already known. Errors: CodecMalformed, also if the
-    /// base is not known; the receiver then asks for the whole text.
+    /// Returns the text that the update leads to, or nothing if it is older or the one already known. Errors: CodecMalformed, also if the base is not
+    /// known; the receiver then asks for the whole text.
+    Result<std::optional<std::string>> expand(const TextUpdate &update) const;
+
+    /// Adds the version that the update leads to. Returns false if it is older or the one already known. Errors: as expand().
     Result<bool> apply(const TextUpdate &update);
 
-    /// Returns the update for a receiver that has the given version (revision 0: none), or nothing if it needs none.
+    /// Returns the update for a receiver that has the given version (no revision: none), or nothing if it needs none.
     std::optional<TextUpdate> updateFor(const TextVersion &known);
 
-    /// The newest version; revision 0 if there is none.
+    /// The newest version; no revision if there is none.
     TextVersion version() const;
 
-    /// The newest revision; 0 if there is none.
-    std::uint64_t revision() const;
+    /// The newest revision; none if there is no text.
+    StoreRevision revision() const;
 
     /// The newest text; empty if there is none.
     const std::string &text() const;
--- a/src/relay/textupdate.h
+++ b/src/relay/textupdate.h
@@ -3,12 +3,14 @@
 #include <cstdint>
 #include <string>
 
+#include "store/storerevision.h"
+
 namespace cowsliphead
 {
 
 /// Brings a receiver's copy of a versioned text up to date.
 struct TextUpdate {
-    std::uint64_t revision_ = 0;
+    StoreRevision revision_;
 
     /// Digest of the text that the receiver must have; 0 if it needs none.
     std::uint64_t baseDigest_ = 0;
--- a/src/relay/wire/wireanswer.cpp
+++ b/src/relay/wire/wireanswer.cpp
@@ -1,6 +1,7 @@
 #include "relay/wire/wireanswer.h"
 
 #include <chrono>
+#include <cstddef>
 #include <utility>
 
 #include "core/errorcode.h"
@@ -10,6 +11,14 @@
 namespace cowsliphead
 {
 
+namespace
+{
+
+/// Of the configuration and of the endpoints.
+constexpr std::size_t EraCount = 2;
+
+} // namespace
+
 WireAnswer toWire(const RelayAnswer &answer)
 {
     WireAnswer wire;
@@ -20,11 +29,11 @@
     wire.isStoreLost_ = answer.status_.isStoreLost_;
     wire.isLeaving_ = answer.status_.isLeaving_;
     wire.redirect_ = optionalToWire<WireAddress>(answer.status_.redirect_);
-    wire.configuration_ = answer.configuration_;
+    wire.configuration_ = answer.configuration_.number_;
     wire.configurationAge_ = answer.configurationAge_ ? answer.configurationAge_->count() : -1;
     wire.configurationUpdate_ = optionalToWire<WireUpdate>(answer.configurationUpdate_);
     wire.endpointUpdate_ = optionalToWire<WireEndpointUpdate>(answer.endpointUpdate_);
-    wire.endpoints_ = answer.endpoints_;
+    wire.endpoints_ = answer.endpoints_.number_;
     wire.membersVersion_ = answer.membersVersion_;
     if (answer.members_) {
         wire.members_.push_back(allToWire<WireMember>(*answer.members_));
@@ -38,6 +47,9 @@
     wire.observations_ = allToWire<WireObservation>(answer.observations_);
     wire.failures_ = allToWire<WireFailure>(answer.failures_);
     wire.retryGrants_ = allToWire<WireRetryGrant>(answer.retryGrants_);
+    if (answer.tellsEras_) {
+        wire.eras_ = { answer.configuration_.era_, answer.endpoints_.era_ };
+    }
     return wire;
 }
 
@@ -65,13 +77,14 @@
     RelayAnswer answer;
     answer.from_ = fromWire(wire.from_);
     answer.status_ = RelayStatus{ wire.isRelay_, wire.isFit_, wire.isStoreLost_, wire.isLeaving_, optionalFromWire<PeerAddress>(wire.redirect_) };
-    answer.configuration_ = wire.configuration_;
+    answer.tellsEras_ = wire.eras_.size() >= EraCount;
+    answer.configuration_ = { answer.tellsEras_ ? wire.eras_[0] : 0, wire.configuration_ };
     if (wire.configurationAge_ >= 0) {
         answer.configurationAge_ = std::chrono::milliseconds(wire.configurationAge_);
     }
     answer.configurationUpdate_ = optionalFromWire<TextUpdate>(wire.configurationUpdate_);
     answer.endpointUpdate_ = optionalFromWire<EndpointUpdate>(wire.endpointUpdate_);
-    answer.endpoints_ = wire.endpoints_;
+    answer.endpoints_ = { answer.tellsEras_ ? wire.eras_[1] : 0, wire.endpoints_ };
     answer.membersVersion_ = wire.membersVersion_;
     if (!wire.members_.empty()) {
         answer.members_ = allFromWire<GatewayMember>(wire.members_.front());
--- a/src/relay/wire/wireanswer.h
+++ b/src/relay/wire/wireanswer.h
@@ -45,6 +45,9 @@
     std::uint64_t crashesVersion_ = 0;
     std::vector<WireSighting> sightings_;
     std::vector<WireClearance> clearances_;
+
+    /// The eras of configuration_ and of endpoints_; empty from the version before, which knows no eras.
+    std::vector<std::uint64_t> eras_;
     std::vector<WireObservation> observations_;
     std::vector<WireFailure> failures_;
     std::vector<WireRetryGrant> retryGrants_;
@@ -69,6 +72,7 @@
                        MSGPACK_NVP("n", crashesVersion_),
                        MSGPACK_NVP("q", sightings_),
                        MSGPACK_NVP("j", clearances_),
+                       MSGPACK_NVP("e", eras_),
                        MSGPACK_NVP("b", observations_),
                        MSGPACK_NVP("i", failures_),
                        MSGPACK_NVP("p", retryGrants_))
--- a/src/standin/storestandin.cpp
+++ b/src/standin/storestandin.cpp
@@ -127,7 +127,7 @@
         answer(responder, statusOf(written.error()), { { "error", written.error().message() } });
         return;
     }
-    answerWrite(responder, httpstatus::Ok, { { "revision", *written } });
+    answerWrite(responder, httpstatus::Ok, { { "revision", written->number_ } });
     answerWatches();
 }
 
@@ -146,15 +146,15 @@
 
 void StoreStandin::watch(const nlohmann::json &body, const std::shared_ptr<HttpResponder> &responder)
 {
-    Watch watch{ body.at("prefix").get<std::string>(), body.at("after").get<StoreRevision>(), responder, nullptr };
+    Watch watch{ body.at("prefix").get<std::string>(), body.at("after").get<std::uint64_t>(), responder, nullptr };
     const auto found = store_.changesSince(watch.prefix_, watch.after_, clock_.now());
-    if (!found.entries_.empty()) {
-        answer(*responder, httpstatus::Ok, storecodec::watchToJson(found));
+    if (!found || !found->entries_.empty()) {
+        answerWatch(*responder, found);
         return;
     }
     const auto place = watches_.insert(watches_.end(), std::move(watch));
     place->timeout_ = std::make_unique<Timer>(loop_, [this, place] {
-        answer(*place->responder_, httpstatus::Ok, storecodec::watchToJson(store_.changesSince(place->prefix_, place->after_, clock_.now())));
+        answerWatch(*place->responder_, store_.changesSince(place->prefix_, place->after_, clock_.now()));
         watches_.erase(place);
     });
     place->timeout_->startOnce(std::chrono::milliseconds(body.at("waitMs").get<std::int64_t>()));
@@ -187,15 +187,24 @@
 {
     for (auto watch = watches_.begin(); watch != watches_.end();) {
         const auto found = store_.changesSince(watch->prefix_, watch->after_, clock_.now());
-        if (found.entries_.empty()) {
+        if (found && found->entries_.empty()) {
             ++watch;
             continue;
         }
-        answer(*watch->responder_, httpstatus::Ok, storecodec::watchToJson(found));
+        answerWatch(*watch->responder_, found);
         watch = watches_.erase(watch);
     }
 }
 
+void StoreStandin::answerWatch(HttpResponder &responder, const Result<WatchAnswer> &changes)
+{
+    if (changes) {
+        answer(responder, httpstatus::Ok, storecodec::watchToJson(*changes));
+    } else {
+        answer(responder, statusOf(changes.error()), { { "error", changes.error().message() } });
+    }
+}
+
 void StoreStandin::scheduleExpiry()
 {
     const auto next = store_.nextExpiry();
--- a/src/standin/storestandin.h
+++ b/src/standin/storestandin.h
@@ -44,7 +44,7 @@
     /// A watch request without changes so far; it is answered at the next change or at its timeout.
     struct Watch {
         std::string prefix_;
-        StoreRevision after_ = 0;
+        StoreRevision after_;
         std::shared_ptr<HttpResponder> responder_;
         std::unique_ptr<Timer> timeout_;
     };
@@ -58,6 +58,7 @@
     void watch(const nlohmann::json &body, const std::shared_ptr<HttpResponder> &responder);
     void changeLease(const std::string &path, const nlohmann::json &body, HttpResponder &responder);
     void answerWatches();
+    static void answerWatch(HttpResponder &responder, const Result<WatchAnswer> &changes);
     void scheduleExpiry();
 
     /// Answers a write, unless the fault is to lose answers.
--- a/src/store/httpstore.cpp
+++ b/src/store/httpstore.cpp
@@ -63,7 +63,7 @@
         } else if (!answer->is_object() || !answer->value("revision", nlohmann::json()).is_number_unsigned()) {
             reply(failure(ErrorCode::StoreAnswerMalformed));
         } else {
-            reply(answer->at("revision").get<StoreRevision>());
+            reply(StoreRevision(answer->at("revision").get<std::uint64_t>()));
         }
     });
 }
@@ -87,9 +87,9 @@
     post(*client_, storepaths::List, query, [reply = std::move(reply)](Result<nlohmann::json> answer) { reply(answer.and_then(storecodec::entriesFromJson)); });
 }
 
-void HttpStore::watch(const std::string &prefix, StoreRevision after, std::chrono::milliseconds wait, StoreReply<WatchAnswer> reply)
+void HttpStore::watch(const std::string &prefix, const StoreRevision &after, std::chrono::milliseconds wait, StoreReply<WatchAnswer> reply)
 {
-    const nlohmann::json query = { { "prefix", prefix }, { "after", after }, { "waitMs", wait.count() } };
+    const nlohmann::json query = { { "prefix", prefix }, { "after", after.number_ }, { "waitMs", wait.count() } };
     post(*watchClient_, storepaths::Watch, query, [reply = std::move(reply)](Result<nlohmann::json> answer) {
         reply(answer.and_then(storecodec::watchFromJson));
     });
--- a/src/store/httpstore.h
+++ b/src/store/httpstore.h
@@ -45,7 +45,7 @@
 
     /// Replies as soon as a key with the prefix has changed since the revision, or with no entries after the wait.
     /// Errors: StoreUnavailable.
-    void watch(const std::string &prefix, StoreRevision after, std::chrono::milliseconds wait, StoreReply<WatchAnswer> reply);
+    void watch(const std::string &prefix, const StoreRevision &after, std::chrono::milliseconds wait, StoreReply<WatchAnswer> reply);
 
     /// Errors: StoreUnavailable.
     void grantLease(std::chrono::milliseconds duration, StoreReply<LeaseId> reply);
@@ -56,6 +56,12 @@
     /// Errors: StoreLeaseUnknown, StoreUnavailable.
     void revokeLease(const LeaseId &lease, StoreReply<LeaseId> reply);
 
+    /// This form of the service tells no era.
+    StoreEra era() const
+    {
+        return 0;
+    }
+
 private:
     using JsonReply = std::function<void(Result<nlohmann::json>)>;
 
--- a/src/store/memorystore.cpp
+++ b/src/store/memorystore.cpp
@@ -7,33 +7,46 @@
 namespace cowsliphead
 {
 
+std::uint64_t MemoryStore::numberOfKey(const std::string &key) const
+{
+    const auto found = slots_.find(key);
+    return found == slots_.end() || found->second.isErased_ ? 0 : found->second.revision_;
+}
+
+bool MemoryStore::isMet(const KeyRevision &expected) const
+{
+    return numberOfKey(expected.key_) == expected.revision_.number_;
+}
+
+StoreEntry MemoryStore::entryOf(const Slot &slot) const
+{
+    return { slot.key_, slot.value_, { era_, slot.revision_ }, slot.isErased_ };
+}
+
 Result<StoreRevision> MemoryStore::compareAndSwap(const StoreWrite &write, MonotonicTime now)
 {
     expireLeases(now);
     if (write.value_.size() > LargestValue) {
         return failure(ErrorCode::StoreValueTooLarge);
     }
-    if (!write.lease_.isEmpty() && !leases_.contains(write.lease_)) {
+    if (!write.lease_.isEmpty() && !leases_.contains(numberOf(write.lease_))) {
         return failure(ErrorCode::StoreLeaseUnknown);
     }
-    const auto found = slots_.find(write.key_);
-    const bool isPresent = found != slots_.end() && !found->second.entry_.isErased_;
-    const StoreRevision current = isPresent ? found->second.entry_.revision_ : 0;
-    if (current != write.expectedRevision_) {
+    const bool isExpected = isMet({ write.key_, write.expectedRevision_ });
+    if (!isExpected || !std::all_of(write.guards_.begin(), write.guards_.end(), [this](const KeyRevision &guard) { return isMet(guard); })) {
         return failure(ErrorCode::StoreConflict);
     }
     applyWrite(write);
-    return revision_;
+    return revision();
 }
 
 std::optional<StoreEntry> MemoryStore::read(const std::string &key, MonotonicTime now)
 {
     expireLeases(now);
-    const auto found = slots_.find(key);
-    if (found == slots_.end() || found->second.entry_.isErased_) {
+    if (numberOfKey(key) == 0) {
         return std::nullopt;
     }
-    return found->second.entry_;
+    return entryOf(slots_.at(key));
 }
 
 std::vector<StoreEntry> MemoryStore::list(const std::string &prefix, const std::string &after, std::size_t limit, MonotonicTime now)
@@ -42,21 +55,24 @@
     std::vector<StoreEntry> found;
     auto slot = after < prefix ? slots_.lower_bound(prefix) : slots_.upper_bound(after);
     for (; slot != slots_.end() && slot->first.starts_with(prefix) && found.size() < limit; ++slot) {
-        if (!slot->second.entry_.isErased_) {
-            found.push_back(slot->second.entry_);
+        if (!slot->second.isErased_) {
+            found.push_back(entryOf(slot->second));
         }
     }
     return found;
 }
 
-WatchAnswer MemoryStore::changesSince(const std::string &prefix, StoreRevision after, MonotonicTime now)
+Result<WatchAnswer> MemoryStore::changesSince(const std::string &prefix, const StoreRevision &after, MonotonicTime now)
 {
     expireLeases(now);
+    if ((!after.isNone() && after.era_ != era_) || after.number_ > revision_) {
+        return failure(ErrorCode::StoreHistoryGone);
+    }
     WatchAnswer answer;
-    answer.revision_ = revision_;
-    for (auto written = keysByRevision_.upper_bound(after); written != keysByRevision_.end(); ++written) {
+    answer.revision_ = revision();
+    for (auto written = keysByRevision_.upper_bound(after.number_); written != keysByRevision_.end(); ++written) {
         if (written->second.starts_with(prefix)) {
-            answer.entries_.push_back(slots_.at(written->second).entry_);
+            answer.entries_.push_back(entryOf(slots_.at(written->second)));
         }
     }
     return answer;
@@ -65,30 +81,31 @@
 LeaseId MemoryStore::grantLease(std::chrono::milliseconds duration, MonotonicTime now)
 {
     expireLeases(now);
-    LeaseId lease(std::to_string(nextLease_++));
+    const auto lease = nextLease_++;
     leases_[lease] = Lease{ duration, now + duration };
-    return lease;
+    return leaseIdOf(era_, lease);
 }
 
 Result<LeaseId> MemoryStore::renewLease(const LeaseId &lease, MonotonicTime now)
 {
     expireLeases(now);
-    const auto found = leases_.find(lease);
+    const auto found = leases_.find(numberOf(lease));
     if (found == leases_.end()) {
         return failure(ErrorCode::StoreLeaseUnknown);
     }
     found->second.expiry_ = now + found->second.duration_;
-    return lease;
+    return leaseIdOf(era_, found->first);
 }
 
 Result<LeaseId> MemoryStore::revokeLease(const LeaseId &lease, MonotonicTime now)
 {
     expireLeases(now);
-    if (leases_.erase(lease) == 0) {
+    const auto number = numberOf(lease);
+    if (leases_.erase(number) == 0) {
         return failure(ErrorCode::StoreLeaseUnknown);
     }
-    eraseKeysOf(lease);
-    return lease;
+    eraseKeysOf(number);
+    return leaseIdOf(era_, number);
 }
 
 std::optional<MonotonicTime> MemoryStore::nextExpiry() const
@@ -110,10 +127,30 @@
     }
 }
 
-void MemoryStore::eraseKeysOf(const LeaseId &lease)
+StoreRevision MemoryStore::revision() const
+{
+    return { era_, revision_ };
+}
+
+void MemoryStore::setEra(StoreEra era)
+{
+    era_ = era;
+}
+
+void MemoryStore::restore(const MemoryStore &copy, MonotonicTime now)
+{
+    const auto era = era_ + 1;
+    *this = copy;
+    era_ = era;
+    for (auto &[number, lease] : leases_) {
+        lease.expiry_ = now + lease.duration_;
+    }
+}
+
+void MemoryStore::eraseKeysOf(std::uint64_t lease)
 {
     for (auto &[key, slot] : slots_) {
-        if (slot.lease_ == lease && !slot.entry_.isErased_) {
+        if (slot.lease_ == lease && !slot.isErased_) {
             StoreWrite erase;
             erase.key_ = key;
             erase.isErase_ = true;
@@ -125,11 +162,10 @@
 void MemoryStore::applyWrite(const StoreWrite &write)
 {
     auto &slot = slots_[write.key_];
-    keysByRevision_.erase(slot.entry_.revision_);
+    keysByRevision_.erase(slot.revision_);
     ++revision_;
     keysByRevision_[revision_] = write.key_;
-    slot.entry_ = StoreEntry{ write.key_, write.isErase_ ? std::string() : write.value_, revision_, write.isErase_ };
-    slot.lease_ = write.isErase_ ? LeaseId() : write.lease_;
+    slot = Slot{ write.key_, write.isErase_ ? std::string() : write.value_, revision_, write.isErase_, write.isErase_ ? 0 : numberOf(write.lease_) };
 }
 
 } // namespace cowsliphead
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <concepts>
 #include <cstddef>
 #include <optional>
 #include <string>
@@ -16,6 +17,10 @@
 {
 
 /// Interface of the platform's key-value service. Each call is answered exactly once, in a later iteration of the caller's event loop.
+///
+/// era() is the newest era that an answer has told. Revisions and leases name the era of the answer that told them. A watch from a revision of
+/// another era fails with StoreHistoryGone, a write that relies on one with StoreConflict; the latter may have taken effect if the client learned
+/// of the new era only from the answer.
 template <typename T>
 concept Store = requires(T &store,
                          StoreWrite write,
@@ -37,6 +42,9 @@
     store.grantLease(duration, leased);
     store.renewLease(lease, leased);
     store.revokeLease(lease, leased);
+    {
+        store.era()
+        } -> std::same_as<StoreEra>;
 };
 
 } // namespace cowsliphead
--- a/src/store/storecodec.cpp
+++ b/src/store/storecodec.cpp
@@ -1,5 +1,8 @@
 #include "store/storecodec.h"
 
+#include <cstdint>
+#include <utility>
+
 #include <nlohmann/json.hpp>
 
 #include "core/errorcode.h"
@@ -9,9 +12,13 @@
 
 nlohmann::json writeToJson(const StoreWrite &write)
 {
+    auto guards = nlohmann::json::array();
+    for (const auto &guard : write.guards_) {
+        guards.push_back({ { "key", guard.key_ }, { "revision", guard.revision_.number_ } });
+    }
     return {
-        { "key", write.key_ },       { "value", write.value_ }, { "expected", write.expectedRevision_ }, { "lease", write.lease_.value() },
-        { "erase", write.isErase_ },
+        { "key", write.key_ },       { "value", write.value_ },       { "expected", write.expectedRevision_.number_ }, { "lease", write.lease_.value() },
+        { "erase", write.isErase_ }, { "guards", std::move(guards) },
     };
 }
 
@@ -21,9 +28,12 @@
         StoreWrite write;
         document.at("key").get_to(write.key_);
         document.at("value").get_to(write.value_);
-        document.at("expected").get_to(write.expectedRevision_);
+        write.expectedRevision_ = document.at("expected").get<std::uint64_t>();
         write.lease_ = LeaseId(document.at("lease").get<std::string>());
         document.at("erase").get_to(write.isErase_);
+        for (const auto &guard : document.value("guards", nlohmann::json::array())) {
+            write.guards_.push_back({ guard.at("key").get<std::string>(), guard.at("revision").get<std::uint64_t>() });
+        }
         return write;
     } catch (const nlohmann::json::exception &) {
         return failure(ErrorCode::StoreAnswerMalformed);
@@ -35,7 +45,7 @@
     return {
         { "key", entry.key_ },
         { "value", entry.value_ },
-        { "revision", entry.revision_ },
+        { "revision", entry.revision_.number_ },
         { "erased", entry.isErased_ },
     };
 }
@@ -46,7 +56,7 @@
         StoreEntry entry;
         document.at("key").get_to(entry.key_);
         document.at("value").get_to(entry.value_);
-        document.at("revision").get_to(entry.revision_);
+        entry.revision_ = document.at("revision").get<std::uint64_t>();
         document.at("erased").get_to(entry.isErased_);
         return entry;
     } catch (const nlohmann::json::exception &) {
@@ -81,7 +91,7 @@
 
 nlohmann::json watchToJson(const WatchAnswer &answer)
 {
-    return { { "entries", entriesToJson(answer.entries_) }, { "revision", answer.revision_ } };
+    return { { "entries", entriesToJson(answer.entries_) }, { "revision", answer.revision_.number_ } };
 }
 
 Result<WatchAnswer> watchFromJson(const nlohmann::json &document)
@@ -93,7 +103,7 @@
     if (!entries) {
         return tl::unexpected(entries.error());
     }
-    return WatchAnswer{ std::move(*entries), document["revision"].get<StoreRevision>() };
+    return WatchAnswer{ std::move(*entries), document["revision"].get<std::uint64_t>() };
 }
 
 } // namespace cowsliphead::storecodec
--- a/src/store/storeentry.h
+++ b/src/store/storeentry.h
@@ -13,7 +13,7 @@
     std::string value_;
 
     /// Revision of the last write to the key.
-    StoreRevision revision_ = 0;
+    StoreRevision revision_;
 
     /// True if that write erased the key. Only watches return such entries.
     bool isErased_ = false;
--- a/src/store/storerange.h
+++ b/src/store/storerange.h
@@ -15,7 +15,7 @@
     bool hasMore_ = false;
 
     /// The store's revision when it answered. A watch continues from the revision of the first page.
-    StoreRevision revision_ = 0;
+    StoreRevision revision_;
 };
 
 } // namespace cowsliphead
--- a/src/store/storewrite.h
+++ b/src/store/storewrite.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
+#include "store/keyrevision.h"
 #include "store/leaseid.h"
 #include "store/storerevision.h"
 
@@ -13,14 +15,17 @@
     std::string key_;
     std::string value_;
 
-    /// 0: the key must be absent.
-    StoreRevision expectedRevision_ = 0;
+    /// None: the key must be absent.
+    StoreRevision expectedRevision_;
 
     /// The key is erased when this lease ends; empty for a permanent key.
     LeaseId lease_;
 
     /// True to erase the key; the value is ignored.
     bool isErase_ = false;
+
+    /// Other keys that must still be at these revisions.
+    std::vector<KeyRevision> guards_{};
 };
 
 } // namespace cowsliphead
--- a/src/store/watchanswer.h
+++ b/src/store/watchanswer.h
@@ -11,7 +11,7 @@
 /// next watch continues.
 struct WatchAnswer {
     std::vector<StoreEntry> entries_;
-    StoreRevision revision_ = 0;
+    StoreRevision revision_;
 };
 
 } // namespace cowsliphead
--- a/tests/duty/mapstore.h
+++ b/tests/duty/mapstore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -11,7 +12,7 @@
 #include "store/storewrite.h"
 #include "store/watchanswer.h"
 
-/// In-memory store that invokes each reply before the call returns. Models RangedStore.
+/// In-memory store that invokes each reply before the call returns, and that can come back from a copy. Models RangedStore.
 class MapStore
 {
 public:
@@ -21,12 +22,13 @@
             reply(cowsliphead::failure(cowsliphead::ErrorCode::StoreUnavailable));
             return;
         }
-        auto &entry = entries_[write.key_];
-        if (entry.revision_ != write.expectedRevision_) {
+        const bool isMet = revisionOf(write.key_) == write.expectedRevision_
+            && std::all_of(write.guards_.begin(), write.guards_.end(), [this](const auto &guard) { return revisionOf(guard.key_) == guard.revision_; });
+        if (!isMet) {
             reply(cowsliphead::failure(cowsliphead::ErrorCode::StoreConflict));
             return;
         }
-        entry = cowsliphead::StoreEntry{ write.key_, write.value_, ++revision_, false };
+        entries_[write.key_] = cowsliphead::StoreEntry{ write.key_, write.value_, ++revision_, false };
         reply(revision_);
     }
 
@@ -43,6 +45,7 @@
     void range(const std::string &prefix, const std::string & /*after*/, const cowsliphead::StoreReply<cowsliphead::StoreRange> &reply)
     {
         cowsliphead::StoreRange range;
+        range.revision_ = revision_;
         for (const auto &[key, entry] : entries_) {
             if (key.starts_with(prefix)) {
                 range.entries_.push_back(entry);
@@ -67,7 +70,7 @@
     }
 
     void watch(const std::string & /*prefix*/,
-               cowsliphead::StoreRevision /*after*/,
+               const cowsliphead::StoreRevision & /*after*/,
                std::chrono::milliseconds /*wait*/,
                const cowsliphead::StoreReply<cowsliphead::WatchAnswer> & /*reply*/)
     {
@@ -85,14 +88,36 @@
     {
     }
 
+    cowsliphead::StoreEra era() const
+    {
+        return revision_.era_;
+    }
+
     bool holds(const std::string &key) const
     {
         return entries_.contains(key);
     }
 
+    cowsliphead::StoreRevision revisionOf(const std::string &key) const
+    {
+        const auto found = entries_.find(key);
+        return found == entries_.end() ? cowsliphead::StoreRevision() : found->second.revision_;
+    }
+
+    /// Loses what was written since the copy was made, and gives out its revisions again, in the next era.
+    void restore(const MapStore &copy)
+    {
+        const auto era = revision_.era_ + 1;
+        *this = copy;
+        revision_.era_ = era;
+        for (auto &[key, entry] : entries_) {
+            entry.revision_.era_ = era;
+        }
+    }
+
     bool isReachable_ = true;
 
 private:
     std::map<std::string, cowsliphead::StoreEntry> entries_;
-    cowsliphead::StoreRevision revision_ = 0;
+    cowsliphead::StoreRevision revision_;
 };
--- a/tests/duty/replicationsimulation.h
+++ b/tests/duty/replicationsimulation.h
@@ -104,6 +104,11 @@
         perform<LeaseId>(true, std::move(reply), [this, lease] { return store_.revokeLease(lease, clock_.now()); });
     }
 
+    StoreEra era() const
+    {
+        return 0;
+    }
+
 private:
     static constexpr std::chrono::milliseconds Delay{ 2 };
     static constexpr std::chrono::milliseconds FailDelay{ 2000 };
@@ -147,7 +152,7 @@
                 return;
             }
             auto found = store_.changesSince(prefix, after, clock_.now());
-            if (found.entries_.empty() && clock_.now() < until) {
+            if (found && found->entries_.empty() && clock_.now() < until) {
                 poll(prefix, after, until, reply);
             } else {
                 deliverReply<WatchAnswer>(Delay, reply, std::move(found));
--- a/tests/duty/simulatedstore.h
+++ b/tests/duty/simulatedstore.h
@@ -8,12 +8,14 @@
 #include "core/virtualclock.h"
 #include "standin/standinfault.h"
 #include "store/memorystore.h"
+#include "store/storeeratracker.h"
 #include "store/storereply.h"
 
 namespace cowsliphead
 {
 
-/// Connection of one process to the shared store: replies are delivered when the process runs, and may be lost. Models Store.
+/// Connection of one process to the shared store: replies are delivered when the process runs, and may be lost. Tells eras apart as the platform's
+/// client does. Models Store.
 class SimulatedStore
 {
 public:
@@ -56,7 +58,16 @@
 
     void compareAndSwap(const StoreWrite &write, StoreReply<StoreRevision> reply)
     {
-        change<StoreRevision>([this, write] { return store_.compareAndSwap(write, clock_.now()); }, std::move(reply));
+        if (!eras_.mayWrite(write)) {
+            answer<StoreRevision>(failure(ErrorCode::StoreConflict), std::move(reply));
+            return;
+        }
+        change<StoreRevision>(
+            [this, write] {
+                const auto written = store_.compareAndSwap(write, clock_.now());
+                return written ? StoreEraTracker::outcomeOf(write, *written) : written;
+            },
+            std::move(reply));
     }
 
     void read(const std::string &key, StoreReply<std::optional<StoreEntry>> reply)
@@ -81,6 +92,10 @@
 
     void renewLease(const LeaseId &lease, StoreReply<LeaseId> reply)
     {
+        if (!eras_.mayName(lease)) {
+            answer<LeaseId>(failure(ErrorCode::StoreLeaseUnknown), std::move(reply));
+            return;
+        }
         change<LeaseId>([this, lease] { return store_.renewLease(lease, clock_.now()); }, std::move(reply));
     }
 
@@ -89,13 +104,24 @@
         change<LeaseId>([this, lease] { return store_.revokeLease(lease, clock_.now()); }, std::move(reply));
     }
 
+    StoreEra era() const
+    {
+        return eras_.newest();
+    }
+
 private:
     static constexpr std::chrono::seconds MaxDelay{ 30 };
 
     template <typename T>
     void answer(Result<T> result, StoreReply<T> reply)
     {
-        due_.push_back([result = std::move(result), reply = std::move(reply)] { reply(result); });
+        due_.push_back([this, era = store_.revision().era_, result = std::move(result), reply = std::move(reply)] {
+            // A store that did not answer tells no era either.
+            if (result || result.error() != ErrorCode::StoreUnavailable) {
+                eras_.answered(era);
+            }
+            reply(result);
+        });
     }
 
     template <typename T, typename Fetch>
@@ -127,6 +153,7 @@
     std::deque<std::function<void()>> due_;
     std::deque<std::pair<MonotonicTime, std::function<void()>>> delayedWrites_;
     std::uint64_t calls_ = 0;
+    StoreEraTracker eras_;
 };
 
 } // namespace cowsliphead
--- a/tests/fleet/endpointexplorationtest.cpp
+++ b/tests/fleet/endpointexplorationtest.cpp
@@ -28,18 +28,18 @@
     EndpointDirectory directory_;
 
     /// The revision up to which it has read the store itself.
-    StoreRevision cursor_ = 0;
+    std::uint64_t cursor_ = 0;
 
     /// The newest incarnation that it knew as leaving.
     std::uint64_t left_ = 0;
 
     /// The newest revision at which it knew that the endpoint has no entry.
-    StoreRevision goneAt_ = 0;
+    std::uint64_t goneAt_ = 0;
 
     void learn(const EndpointList &list)
     {
         if (list.registrations_.empty()) {
-            goneAt_ = std::max(goneAt_, list.revision_);
+            goneAt_ = std::max(goneAt_, list.revision_.number_);
         } else if (const auto &entry = list.registrations_.front().entry_; entry.isLeaving_) {
             left_ = std::max(left_, entry.incarnation_);
         }
@@ -55,12 +55,12 @@
     int outages_ = 0;
     std::string path_;
 
-    bool stands(StoreRevision revision) const
+    bool stands(std::uint64_t revision) const
     {
         return revision > 0 && !changes_[revision - 1].isRemoval_;
     }
 
-    StoreRevision removedAt(StoreRevision revision) const
+    std::uint64_t removedAt(std::uint64_t revision) const
     {
         while (revision > 0 && !changes_[revision - 1].isRemoval_) {
             --revision;
@@ -69,7 +69,7 @@
     }
 
     /// True if the incarnation whose entry stands at the revision has announced its leaving before.
-    bool hasLeft(StoreRevision revision) const
+    bool hasLeft(std::uint64_t revision) const
     {
         const auto incarnation = changes_[revision - 1].incarnation_;
         return std::any_of(changes_.begin(), changes_.begin() + static_cast<std::ptrdiff_t>(revision), [incarnation](const Change &change) {
@@ -167,7 +167,7 @@
         add(std::move(next), "relay " + std::to_string(number) + (isAfterOutage ? " reads after an outage" : " reads"));
     }
 
-    static void apply(Node &relay, const Change &change, StoreRevision revision, std::optional<MonotonicTime> keepUntil)
+    static void apply(Node &relay, const Change &change, std::uint64_t revision, std::optional<MonotonicTime> keepUntil)
     {
         if (change.isRemoval_) {
             relay.directory_.remove(Endpoint, revision, keepUntil);
@@ -204,7 +204,7 @@
         auto next = state;
         for (auto *node : { &next.relays_[0], &next.relays_[1], &next.member_ }) {
             if (node->directory_.expire(state.keepUntil())) {
-                node->goneAt_ = std::max(node->goneAt_, state.removedAt(node->directory_.revision()));
+                node->goneAt_ = std::max(node->goneAt_, state.removedAt(node->directory_.revision().number_));
             }
         }
         ++next.outages_;
@@ -226,7 +226,7 @@
 
     static bool isTrue(const State &state, const Node &node)
     {
-        const auto revision = node.directory_.revision();
+        const auto revision = node.directory_.revision().number_;
         const auto list = node.directory_.list();
         if (list.registrations_.empty()) {
             return !state.stands(revision) || state.hasLeft(revision);
--- a/tests/fleet/endpointhistory.cpp
+++ b/tests/fleet/endpointhistory.cpp
@@ -32,18 +32,18 @@
     }
 }
 
-StoreRevision EndpointHistory::lastRevision() const
+std::uint64_t EndpointHistory::lastRevision() const
 {
     return changes_.size();
 }
 
-EndpointList EndpointHistory::listAt(StoreRevision revision, std::minstd_rand &random) const
+EndpointList EndpointHistory::listAt(std::uint64_t revision, std::minstd_rand &random) const
 {
     std::map<EndpointId, EndpointRegistration> registrations;
     // The reader saw the leaving only of those that announced it after it began to read.
-    const StoreRevision readingSince = random() % revision + 1;
+    const std::uint64_t readingSince = random() % revision + 1;
     std::map<EndpointId, std::uint64_t> leavingSeen;
-    for (StoreRevision at = 1; at <= revision; ++at) {
+    for (std::uint64_t at = 1; at <= revision; ++at) {
         const auto &change = changes_[at - 1];
         const auto &id = change.entry_.id_;
         if (change.entry_.isLeaving_ && at >= readingSince) {
@@ -74,20 +74,20 @@
     return list;
 }
 
-bool EndpointHistory::stands(const EndpointId &id, StoreRevision revision) const
+bool EndpointHistory::stands(const EndpointId &id, std::uint64_t revision) const
 {
     bool isStanding = false;
-    for (StoreRevision at = 1; at <= revision; ++at) {
+    for (std::uint64_t at = 1; at <= revision; ++at) {
         const auto &change = changes_[at - 1];
         isStanding = change.entry_.id_ == id ? !change.isRemoval_ : isStanding;
     }
     return isStanding;
 }
 
-StoreRevision EndpointHistory::removedAt(const EndpointId &id, StoreRevision revision) const
+std::uint64_t EndpointHistory::removedAt(const EndpointId &id, std::uint64_t revision) const
 {
-    StoreRevision removedAt = 0;
-    for (StoreRevision at = 1; at <= revision; ++at) {
+    std::uint64_t removedAt = 0;
+    for (std::uint64_t at = 1; at <= revision; ++at) {
         const auto &change = changes_[at - 1];
         removedAt = change.entry_.id_ == id && change.isRemoval_ ? at : removedAt;
     }
--- a/tests/fleet/endpointhistory.h
+++ b/tests/fleet/endpointhistory.h
@@ -16,17 +16,17 @@
     /// Each number is one change, at the next revision.
     explicit EndpointHistory(const std::vector<std::uint8_t> &changes);
 
-    cowsliphead::StoreRevision lastRevision() const;
+    std::uint64_t lastRevision() const;
 
     /// What a reader knows that has read up to the revision, and that may have been cut off from the store when entries were removed: it
     /// keeps some of them.
-    cowsliphead::EndpointList listAt(cowsliphead::StoreRevision revision, std::minstd_rand &random) const;
+    cowsliphead::EndpointList listAt(std::uint64_t revision, std::minstd_rand &random) const;
 
     /// True if the endpoint's entry stands at the revision.
-    bool stands(const cowsliphead::EndpointId &id, cowsliphead::StoreRevision revision) const;
+    bool stands(const cowsliphead::EndpointId &id, std::uint64_t revision) const;
 
     /// Revision at which the entry was last removed up to the given one; 0 if it never was.
-    cowsliphead::StoreRevision removedAt(const cowsliphead::EndpointId &id, cowsliphead::StoreRevision revision) const;
+    std::uint64_t removedAt(const cowsliphead::EndpointId &id, std::uint64_t revision) const;
 
 private:
     struct Change {
--- a/tests/fleet/endpointjointest.cpp
+++ b/tests/fleet/endpointjointest.cpp
@@ -71,7 +71,7 @@
     for (const auto *name : { "a", "b", "c" }) {
         const EndpointId id(name);
         const bool isListed = lists(directory.list(), id);
-        RC_ASSERT(isListed || !history.stands(id, directory.revision()));
+        RC_ASSERT(isListed || !history.stands(id, directory.revision().number_));
     }
 }
 
@@ -84,11 +84,11 @@
     const auto directory = joined(known);
     for (const auto &registration : directory.list().registrations_) {
         const auto &id = registration.entry_.id_;
-        if (history.stands(id, directory.revision())) {
+        if (history.stands(id, directory.revision().number_)) {
             RC_ASSERT(!registration.keepUntil_);
             continue;
         }
-        const auto removedAt = history.removedAt(id, directory.revision());
+        const auto removedAt = history.removedAt(id, directory.revision().number_);
         RC_ASSERT(registration.keepUntil_);
         RC_ASSERT(std::none_of(known.begin(), known.end(), [&](const EndpointList &list) { return list.revision_ >= removedAt && !lists(list, id); }));
     }
--- a/tests/fleet/fakestore.h
+++ b/tests/fleet/fakestore.h
@@ -23,7 +23,7 @@
         ranges_[prefix] = std::move(reply);
     }
 
-    void watch(const std::string &prefix, cowsliphead::StoreRevision after, std::chrono::milliseconds wait, Watch reply)
+    void watch(const std::string &prefix, const cowsliphead::StoreRevision &after, std::chrono::milliseconds wait, Watch reply)
     {
         watchWaits_[prefix] = wait;
         watchedAfter_[prefix] = after;
@@ -64,6 +64,13 @@
     {
     }
 
+    cowsliphead::StoreEra era() const
+    {
+        return era_;
+    }
+
+    cowsliphead::StoreEra era_ = 0;
+
     /// The reply callback of the last call for each prefix.
     std::map<std::string, Range> ranges_;
     std::map<std::string, Watch> watches_;
--- a/tests/fleet/registrytest.cpp
+++ b/tests/fleet/registrytest.cpp
@@ -17,17 +17,17 @@
 namespace
 {
 
-StoreEntry configuration(StoreRevision revision)
+StoreEntry configuration(const StoreRevision &revision, int version = 1)
 {
-    return { "op/config", R"({"version":1,"routes":[],"services":[]})", revision, false };
+    return { "op/config", R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[]})", revision, false };
 }
 
-StoreEntry endpointEntry(const std::string &id, StoreRevision revision, const std::string &state = "ready")
+StoreEntry endpointEntry(const std::string &id, const StoreRevision &revision, const std::string &state = "ready")
 {
     return { "servers/" + id, R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":1,"state":")" + state + R"("})", revision, false };
 }
 
-StoreEntry removedEntry(const std::string &id, StoreRevision revision)
+StoreEntry removedEntry(const std::string &id, const StoreRevision &revision)
 {
     return { "servers/" + id, {}, revision, true };
 }
@@ -42,12 +42,12 @@
         runPendingTimers();
     }
 
-    void answer(std::vector<StoreEntry> events, StoreRevision revision)
+    void answer(std::vector<StoreEntry> events, const StoreRevision &revision)
     {
         store_.watches_["servers/"](WatchAnswer{ std::move(events), revision });
     }
 
-    void configure(std::vector<StoreEntry> events, StoreRevision revision)
+    void configure(std::vector<StoreEntry> events, const StoreRevision &revision)
     {
         store_.watches_["op/config"](WatchAnswer{ std::move(events), revision });
     }
@@ -222,4 +222,116 @@
     BOOST_TEST(registry.snapshot_.configuration_->version_ == 1U);
 }
 
+// Guards against a fleet that ignores all that a store tells after it came back from a copy with lower revisions (review/11, review/14).
+BOOST_AUTO_TEST_SUITE(after_the_store_came_back_from_a_copy)
+
+/// A registry whose store came back in its second era; both readers have noticed.
+struct RestoredStore : WatchingRegistry {
+    RestoredStore()
+    {
+        store_.ranges_.clear();
+        configure({ configuration({ 1, 100 }, 9) }, { 1, 100 });
+        answer({ endpointEntry("i-1", { 1, 100 }), endpointEntry("i-2", { 1, 101 }) }, { 1, 101 });
+        loseHistory();
+    }
+
+    void loseHistory()
+    {
+        store_.watches_["op/config"](failure(ErrorCode::StoreHistoryGone));
+        store_.watches_["servers/"](failure(ErrorCode::StoreHistoryGone));
+        runUntilRead();
+    }
+
+    void runUntilRead()
+    {
+        Timer end(loop_, [this] { loop_.stop(); });
+        end.startOnce(1s);
+        Timer check(loop_, [this] {
+            if (store_.ranges_.contains("op/config") && store_.ranges_.contains("servers/")) {
+                loop_.stop();
+            }
+        });
+        check.startRepeating(5ms);
+        loop_.run();
+    }
+
+    void readConfiguration(const StoreEntry &entry, const StoreRevision &revision)
+    {
+        store_.ranges_["op/config"](StoreRange{ { entry }, false, revision });
+        runPendingTimers();
+    }
+
+    std::uint64_t version() const
+    {
+        return snapshot_.configuration_->version_;
+    }
+};
+
+BOOST_FIXTURE_TEST_CASE(a_newer_configuration_of_a_lower_revision_is_taken_and_confirmed, RestoredStore)
+{
+    confirmationCount_ = 0;
+    readConfiguration(configuration({ 2, 60 }, 9), { 2, 60 });
+    BOOST_TEST(confirmationCount_ == 1);
+    BOOST_TEST((store_.watchedAfter_["op/config"] == StoreRevision(2, 60)));
+    configure({ configuration({ 2, 70 }, 12) }, { 2, 70 });
+    BOOST_TEST(version() == 12U);
+    BOOST_TEST(confirmationCount_ == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(an_older_configuration_neither_replaces_nor_confirms_the_one_in_force, RestoredStore)
+{
+    // Guards against a key that was taken away in the lost seconds and would work again.
+    confirmationCount_ = 0;
+    readConfiguration(configuration({ 2, 60 }, 8), { 2, 60 });
+    configure({}, { 2, 65 });
+    BOOST_TEST(version() == 9U);
+    BOOST_TEST(confirmationCount_ == 0);
+    runPendingTimers();
+    configure({ configuration({ 2, 66 }, 9) }, { 2, 66 });
+    BOOST_TEST(confirmationCount_ == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(twice_in_a_row_the_last_era_counts, RestoredStore)
+{
+    readConfiguration(configuration({ 2, 60 }, 9), { 2, 60 });
+    store_.ranges_["servers/"](StoreRange{ { endpointEntry("i-1", { 2, 50 }) }, false, { 2, 61 } });
+    store_.ranges_.clear();
+    loseHistory();
+    readConfiguration(configuration({ 3, 40 }, 10), { 3, 40 });
+    store_.ranges_["servers/"](StoreRange{ { endpointEntry("i-1", { 3, 50 }), endpointEntry("i-3", { 3, 51 }) }, false, { 3, 51 } });
+    BOOST_TEST(version() == 10U);
+    BOOST_TEST(isListed("i-3"));
+}
+
+BOOST_FIXTURE_TEST_CASE(endpoints_are_kept_until_the_read_is_whole_and_then_are_those_of_the_store, RestoredStore)
+{
+    BOOST_TEST(isListed("i-2"));
+    store_.ranges_["servers/"](StoreRange{ { endpointEntry("i-1", { 2, 50 }) }, true, { 2, 61 } });
+    BOOST_TEST(isListed("i-2"));
+    store_.ranges_["servers/"](StoreRange{ { endpointEntry("i-3", { 2, 62 }) }, false, { 2, 62 } });
+    BOOST_TEST(isListed("i-1"));
+    BOOST_TEST(!isListed("i-2"));
+    BOOST_TEST(isListed("i-3"));
+}
+
+BOOST_FIXTURE_TEST_CASE(pages_of_two_eras_are_not_taken_for_one_read, RestoredStore)
+{
+    store_.ranges_["servers/"](StoreRange{ { endpointEntry("i-1", { 2, 50 }) }, true, { 2, 61 } });
+    store_.ranges_["servers/"](StoreRange{ {}, false, { 3, 40 } });
+    BOOST_TEST(isListed("i-2"));
+    store_.ranges_["servers/"](StoreRange{ { endpointEntry("i-1", { 3, 30 }) }, false, { 3, 41 } });
+    BOOST_TEST(!isListed("i-2"));
+    BOOST_TEST((store_.watchedAfter_["servers/"] == StoreRevision(3, 41)));
+}
+
+BOOST_FIXTURE_TEST_CASE(the_removal_of_an_entry_at_a_lower_revision_holds, RestoredStore)
+{
+    store_.ranges_["servers/"](StoreRange{ { endpointEntry("i-1", { 2, 50 }), endpointEntry("i-2", { 2, 51 }) }, false, { 2, 61 } });
+    answer({ removedEntry("i-2", { 2, 62 }) }, { 2, 62 });
+    BOOST_TEST(isListed("i-1"));
+    BOOST_TEST(!isListed("i-2"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -51,7 +51,7 @@
     port_ = *gateway_.listen();
     gateway_.receive(GatewayCount{ 1 });
     publish();
-    gateway_.receive(ConfigurationConfirmed{ SystemClock().now() - configurationAge });
+    gateway_.receive(ConfigurationConfirmed{ SystemClock().now() - configurationAge, {} });
 }
 
 GatewayFixture::~GatewayFixture()
--- a/tests/platform/httpstub.cpp
+++ b/tests/platform/httpstub.cpp
@@ -19,7 +19,7 @@
         .onRequest_ =
             [this, number](const CallerRequest &request) {
                 if (const auto answer = handler_(request)) {
-                    connections_.at(number)->respond(answer->status_, reasonPhrase(answer->status_), {}, answer->body_);
+                    connections_.at(number)->respond(answer->status_, reasonPhrase(answer->status_), answer->headers_, answer->body_);
                 }
             },
         .onDisconnected_ = [] {},
--- a/tests/platform/httpstub.h
+++ b/tests/platform/httpstub.h
@@ -18,6 +18,7 @@
     struct Answer {
         int status_ = 200;
         std::string body_;
+        cowsliphead::HttpHeaders headers_{};
     };
 
     /// Returns the answer, or nothing to leave the call unanswered.
--- a/tests/platform/platformstoretest.cpp
+++ b/tests/platform/platformstoretest.cpp
@@ -16,13 +16,16 @@
 /// A store client with a stub server, and the last call that the server received.
 struct StoreFixture {
     explicit StoreFixture(std::optional<HttpStub::Answer> answer)
-        : stub_(loop_, [this, answer = std::move(answer)](const CallerRequest &request) {
-            lastRequest_ = request;
-            return answer;
-        })
+        : answer_(std::move(answer))
     {
     }
 
+    /// The store answers like this from now on, in an era.
+    void answerInEra(StoreEra era, std::string body)
+    {
+        answer_ = HttpStub::Answer{ 200, std::move(body), { { "Store-Era", std::to_string(era) } } };
+    }
+
     /// Makes the call and runs the loop until it is answered.
     template <typename T, typename Call>
     Result<T> ask(Call call)
@@ -41,7 +44,13 @@
 
     EventLoop loop_;
     CallerRequest lastRequest_;
-    HttpStub stub_;
+    int requests_ = 0;
+    std::optional<HttpStub::Answer> answer_;
+    HttpStub stub_{ loop_, [this](const CallerRequest &request) {
+                       lastRequest_ = request;
+                       ++requests_;
+                       return answer_;
+                   } };
     PlatformStore store_{ loop_, stub_.address() };
 };
 
@@ -55,9 +64,9 @@
     return fixture.ask<StoreRevision>([&](PlatformStore &store, const StoreReply<StoreRevision> &reply) { store.compareAndSwap(write, reply); });
 }
 
-Result<WatchAnswer> watch(StoreFixture &fixture)
+Result<WatchAnswer> watch(StoreFixture &fixture, const StoreRevision &after = 411)
 {
-    return fixture.ask<WatchAnswer>([](PlatformStore &store, const StoreReply<WatchAnswer> &reply) { store.watch("", 411, 200ms, reply); });
+    return fixture.ask<WatchAnswer>([&after](PlatformStore &store, const StoreReply<WatchAnswer> &reply) { store.watch("", after, 200ms, reply); });
 }
 
 Result<std::optional<StoreEntry>> read(StoreFixture &fixture)
@@ -153,4 +162,75 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against facts of two eras that are taken for facts of one: the store gives out its numbers again after it came back from a copy (review/11
+// to /14).
+BOOST_AUTO_TEST_SUITE(that_tells_its_era)
+
+constexpr const char *Item = R"({"key":"k","value":"bm9kZS0x","revision":9,"createRev":1,"lease":0,"currentRev":10})";
+constexpr const char *NoEvents = R"({"events":[],"currentRev":420})";
+
+BOOST_AUTO_TEST_CASE(has_it_in_each_revision)
+{
+    StoreFixture fixture(std::nullopt);
+    fixture.answerInEra(3, Item);
+    BOOST_TEST(((*read(fixture))->revision_ == StoreRevision(3, 9)));
+    BOOST_TEST(fixture.store_.era() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(is_one_without_eras_if_the_field_cannot_be_read)
+{
+    for (const auto *text : { "", "x", "-1", "3x", "99999999999999999999" }) {
+        StoreFixture fixture(HttpStub::Answer{ 200, Item, { { "Store-Era", text } } });
+        BOOST_TEST(((*read(fixture))->revision_ == StoreRevision(0, 9)));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE(and_came_back_from_a_copy)
+
+BOOST_AUTO_TEST_CASE(has_no_history_for_a_watch_from_the_era_before)
+{
+    // The store's counter may have passed the number by then, so that it answers as if nothing had happened.
+    StoreFixture fixture(std::nullopt);
+    fixture.answerInEra(2, NoEvents);
+    BOOST_TEST(watch(fixture, { 1, 411 }).error() == ErrorCode::StoreHistoryGone);
+    BOOST_TEST(watch(fixture, { 2, 411 }).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(does_not_get_a_write_that_relies_on_the_era_before)
+{
+    StoreFixture fixture(std::nullopt);
+    fixture.answerInEra(2, Item);
+    BOOST_REQUIRE(read(fixture).has_value());
+    const auto requests = fixture.requests_;
+    BOOST_TEST(swap(fixture).error() == ErrorCode::StoreConflict);
+    BOOST_TEST(fixture.requests_ == requests);
+}
+
+BOOST_AUTO_TEST_CASE(has_not_met_the_condition_of_a_write_that_tells_the_new_era)
+{
+    StoreFixture fixture(std::nullopt);
+    fixture.answerInEra(2, R"({"revision":412})");
+    BOOST_TEST(swap(fixture).error() == ErrorCode::StoreConflict);
+}
+
+BOOST_AUTO_TEST_CASE(does_not_renew_the_lease_that_it_granted_before)
+{
+    // Guards against a holder that goes on with the lease of another process, which got the same number.
+    StoreFixture fixture(std::nullopt);
+    fixture.answerInEra(1, R"({"lease":77,"ttlMs":3000})");
+    const auto lease = fixture.ask<LeaseId>([](PlatformStore &store, const StoreReply<LeaseId> &reply) { store.grantLease(3s, reply); });
+    const auto renew = [&] {
+        return fixture.ask<LeaseId>([&lease](PlatformStore &store, const StoreReply<LeaseId> &reply) { store.renewLease(*lease, reply); });
+    };
+    BOOST_TEST((*renew() == *lease));
+    BOOST_TEST(fixture.lastRequest_.head_.target_ == "/api/kv-keep/77");
+    fixture.answerInEra(2, "{}");
+    BOOST_TEST((*renew() != *lease));
+    BOOST_TEST(renew().error() == ErrorCode::StoreLeaseUnknown);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/relay/fleetstatetest.cpp
+++ b/tests/relay/fleetstatetest.cpp
@@ -35,10 +35,11 @@
 struct Pair {
     using State = FleetState<PlatformFleetCodec>;
 
-    void configure(std::uint64_t revision, int version)
+    void configure(const StoreRevision &revision, int version)
     {
         auto configuration = std::make_shared<Configuration>();
         configuration->revision_ = revision;
+        configuration->version_ = static_cast<std::uint64_t>(version);
         relay_.setConfiguration(configuration, configurationText(version));
     }
 
@@ -49,7 +50,7 @@
     }
 
     /// The relay reads the endpoints from the store. Returns true if they have changed.
-    bool read(const std::vector<EndpointEntry> &entries, StoreRevision revision)
+    bool read(const std::vector<EndpointEntry> &entries, const StoreRevision &revision)
     {
         EndpointList list{ revision, {} };
         for (const auto &entry : entries) {
@@ -163,6 +164,67 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against gateways that hold on to what was read before the store came back from a copy (review/11).
+BOOST_AUTO_TEST_SUITE(a_gateway_that_follows_a_relay_of_a_store_that_came_back_from_a_copy)
+
+BOOST_AUTO_TEST_CASE(takes_a_newer_configuration_of_a_lower_revision)
+{
+    Pair pair;
+    pair.configure({ 1, 100 }, 9);
+    BOOST_REQUIRE(*pair.update());
+    pair.configure({ 2, 60 }, 9);
+    BOOST_TEST(*pair.update());
+    pair.configure({ 2, 70 }, 12);
+    BOOST_TEST(*pair.update());
+    BOOST_TEST((pair.member_.configurations().revision() == StoreRevision(2, 70)));
+    BOOST_TEST(pair.member_.snapshot().configuration_->version_ == 12U);
+}
+
+BOOST_AUTO_TEST_CASE(keeps_the_newer_version_that_the_store_has_lost)
+{
+    // The relay started after the drill and has never seen version 12, which took a key away.
+    Pair pair;
+    pair.configure({ 1, 100 }, 12);
+    BOOST_REQUIRE(*pair.update());
+    Pair started;
+    started.configure({ 2, 60 }, 9);
+    const auto older = started.relay_.configurations().updateFor(pair.member_.configurations().version());
+    BOOST_REQUIRE(older.has_value());
+    BOOST_TEST(!*pair.member_.applyConfiguration(*older));
+    BOOST_TEST(pair.member_.snapshot().configuration_->version_ == 12U);
+    BOOST_TEST((pair.member_.configurations().revision() == StoreRevision(1, 100)));
+    started.configure({ 2, 66 }, 12);
+    BOOST_TEST(*pair.member_.applyConfiguration(*started.relay_.configurations().updateFor(pair.member_.configurations().version())));
+}
+
+BOOST_AUTO_TEST_CASE(does_not_go_back_with_a_relay_that_has_not_noticed)
+{
+    Pair late;
+    late.configure({ 1, 100 }, 9);
+    late.read(endpoints(9), { 1, 100 });
+    Pair pair;
+    pair.configure({ 2, 60 }, 10);
+    pair.read(endpoints(8), { 2, 61 });
+    BOOST_REQUIRE(*pair.update());
+    BOOST_REQUIRE(*pair.member_.applyEndpoints(pair.updateFor({}), Now));
+    BOOST_TEST(!*pair.member_.applyConfiguration(*late.relay_.configurations().updateFor({})));
+    BOOST_TEST(!*pair.member_.applyEndpoints(late.updateFor({}), Now));
+    BOOST_TEST(pair.member_.snapshot().configuration_->version_ == 10U);
+    BOOST_TEST(pair.member_.snapshot().endpoints_->size() == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(takes_its_endpoints)
+{
+    Pair pair;
+    pair.read(endpoints(9), { 1, 100 });
+    BOOST_REQUIRE(*pair.member_.applyEndpoints(pair.updateFor({}), Now));
+    pair.read(endpoints(8), { 2, 61 });
+    BOOST_TEST(*pair.member_.applyEndpoints(pair.updateFor(pair.member_.endpointVersion()), Now));
+    BOOST_TEST(pair.member_.snapshot().endpoints_->size() == 8U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(an_update_of_a_text)
 
 RC_BOOST_PROP(leads_from_any_version_to_the_newest, (const std::vector<std::string> &texts, std::uint8_t known))
@@ -212,8 +274,8 @@
     query.isFromRelay_ = true;
     query.isLeaving_ = true;
     query.unusableRelay_ = PeerAddress{ "10.0.0.2", 8 };
-    query.configuration_ = { 3, 33 };
-    query.endpoints_ = { 4, 44 };
+    query.configuration_ = { { 7, 3 }, 33 };
+    query.endpoints_ = { { 8, 4 }, 44 };
     query.membersOf_ = InstanceId("g-2");
     query.members_ = 5;
     query.loads_ = { { 1, 2, 3 }, { 2, 0, 7 } };
@@ -221,14 +283,17 @@
     const auto decodedQuery = relaymessagecodec::decodeQuery(relaymessagecodec::encode(query));
     BOOST_REQUIRE(decodedQuery.has_value());
     BOOST_TEST(relaymessagecodec::encode(*decodedQuery) == relaymessagecodec::encode(query));
+    BOOST_TEST((decodedQuery->configuration_ == query.configuration_));
+    BOOST_TEST((decodedQuery->endpoints_ == query.endpoints_));
     BOOST_TEST((decodedQuery->loads_ == query.loads_));
     BOOST_TEST(decodedQuery->counts_.at(0).gateway_.value() == "g-1");
     RelayAnswer answer;
     answer.from_ = member;
     answer.status_ = { true, true, false, true, PeerAddress{ "10.0.0.3", 7 } };
     answer.configurationAge_ = std::chrono::milliseconds(12);
-    answer.endpointUpdate_ = EndpointUpdate{ TextUpdate{ 4, 3, 2, "bytes" }, { { 7, std::chrono::milliseconds(1500) } } };
-    answer.endpoints_ = 5;
+    answer.endpointUpdate_ = EndpointUpdate{ TextUpdate{ { 9, 4 }, 3, 2, "bytes" }, { { 7, std::chrono::milliseconds(1500) } } };
+    answer.configuration_ = { 8, 6 };
+    answer.endpoints_ = { 9, 5 };
     answer.members_ = { member };
     answer.gateways_ = 340;
     answer.stored_ = { { {}, 9, 2 } };
@@ -237,7 +302,10 @@
     BOOST_TEST(relaymessagecodec::encode(*decodedAnswer) == relaymessagecodec::encode(answer));
     BOOST_TEST((decodedAnswer->members_ == answer.members_));
     BOOST_TEST((decodedAnswer->endpointUpdate_->leases_.at(0).remaining_ == std::chrono::milliseconds(1500)));
-    BOOST_TEST(decodedAnswer->endpoints_ == 5U);
+    BOOST_TEST((decodedAnswer->configuration_ == answer.configuration_));
+    BOOST_TEST((decodedAnswer->endpoints_ == answer.endpoints_));
+    BOOST_TEST((decodedAnswer->endpointUpdate_->list_.revision_ == StoreRevision(9, 4)));
+    BOOST_TEST(decodedAnswer->tellsEras_);
     BOOST_TEST(decodedAnswer->status_.isStoreLost_ == false);
 }
 
@@ -266,6 +334,19 @@
     BOOST_TEST(!relaymessagecodec::decodeAnswer(emptyMap).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(of_the_version_before_tell_no_eras)
+{
+    RelayAnswer answer;
+    answer.tellsEras_ = false;
+    answer.configuration_ = 6;
+    answer.endpoints_ = 5;
+    const auto decoded = relaymessagecodec::decodeAnswer(relaymessagecodec::encode(answer));
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST(!decoded->tellsEras_);
+    BOOST_TEST(decoded->configuration_ == 6U);
+    BOOST_TEST(decoded->endpoints_ == 5U);
+}
+
 RC_BOOST_PROP(made_of_arbitrary_bytes_do_no_harm, (const std::string &bytes))
 {
     relaymessagecodec::decodeQuery(bytes);
--- a/tests/relay/quarantinestoretest.cpp
+++ b/tests/relay/quarantinestoretest.cpp
@@ -67,6 +67,11 @@
     {
     }
 
+    StoreEra era() const
+    {
+        return store_.era();
+    }
+
 private:
     FakeStore &store_;
 };
@@ -75,9 +80,13 @@
     EventLoop loop_;
     FakeStore store_;
     std::vector<CrashSighting> crashes_;
-    QuarantineStore<StoreClient> quarantine_{ loop_, std::make_unique<StoreClient>(store_), [this](const CrashReports &reports) {
-                                                 crashes_.insert(crashes_.end(), reports.sightings_.begin(), reports.sightings_.end());
-                                             } };
+    int newEras_ = 0;
+    QuarantineStore<StoreClient> quarantine_{
+        loop_,
+        std::make_unique<StoreClient>(store_),
+        [this](const CrashReports &reports) { crashes_.insert(crashes_.end(), reports.sightings_.begin(), reports.sightings_.end()); },
+        [this] { ++newEras_; },
+    };
 
     Fixture()
     {
--- a/tests/relay/sharedstore.h
+++ b/tests/relay/sharedstore.h
@@ -23,7 +23,7 @@
     {
         constexpr std::size_t Limit = 100;
         const auto now = cowsliphead::SystemClock().now();
-        const cowsliphead::StoreRange page{ content_->list(prefix, {}, Limit, now), false, content_->changesSince(prefix, 0, now).revision_ };
+        const cowsliphead::StoreRange page{ content_->list(prefix, {}, Limit, now), false, content_->revision() };
         answer(std::move(reply), page);
     }
 
--- a/tests/store/memorystoretest.cpp
+++ b/tests/store/memorystoretest.cpp
@@ -76,8 +76,63 @@
     write("other", 0);
     write("log/2", 0);
     const auto answer = store_.changesSince("log/", *first, clock_.now());
-    BOOST_REQUIRE(answer.entries_.size() == 1);
-    BOOST_TEST(answer.entries_.front().key_ == "log/2");
+    BOOST_REQUIRE(answer->entries_.size() == 1);
+    BOOST_TEST(answer->entries_.front().key_ == "log/2");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(comes_back_from_a_copy, Fixture)
+
+BOOST_AUTO_TEST_CASE(in_the_next_era_without_what_was_written_since)
+{
+    store_.setEra(1);
+    const auto kept = write("kept", 0);
+    const auto copy = store_;
+    const auto lost = write("lost", 0);
+    store_.restore(copy, clock_.now());
+    BOOST_TEST(!store_.read("lost", clock_.now()).has_value());
+    BOOST_TEST((store_.read("kept", clock_.now())->revision_ == StoreRevision(2, kept->number_)));
+    const auto again = write("other", 0);
+    BOOST_TEST(again->number_ == lost->number_);
+    BOOST_TEST((*again > *lost));
+}
+
+BOOST_AUTO_TEST_CASE(and_has_no_history_for_a_watch_from_before)
+{
+    store_.setEra(1);
+    const auto copy = store_;
+    const auto lost = write("lost", 0);
+    store_.restore(copy, clock_.now());
+    BOOST_TEST(store_.changesSince("", *lost, clock_.now()).error() == ErrorCode::StoreHistoryGone);
+    BOOST_TEST(store_.changesSince("", StoreRevision(2, 0), clock_.now()).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(and_gives_out_its_leases_again)
+{
+    store_.setEra(1);
+    const auto copy = store_;
+    const auto lost = store_.grantLease(std::chrono::seconds(5), clock_.now());
+    store_.restore(copy, clock_.now());
+    const auto again = store_.grantLease(std::chrono::seconds(5), clock_.now());
+    BOOST_TEST(numberOf(again) == numberOf(lost));
+    BOOST_TEST((again != lost));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(writes_under_guards)
+
+BOOST_FIXTURE_TEST_CASE(only_while_other_keys_are_unchanged, Fixture)
+{
+    const auto guard = write("guard", 0);
+    StoreWrite guarded;
+    guarded.key_ = "a";
+    guarded.guards_.push_back({ "guard", *guard });
+    BOOST_TEST(store_.compareAndSwap(guarded, clock_.now()).has_value());
+    BOOST_REQUIRE(write("guard", *guard).has_value());
+    guarded.key_ = "b";
+    BOOST_TEST(store_.compareAndSwap(guarded, clock_.now()).error() == ErrorCode::StoreConflict);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
