--- a/src/duty/leaseholder.h
+++ b/src/duty/leaseholder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdlib>
 #include <functional>
 #include <optional>
@@ -11,7 +12,9 @@
 #include "decide/candidateschedule.h"
 #include "decide/fencingnumber.h"
 #include "decide/leaseterm.h"
+#include "duty/dutyterm.h"
 #include "duty/leasestate.h"
+#include "logs/log.h"
 #include "store/store.h"
 
 namespace cowsliphead
@@ -19,6 +22,9 @@
 
 /// Acquires a duty by a lease in the store, renews the lease, and tells whether the holder may act at the moment.
 /// The holder is stored under the key NAME, which is bound to the lease; the fencing number is stored under the persistent key NAME/fencing.
+///
+/// A store that came back from a copy may have lost the lease, or may have given its number to another process. The holder yields as soon as an
+/// answer tells a new era, and the first holder of an era waits until any holder of an earlier one has stopped acting.
 /// Thread safety: all members, on the store's task only.
 template <Store S, Clock C>
 class LeaseHolder
@@ -44,6 +50,8 @@
         const auto now = clock_.now();
         if (term_.isHeld() && term_.hasLapsed(now)) {
             dropLease();
+        } else if (term_.isHeld() && !isOfSameEra(store_.era())) {
+            eraChanged();
         }
         if (state_ == LeaseState::Waiting && now >= holdsFrom_) {
             state_ = LeaseState::Holding;
@@ -61,7 +69,7 @@
     /// To be called right before each action, because the process may have been paused since the last answer.
     bool mayAct() const
     {
-        return state_ == LeaseState::Holding && term_.mayAct(clock_.now());
+        return state_ == LeaseState::Holding && term_.mayAct(clock_.now()) && isOfSameEra(store_.era());
     }
 
     /// Sets the mean interval at which this process checks whether the duty is free. Precondition: interval is positive.
@@ -74,7 +82,7 @@
     void resign()
     {
         if (!lease_.isEmpty()) {
-            releaseLease();
+            release();
         }
         candidateSchedule_.pause(policy_.duration_, clock_.now());
     }
@@ -82,7 +90,13 @@
     /// Returns the fencing number of the last acquisition.
     FencingNumber fencingNumber() const
     {
-        return fencing_;
+        return duty_.fencing_;
+    }
+
+    /// Returns the last acquisition, whose term may have ended.
+    const DutyTerm &duty() const
+    {
+        return duty_;
     }
 
 private:
@@ -92,14 +106,38 @@
             // The next holder may resign at once; the calls of this process must not surround its calls within a lease duration.
             candidateSchedule_.pause(policy_.duration_, clock_.now());
         }
+        endTerm();
+    }
+
+    void endTerm()
+    {
         term_.lost();
         state_ = LeaseState::Idle;
         lease_ = {};
+        keyRevision_ = {};
         // Replies to calls made for the lost lease must not affect the next one.
         ++acquisition_;
         isCallPending_ = false;
     }
 
+    /// The store came back from a copy within the term. The calls of this process need not pause: the first holder of the new era, whoever it is, acts
+    /// only once the time of this term is over.
+    void eraChanged()
+    {
+        const auto now = clock_.now();
+        if (term_.isHeld() && !term_.hasLapsed(now)) {
+            heldUntilEra_ = store_.era();
+        }
+        candidateSchedule_.pause(std::chrono::milliseconds(0), now);
+        endTerm();
+    }
+
+    /// True if the answer to a step of the acquisition is of the era in which the lease was granted.
+    bool isOfSameEra(StoreEra era) const
+    {
+        return era == eraOf(lease_);
+    }
+
     /// Returns a reply that calls the step unless the lease for which the call was made has been lost meanwhile.
     template <typename T, typename Step>
     StoreReply<T> ifSameAcquisition(Step step)
@@ -120,10 +158,31 @@
         store_.read(name_, ifSameAcquisition<std::optional<StoreEntry>>([this](const Result<std::optional<StoreEntry>> &answer) {
                         if (answer && !*answer) {
                             grant();
+                        } else if (answer && (*answer)->value_ == holder_) {
+                            // Left over from a term that ended with an era.
+                            reclaim((*answer)->revision_);
                         }
                     }));
     }
 
+    void reclaim(const StoreRevision &revision)
+    {
+        store_.compareAndSwap(eraseOf(revision), ifSameAcquisition<StoreRevision>([this](const Result<StoreRevision> &answer) {
+                                  if (answer) {
+                                      grant();
+                                  }
+                              }));
+    }
+
+    StoreWrite eraseOf(const StoreRevision &revision) const
+    {
+        StoreWrite erase;
+        erase.key_ = name_;
+        erase.expectedRevision_ = revision;
+        erase.isErase_ = true;
+        return erase;
+    }
+
     void grant()
     {
         state_ = LeaseState::Acquiring;
@@ -145,49 +204,68 @@
         write.key_ = name_;
         write.value_ = holder_;
         write.lease_ = lease_;
-        store_.compareAndSwap(write, ifSameAcquisition<StoreRevision>([this](Result<StoreRevision> answer) {
+        store_.compareAndSwap(write, ifSameAcquisition<StoreRevision>([this](const Result<StoreRevision> &answer) {
                                   if (answer) {
+                                      keyRevision_ = *answer;
                                       readFencing();
                                   } else {
                                       // Another process holds the duty, or the answer was lost and the key expires with its lease.
-                                      releaseLease();
+                                      release();
                                   }
                               }));
     }
 
-    void releaseLease()
+    /// Erases the key, if it is still the one that this acquisition wrote. The lease is left to expire: its number may by now be that of another
+    /// process's lease.
+    void release()
     {
-        const auto lease = lease_;
+        const auto revision = keyRevision_;
         dropLease();
-        store_.revokeLease(lease, [](const Result<LeaseId> &) {});
+        if (!revision.isNone()) {
+            store_.compareAndSwap(eraseOf(revision), [](const Result<StoreRevision> &) {});
+        }
     }
 
     void readFencing()
     {
-        store_.read(name_ + "/fencing", ifSameAcquisition<std::optional<StoreEntry>>([this](Result<std::optional<StoreEntry>> answer) {
-                        if (!answer) {
-                            releaseLease();
-                            return;
+        store_.read(fencingKey(), ifSameAcquisition<std::optional<StoreEntry>>([this](const Result<std::optional<StoreEntry>> &answer) {
+                        if (answer && isOfSameEra(store_.era())) {
+                            incrementFencing(*answer);
+                        } else {
+                            release();
                         }
-                        incrementFencing(*answer);
                     }));
     }
 
+    std::string fencingKey() const
+    {
+        return name_ + "/fencing";
+    }
+
     void incrementFencing(const std::optional<StoreEntry> &entry)
     {
-        const auto next = (entry ? std::strtoull(entry->value_.c_str(), nullptr, 10) : 0) + 1;
+        const FencingNumber last = entry ? std::strtoull(entry->value_.c_str(), nullptr, 10) : 0;
+        const auto base = fencingBaseOf(eraOf(lease_));
+        const bool isFirstOfEra = last < base;
+        const auto next = std::max(last, base) + 1;
         StoreWrite write;
-        write.key_ = name_ + "/fencing";
+        write.key_ = fencingKey();
         write.value_ = std::to_string(next);
-        write.expectedRevision_ = entry ? entry->revision_ : 0;
-        store_.compareAndSwap(write, ifSameAcquisition<StoreRevision>([this, next](Result<StoreRevision> answer) {
-                                  if (!answer) {
-                                      releaseLease();
+        write.expectedRevision_ = entry ? entry->revision_ : StoreRevision();
+        store_.compareAndSwap(write, ifSameAcquisition<StoreRevision>([this, next, isFirstOfEra](const Result<StoreRevision> &answer) {
+                                  if (!answer || !isOfSameEra(answer->era_)) {
+                                      release();
                                       return;
                                   }
-                                  fencing_ = next;
-                                  holdsFrom_ = clock_.now() + policy_.successorWait_;
+                                  const bool isContinued = isFirstOfEra && heldUntilEra_ != 0 && heldUntilEra_ == answer->era_;
+                                  duty_ = { next, { fencingKey(), *answer }, isContinued ? duty_.tenure_ : duty_.tenure_ + 1 };
+                                  heldUntilEra_ = 0;
+                                  // The lease of the holder before has ended in this era. One of an earlier era may go on for as long as a lease.
+                                  holdsFrom_ = clock_.now() + (isFirstOfEra ? policy_.duration_ : policy_.successorWait_);
                                   state_ = LeaseState::Waiting;
+                                  if (isContinued) {
+                                      logEvent(LogEvent::DutyTermContinued, { { "fence", next }, { "era", answer->era_ } });
+                                  }
                               }));
     }
 
@@ -195,7 +273,9 @@
     {
         const auto askedAt = clock_.now();
         store_.renewLease(lease_, ifSameAcquisition<LeaseId>([this, askedAt](const Result<LeaseId> &answer) {
-                              if (answer) {
+                              if (!isOfSameEra(store_.era())) {
+                                  eraChanged();
+                              } else if (answer) {
                                   term_.renewed(askedAt);
                               } else if (answer.error() == ErrorCode::StoreLeaseUnknown) {
                                   dropLease();
@@ -212,7 +292,13 @@
     CandidateSchedule candidateSchedule_;
     LeaseState state_ = LeaseState::Idle;
     LeaseId lease_;
-    FencingNumber fencing_ = 0;
+
+    /// The key that names this process as the holder, as written for the lease; none if it was not.
+    StoreRevision keyRevision_;
+    DutyTerm duty_;
+
+    /// The era that began within the last term of this process; 0 for none.
+    StoreEra heldUntilEra_ = 0;
     MonotonicTime holdsFrom_;
     std::uint64_t acquisition_ = 0;
     bool isCallPending_ = false;
--- a/tests/duty/dutycallrecord.h
+++ b/tests/duty/dutycallrecord.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -47,6 +48,22 @@
         return returns;
     }
 
+    /// Number of fencing numbers under which more than one holder called.
+    std::size_t sharedFences() const
+    {
+        std::map<FencingNumber, std::set<std::string>> holders;
+        for (const auto &call : calls_) {
+            holders[call.fence_].insert(call.holder_);
+        }
+        return static_cast<std::size_t>(std::count_if(holders.begin(), holders.end(), [](const auto &item) { return item.second.size() > 1; }));
+    }
+
+    /// The lowest fencing number of all calls. Precondition: there were calls.
+    FencingNumber lowestFence() const
+    {
+        return std::min_element(calls_.begin(), calls_.end(), [](const DutyCall &left, const DutyCall &right) { return left.fence_ < right.fence_; })->fence_;
+    }
+
     /// Returns the holders whose calls were received since a time.
     std::set<std::string> holdersSince(MonotonicTime from) const
     {
--- a/tests/duty/dutyleasetest.cpp
+++ b/tests/duty/dutyleasetest.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "duty/dutycandidate.h"
+#include "duty/storecopies.h"
 
 using namespace cowsliphead;
 using namespace std::chrono_literals;
@@ -21,7 +22,7 @@
     explicit DutySite(int seed = 0)
     {
         for (int number = 0; number < 3; ++number) {
-            candidates_.push_back(std::make_unique<DutyCandidate>(store_, clock_, record_, number, "gateway-" + std::to_string(seed + number)));
+            candidates_.push_back(std::make_unique<DutyCandidate>(copies_.store(), clock_, record_, number, "gateway-" + std::to_string(seed + number)));
         }
     }
 
@@ -29,6 +30,7 @@
         std::chrono::milliseconds duration, const std::function<bool()> &isOver = [] { return false; })
     {
         for (const auto end = clock_.now() + duration; clock_.now() < end && !isOver(); clock_.advance(Turn)) {
+            copies_.tick();
             for (auto &candidate : candidates_) {
                 candidate->store().releaseDelayedWrites();
                 candidate->run();
@@ -62,14 +64,28 @@
         }
     }
 
+    /// The store is away for a while and comes back from a copy.
+    void drill(std::chrono::milliseconds copyAge, std::chrono::milliseconds away)
+    {
+        for (auto &candidate : candidates_) {
+            candidate->store().setFault(StandinFault::Down);
+        }
+        run(away);
+        copies_.restore(copyAge);
+        for (auto &candidate : candidates_) {
+            candidate->store().setFault(StandinFault::None);
+        }
+    }
+
     void checkOrder() const
     {
         BOOST_TEST(record_.outdatedCalls() == 0U);
         BOOST_TEST(record_.returns(DutyCandidate::LeaseDuration) == 0U);
+        BOOST_TEST(record_.sharedFences() == 0U);
     }
 
     VirtualClock clock_;
-    MemoryStore store_;
+    StoreCopies copies_{ clock_ };
     DutyCallRecord record_;
     std::vector<std::unique_ptr<DutyCandidate>> candidates_;
 };
@@ -243,4 +259,110 @@
     BOOST_TEST(holds);
 }
 
+// Guards against two holders with one fencing number, and against a holder that acts for a lease which the store has lost (review/12).
+BOOST_AUTO_TEST_SUITE(of_a_store_that_came_back_from_a_copy)
+
+BOOST_AUTO_TEST_CASE(has_a_higher_fencing_number_than_any_that_was_lost)
+{
+    for (int seed = 0; seed < 50; ++seed) {
+        DutySite site(seed);
+        site.nextHolder().resign();
+        site.run(3s);
+        const auto &last = site.nextHolder();
+        site.run(1s);
+        site.drill(4s, 500ms);
+        // Whoever held the duty ends.
+        for (auto &candidate : site.candidates_) {
+            if (candidate.get() == &last) {
+                candidate->freeze(60s, false);
+            }
+        }
+        site.nextHolder(&last);
+        site.run(5s);
+        site.checkOrder();
+    }
+}
+
+BOOST_AUTO_TEST_CASE(has_a_higher_fencing_number_than_any_of_the_version_before)
+{
+    // That version counted on from the number in the store, in whichever era.
+    DutySite site;
+    StoreWrite write;
+    write.key_ = "duty/leader/fencing";
+    write.value_ = "41";
+    const auto written = site.copies_.store().compareAndSwap(write, site.clock_.now());
+    site.copies_.tick();
+    site.clock_.advance(1s);
+    write.value_ = "42";
+    write.expectedRevision_ = *written;
+    BOOST_REQUIRE(site.copies_.store().compareAndSwap(write, site.clock_.now()).has_value());
+    site.copies_.restore(1s);
+    site.nextHolder();
+    site.run(1s);
+    BOOST_TEST(site.record_.lowestFence() > 42U);
+    site.checkOrder();
+}
+
+BOOST_AUTO_TEST_CASE(is_left_by_its_holder_before_another_one_acts)
+{
+    for (int seed = 0; seed < 50; ++seed) {
+        DutySite site(seed);
+        site.nextHolder();
+        site.run(1s);
+        // The copy has no holder: the others may take the duty at once.
+        site.drill(8s, 300ms);
+        site.run(15s);
+        site.checkOrder();
+    }
+}
+
+BOOST_AUTO_TEST_CASE(is_taken_by_a_holder_that_was_cut_off_when_the_store_came_back)
+{
+    DutySite site;
+    auto &holder = site.nextHolder();
+    site.run(1s);
+    site.drill(8s, 300ms);
+    holder.store().setFault(StandinFault::Down);
+    site.run(8s);
+    holder.store().setFault(StandinFault::None);
+    site.run(15s);
+    site.checkOrder();
+}
+
+BOOST_AUTO_TEST_CASE(is_held_by_one_process_at_a_time_after_two_drills_within_seconds)
+{
+    for (int seed = 0; seed < 50; ++seed) {
+        DutySite site(seed);
+        site.nextHolder();
+        site.run(2s);
+        site.drill(2s, 300ms);
+        site.run(std::chrono::milliseconds(100 * seed));
+        site.drill(4s, 300ms);
+        site.run(15s);
+        site.checkOrder();
+    }
+}
+
+BOOST_AUTO_TEST_CASE(is_held_by_one_process_at_a_time_property)
+{
+    const bool holds = rc::check("holders are ordered under any faults and drills", [] {
+        DutySite site(anyOf(0, 1000));
+        const auto faults = anyOf(1, 25);
+        for (int number = 0; number < faults; ++number) {
+            site.run(std::chrono::milliseconds(anyOf(50, 3000)));
+            if (anyOf(0, 3) == 0) {
+                site.drill(std::chrono::milliseconds(anyOf(100, 8000)), std::chrono::milliseconds(anyOf(20, 2000)));
+            } else {
+                injectFault(site);
+            }
+        }
+        RC_ASSERT(site.record_.outdatedCalls() == 0U);
+        RC_ASSERT(site.record_.returns(DutyCandidate::LeaseDuration) == 0U);
+        RC_ASSERT(site.record_.sharedFences() == 0U);
+    });
+    BOOST_TEST(holds);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/duty/simulatedstore.h
+++ b/tests/duty/simulatedstore.h
@@ -9,6 +9,7 @@
 #include "standin/standinfault.h"
 #include "store/memorystore.h"
 #include "store/storeeratracker.h"
+#include "store/storerange.h"
 #include "store/storereply.h"
 
 namespace cowsliphead
@@ -80,6 +81,22 @@
         fetch<std::vector<StoreEntry>>([this, prefix, after, limit] { return store_.list(prefix, after, limit, clock_.now()); }, std::move(reply));
     }
 
+    void range(const std::string &prefix, const std::string &after, StoreReply<StoreRange> reply)
+    {
+        constexpr std::size_t Limit = 500;
+        fetch<StoreRange>(
+            [this, prefix, after] {
+                return StoreRange{ store_.list(prefix, after, Limit, clock_.now()), false, store_.revision() };
+            },
+            std::move(reply));
+    }
+
+    /// Only for keys that nothing depends on: the simulation keeps them.
+    void erase(const std::vector<std::string> & /*keys*/, StoreReply<StoreRevision> reply)
+    {
+        change<StoreRevision>([this] { return Result<StoreRevision>(store_.revision()); }, std::move(reply));
+    }
+
     void watch(const std::string &prefix, StoreRevision after, std::chrono::milliseconds /*wait*/, StoreReply<WatchAnswer> reply)
     {
         fetch<WatchAnswer>([this, prefix, after] { return store_.changesSince(prefix, after, clock_.now()); }, std::move(reply));
