--- a/src/duty/dutybehaviour.h
+++ b/src/duty/dutybehaviour.h
@@ -37,7 +37,7 @@
         , stopGrace_(settings.stopGrace_)
         , lease_(store, clock, leasePolicy(settings), "duty/leader", incarnation.value())
         , usage_(
-              store, platform, clock, settings, incarnation, [this] { return activeFence(); }, [this] { lease_.resign(); }, std::move(links))
+              store, platform, clock, settings, incarnation, [this] { return activeTerm(); }, [this] { lease_.resign(); }, std::move(links))
         , scale_(store, platform, clock, lease_)
         , timer_(loop, [this] { tick(); })
     {
@@ -75,9 +75,9 @@
         return policy;
     }
 
-    std::optional<FencingNumber> activeFence() const
+    std::optional<DutyTerm> activeTerm() const
     {
-        return lease_.mayAct() ? std::optional<FencingNumber>(lease_.fencingNumber()) : std::nullopt;
+        return lease_.mayAct() ? std::optional(lease_.duty()) : std::nullopt;
     }
 
     void handle(const RequestStarted &request)
@@ -136,6 +136,8 @@
         if (lease_.mayAct()) {
             usage_.report(now);
             scale_.tick(now);
+        } else {
+            scale_.restore(now);
         }
     }
 
--- a/src/duty/usageduty.h
+++ b/src/duty/usageduty.h
@@ -21,14 +21,14 @@
 class UsageDuty
 {
 public:
-    /// activeFence returns the fencing number while the process may act; onRefused is called if another holder has a higher one; links
+    /// activeTerm returns the term of the duty while the process may act; onRefused is called if another holder has a higher fencing number; links
     /// lead to the relay. Precondition: store, platform and clock outlive the duty, which outlives their replies.
     UsageDuty(S &store,
               P &platform,
               const C &clock,
               const DutySettings &settings,
               const InstanceId &incarnation,
-              std::function<std::optional<FencingNumber>()> activeFence,
+              std::function<std::optional<DutyTerm>()> activeTerm,
               std::function<void()> onRefused,
               UsageLinks links)
         : settings_(settings)
@@ -37,7 +37,7 @@
         , links_(std::move(links))
         , own_(incarnation)
         , writer_(store, incarnation, [stored = links_.stored_](const CountsStored &counts) { stored.send(counts); })
-        , reporter_(store, platform, std::move(activeFence), std::move(onRefused))
+        , reporter_(store, platform, std::move(activeTerm), std::move(onRefused))
     {
     }
 
@@ -68,6 +68,10 @@
     void tick(MonotonicTime now)
     {
         const auto window = windowAt(now);
+        if (now - restoredAt_ >= MinRewriteInterval) {
+            restoredAt_ = now;
+            reporter_.restoreSeals();
+        }
         for (const auto &counts : own_.takeChanged(window, now)) {
             links_.counts_.send(counts);
         }
@@ -90,6 +94,9 @@
             return;
         }
         reportedAt_ = now;
+        if (!reporter_.prepare(windowAt(now))) {
+            return;
+        }
         const auto newest = windowAt(now - ReportDelay) - 1;
         for (auto window = newest - LookbackWindows; window <= newest; ++window) {
             const bool isLate = window <= windowAt(now - (settings_.reportDeadline_ - LateMargin)) - 1;
@@ -128,7 +135,7 @@
     /// Time from the end of a window until its counts are written, in which the gateways of the failure domain pass them on.
     static constexpr std::chrono::milliseconds SettleTime{ 600 };
 
-    /// Time between two writes of a window that has ended.
+    /// Time between two writes of a window that has ended, or of what the store has lost.
     static constexpr std::chrono::milliseconds MinRewriteInterval{ 500 };
 
     /// Share of a window's requests that may be lost with a killed process; less than the tolerance of a report.
@@ -175,6 +182,7 @@
     std::size_t gateways_ = 0;
     MonotonicTime flushedAt_;
     MonotonicTime reportedAt_;
+    MonotonicTime restoredAt_;
 };
 
 } // namespace cowsliphead
--- a/src/duty/windowcountswriter.h
+++ b/src/duty/windowcountswriter.h
@@ -19,7 +19,7 @@
 {
 
 /// Writes the counts of several gateways to the store for WindowCountsReporter, one key for each window. Each gateway's counts stay apart
-/// in the value, so they count once however many processes write them.
+/// in the value, so they count once however many processes write them. After the store came back from a copy, all counts are written again.
 /// Thread safety: all members, on the store's task only.
 template <Store S>
 class WindowCountsWriter
@@ -55,6 +55,7 @@
     /// Writes the counts that have changed since the last call, oldest window first.
     void flush(UsageWindow current)
     {
+        writeAgainInNewEra();
         std::erase_if(pending_, [current](const auto &item) { return item.first + RetainedWindows < current && logDropped(item.first, item.second); });
         for (auto &[window, pending] : pending_) {
             if (!pending.isWriting_ && pending.isDirty_) {
@@ -66,7 +67,9 @@
     /// True if the store lacks counts of a window that has ended.
     bool isBehind(UsageWindow current) const
     {
-        return std::any_of(pending_.begin(), pending_.end(), [current](const auto &item) { return item.first < current && item.second.isDirty_; });
+        return std::any_of(pending_.begin(), pending_.end(), [this, current](const auto &item) {
+            return item.first < current && (item.second.isDirty_ || era_ != store_.era());
+        });
     }
 
     /// True if the store has all counts.
@@ -79,10 +82,21 @@
     /// Number of windows after which counts that the store has not accepted are dropped, because the reporter no longer uses them.
     static constexpr UsageWindow RetainedWindows = 3;
 
+    /// What the store confirmed in an earlier era may be lost.
+    void writeAgainInNewEra()
+    {
+        if (std::exchange(era_, store_.era()) == store_.era()) {
+            return;
+        }
+        for (auto &[window, pending] : pending_) {
+            pending.isDirty_ = true;
+        }
+    }
+
     struct Pending {
         membercountscodec::CountsByGateway counts_;
         std::map<InstanceId, std::uint64_t> storedVersions_;
-        StoreRevision revision_ = 0;
+        StoreRevision revision_;
         bool isDirty_ = false;
         bool isWriting_ = false;
     };
@@ -145,7 +159,7 @@
             }
             found->second.isWriting_ = false;
             if (answer) {
-                found->second.revision_ = *answer ? (*answer)->revision_ : 0;
+                found->second.revision_ = *answer ? (*answer)->revision_ : StoreRevision();
             }
         });
     }
@@ -154,6 +168,7 @@
     InstanceId incarnation_;
     OnStored onStored_;
     std::map<UsageWindow, Pending> pending_;
+    StoreEra era_ = 0;
 };
 
 } // namespace cowsliphead
--- a/src/usage/usagecountkeys.h
+++ b/src/usage/usagecountkeys.h
@@ -4,6 +4,7 @@
 
 #include "core/instanceid.h"
 #include "decide/usagewindow.h"
+#include "store/storeera.h"
 
 namespace cowsliphead::usagecountkeys
 {
@@ -29,4 +30,10 @@
     return "usage/sealed/" + std::to_string(window);
 }
 
+/// Key of the first window of which the store's seals are complete, in an era. Thread safety: any thread.
+inline std::string trustedFrom(StoreEra era)
+{
+    return "usage/trusted/" + std::to_string(era);
+}
+
 } // namespace cowsliphead::usagecountkeys
--- a/tests/duty/mapstore.h
+++ b/tests/duty/mapstore.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/errorcode.h"
@@ -51,6 +53,9 @@
                 range.entries_.push_back(entry);
             }
         }
+        if (const auto beforeAnswer = std::exchange(beforeNextAnswer_, nullptr)) {
+            beforeAnswer();
+        }
         reply(range);
     }
 
@@ -117,6 +122,9 @@
 
     bool isReachable_ = true;
 
+    /// Called once, after the next range was read and before it is answered.
+    std::function<void()> beforeNextAnswer_;
+
 private:
     std::map<std::string, cowsliphead::StoreEntry> entries_;
     cowsliphead::StoreRevision revision_;
