--- a/src/fleet/endpointdirectory.cpp
+++ b/src/fleet/endpointdirectory.cpp
@@ -1,8 +1,6 @@
 #include "fleet/endpointdirectory.h"
 
 #include <algorithm>
-#include <iterator>
-#include <set>
 #include <tuple>
 
 namespace cowsliphead
@@ -57,30 +55,114 @@
     }
 }
 
-bool EndpointDirectory::update(const EndpointEntry &entry, StoreRevision revision)
+/// A store without eras never comes back from a copy.
+void EndpointDirectory::recordRemoval(const EndpointRegistration &registration, const StoreRevision &at)
+{
+    if (at.era_ != 0) {
+        removals_[registration.entry_.id_] = { registration.entry_.incarnation_, at, std::nullopt, std::nullopt };
+    }
+}
+
+/// Returns true if the entry came back with a copy of the store that was made before its removal. What is written after the store's return may have a
+/// revision below that of the removal too; it is withheld until the store's counter has passed that one.
+bool EndpointDirectory::withhold(const EndpointRegistration &registration)
+{
+    const auto found = removals_.find(registration.entry_.id_);
+    if (found == removals_.end()) {
+        return false;
+    }
+    auto &removal = found->second;
+    const bool isFromCopy = registration.since_.era_ > removal.at_.era_ && registration.since_.number_ <= removal.at_.number_;
+    if (!isFromCopy || registration.entry_.incarnation_ > removal.incarnation_) {
+        removals_.erase(found);
+        return false;
+    }
+    if (!removal.withheld_) {
+        removal.forgetAt_.reset();
+    }
+    removal.withheld_ = registration;
+    return true;
+}
+
+void EndpointDirectory::dropWithheld(const EndpointId &id, const StoreRevision &at)
+{
+    const auto found = removals_.find(id);
+    if (found != removals_.end() && found->second.withheld_ && found->second.withheld_->since_ <= at) {
+        found->second.withheld_.reset();
+        found->second.at_ = at;
+    }
+}
+
+bool EndpointDirectory::releaseWithheld(MonotonicTime now)
+{
+    bool isChanged = false;
+    for (auto item = removals_.begin(); item != removals_.end();) {
+        auto &removal = item->second;
+        if (!removal.forgetAt_) {
+            removal.forgetAt_ = now + (removal.withheld_ ? std::chrono::duration_cast<MonotonicTime::duration>(RestoredEntryLifetime) : LeavingLifetime);
+        }
+        if (now < *removal.forgetAt_) {
+            ++item;
+            continue;
+        }
+        if (removal.withheld_) {
+            registrations_[item->first] = *removal.withheld_;
+            markLeft(item->first);
+            isChanged = true;
+        }
+        item = removals_.erase(item);
+    }
+    return isChanged;
+}
+
+template <typename Condition>
+void EndpointDirectory::removeIf(const StoreRevision &at, Condition isRemoved)
+{
+    for (auto item = registrations_.begin(); item != registrations_.end();) {
+        if (isRemoved(item->second)) {
+            recordRemoval(item->second, at);
+            item = registrations_.erase(item);
+        } else {
+            ++item;
+        }
+    }
+}
+
+bool EndpointDirectory::update(const EndpointEntry &entry, const StoreRevision &revision)
 {
     if (entry.isLeaving_) {
         markLeaving(entry);
     }
-    if (isOutdated(entry)) {
+    if (isOutdated(entry) || withhold({ entry, revision, std::nullopt })) {
         return false;
     }
     if (revision > revision_) {
         auto &registration = registrations_[entry.id_];
-        const bool hasStood = registration.since_ != 0 && !registration.keepUntil_;
+        const bool hasStood = !registration.since_.isNone() && !registration.keepUntil_;
         registration = { entry, hasStood ? registration.since_ : revision, std::nullopt };
     }
     return true;
 }
 
-void EndpointDirectory::remove(const EndpointId &id, StoreRevision revision, std::optional<MonotonicTime> keepUntil)
+void EndpointDirectory::remove(const EndpointId &id, const StoreRevision &revision, std::optional<MonotonicTime> keepUntil)
 {
+    dropWithheld(id, revision);
     const auto found = registrations_.find(id);
     if (found != registrations_.end() && revision > revision_ && !lapse(found->second, keepUntil)) {
+        recordRemoval(found->second, revision);
         registrations_.erase(found);
     }
 }
 
+void EndpointDirectory::dropUnlisted(const StoreRevision &at, const std::set<EndpointId> &listed)
+{
+    for (const auto &[id, removal] : removals_) {
+        if (!listed.contains(id)) {
+            dropWithheld(id, at);
+        }
+    }
+}
+
 /// Returns false if the entry is not to be kept.
 bool EndpointDirectory::lapse(EndpointRegistration &registration, std::optional<MonotonicTime> keepUntil)
 {
@@ -96,10 +178,11 @@
 void EndpointDirectory::replaceAll(const EndpointList &list, std::optional<MonotonicTime> keepUntil)
 {
     const auto listed = idsOf(list);
-    for (auto item = registrations_.begin(); item != registrations_.end();) {
-        const bool isMissing = item->second.since_ <= list.revision_ && !listed.contains(item->first);
-        item = isMissing && !lapse(item->second, keepUntil) ? registrations_.erase(item) : std::next(item);
-    }
+    removeIf(list.revision_, [&](EndpointRegistration &registration) {
+        const bool isMissing = registration.since_ <= list.revision_ && !listed.contains(registration.entry_.id_);
+        return isMissing && !lapse(registration, keepUntil);
+    });
+    dropUnlisted(list.revision_, listed);
     const bool isNewest = list.revision_ >= revision_;
     for (const auto &registration : list.registrations_) {
         const auto &entry = registration.entry_;
@@ -108,14 +191,14 @@
         }
         if (!isNewest) {
             mergeEntry(registration, false);
-        } else if (!isOutdated(entry)) {
+        } else if (!isOutdated(entry) && !withhold(registration)) {
             registrations_[entry.id_] = { entry, registration.since_, std::nullopt };
         }
     }
     readUpTo(list.revision_);
 }
 
-void EndpointDirectory::readUpTo(StoreRevision revision)
+void EndpointDirectory::readUpTo(const StoreRevision &revision)
 {
     revision_ = std::max(revision_, revision);
 }
@@ -123,7 +206,9 @@
 void EndpointDirectory::merge(const EndpointList &list)
 {
     const auto listed = idsOf(list);
-    std::erase_if(registrations_, [&](const auto &item) { return item.second.since_ <= list.revision_ && !listed.contains(item.first); });
+    removeIf(list.revision_,
+             [&](const EndpointRegistration &registration) { return registration.since_ <= list.revision_ && !listed.contains(registration.entry_.id_); });
+    dropUnlisted(list.revision_, listed);
     for (const auto &registration : list.registrations_) {
         if (registration.entry_.isLeaving_) {
             markLeaving(registration.entry_);
@@ -137,6 +222,9 @@
 void EndpointDirectory::mergeEntry(const EndpointRegistration &other, bool isNewer)
 {
     if (other.since_ > revision_) {
+        if (withhold(other)) {
+            return;
+        }
         registrations_[other.entry_.id_] = other;
         markLeft(other.entry_.id_);
         return;
@@ -171,7 +259,10 @@
         }
     }
     std::erase_if(leaving_, [now](const auto &item) { return item.second.forgetAt_ && now >= *item.second.forgetAt_; });
-    return std::erase_if(registrations_, [now](const auto &item) { return item.second.keepUntil_ && now >= *item.second.keepUntil_; }) > 0;
+    const auto before = registrations_.size();
+    removeIf(revision_, [now](const EndpointRegistration &registration) { return registration.keepUntil_ && now >= *registration.keepUntil_; });
+    const bool isAnyRemoved = registrations_.size() != before;
+    return releaseWithheld(now) || isAnyRemoved;
 }
 
 StoreRevision EndpointDirectory::revision() const
