--- a/src/gateway/crashverifier.cpp
+++ b/src/gateway/crashverifier.cpp
@@ -82,9 +82,14 @@
 
 void CrashVerifier::finish(IncarnationKey incarnation, bool isAnswered)
 {
-    // Destroyed in a later iteration: this runs within a callback of the timer or of the connection.
-    const auto check = std::make_shared<Check>(std::move(checks_.at(incarnation)));
-    checks_.erase(incarnation);
+    auto found = checks_.extract(incarnation);
+    if (found.empty()) {
+        return;
+    }
+    // Destroyed in a later iteration: this runs within a callback of the timer or of the connection. After a stall of the process the other one may
+    // be due in this iteration too, and must not end a check that begins meanwhile.
+    const auto check = std::make_shared<Check>(std::move(found.mapped()));
+    check->timeout_->cancel();
     check->connection_->close();
     loop_.defer([check] {});
     if (isAnswered && isSameIncarnation(*check)) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "gateway/gatewaycontext.h"
 #include "gateway/readinessserver.h"
 #include "http1/listener.h"
+#include "metrics/gauge.h"
 #include "metrics/metricsquery.h"
 #include "metrics/metricsreport.h"
 #include "relay/fleetload.h"
@@ -125,7 +126,10 @@
 
     void handle(const MetricsQuery &query)
     {
-        query.answerTo_.send(MetricsReport{ query.query_, context_.metrics_.toText() });
+        const auto era = gaugeText("cowsliphead_gateway_store_era",
+                                   "Era of the store that told the configuration in force; 0 if it tells none.",
+                                   context_.configuration_ ? context_.configuration_->revision_.era_ : 0);
+        query.answerTo_.send(MetricsReport{ query.query_, context_.metrics_.toText() + era });
     }
 
     void handle(const DrainRequest & /*request*/)
--- a/tests/gateway/crashverifiertest.cpp
+++ b/tests/gateway/crashverifiertest.cpp
@@ -4,8 +4,11 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -182,4 +185,70 @@
     BOOST_TEST(!isTakenForAlive({ .bytes_ = "HTTP/1.1 200 OK\r\n\r\n", .endlessBytes_ = std::string(16384, ' ') }, LongCheckTime));
 }
 
+BOOST_AUTO_TEST_SUITE(that_is_silent_while_the_gateway_stands_still)
+
+/// An address at which connections are neither accepted nor refused.
+class FullBacklog
+{
+public:
+    FullBacklog()
+        : listener_(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address);
+        ::bind(listener_, reinterpret_cast<const sockaddr *>(&address), size);
+        ::listen(listener_, 0);
+        ::getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &size);
+        port_ = ntohs(address.sin_port);
+        constexpr int MoreThanTheBacklog = 8;
+        for (int number = 0; number < MoreThanTheBacklog; ++number) {
+            waiting_.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+            ::connect(waiting_.back(), reinterpret_cast<const sockaddr *>(&address), size);
+        }
+    }
+
+    ~FullBacklog()
+    {
+        for (const int socket : waiting_) {
+            ::close(socket);
+        }
+        ::close(listener_);
+    }
+
+    FullBacklog(const FullBacklog &) = delete;
+    FullBacklog &operator=(const FullBacklog &) = delete;
+
+    std::uint16_t port() const
+    {
+        return port_;
+    }
+
+private:
+    int listener_;
+    std::uint16_t port_ = 0;
+    std::vector<int> waiting_;
+};
+
+BOOST_FIXTURE_TEST_CASE(is_not_taken_for_alive_and_can_be_asked_again, AskedEndpoint)
+{
+    // Guards against a process that ends as it wakes: the time-outs of the connection and of the check are due at once (review/15).
+    const FullBacklog silent;
+    EndpointEntry entry;
+    entry.id_ = EndpointId("endpoint");
+    entry.incarnation_ = Listed;
+    entry.address_ = { "127.0.0.1", silent.port() };
+    const auto ask = [&] { verifier_.verify(entry, [this](const LifeSign &sign) { signs_.push_back(sign); }); };
+    ask();
+    run(50ms);
+    std::this_thread::sleep_for(LongCheckTime);
+    run();
+    ask();
+    run(LongCheckTime);
+    BOOST_TEST(signs_.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
