Vouch for a tenure only if the duty was held when the store went away

Found by reading the change: a process whose acquisition was cut short by a drill counted as one that had held the duty, so its next term went on with its last tenure, whoever had held the duty in between.

A write under a lease of an earlier era fails with StoreLeaseUnknown instead of StoreConflict, so that quarantine entries are written again and not taken for stored.

Histories of endpoints with drills now restart relays and gateways too, and quarantine entries are read again.

--- a/src/duty/leaseholder.h
+++ b/src/duty/leaseholder.h
@@ -125,7 +125,8 @@
     void eraChanged()
     {
         const auto now = clock_.now();
-        if (term_.isHeld() && !term_.hasLapsed(now)) {
+        const bool hadDuty = state_ == LeaseState::Waiting || state_ == LeaseState::Holding;
+        if (hadDuty && !term_.hasLapsed(now)) {
             heldUntilEra_ = store_.era();
         }
         candidateSchedule_.pause(std::chrono::milliseconds(0), now);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -19,8 +19,8 @@
 /// Interface of the platform's key-value service. Each call is answered exactly once, in a later iteration of the caller's event loop.
 ///
 /// era() is the newest era that an answer has told. Revisions and leases name the era of the answer that told them. A watch from a revision of
-/// another era fails with StoreHistoryGone, a write that relies on one with StoreConflict; the latter may have taken effect if the client learned
-/// of the new era only from the answer.
+/// another era fails with StoreHistoryGone, a write that relies on one with StoreConflict or StoreLeaseUnknown; the latter may have taken effect if
+/// the client learned of the new era only from the answer.
 template <typename T>
 concept Store = requires(T &store,
                          StoreWrite write,
--- a/src/store/storeeratracker.cpp
+++ b/src/store/storeeratracker.cpp
@@ -11,13 +11,20 @@
 namespace
 {
 
-/// True if all that the write relies on satisfies the condition on its era.
+/// Fails if the condition does not hold for the era of something that the write relies on.
 template <typename Condition>
-bool dependsOnlyOn(const StoreWrite &write, Condition isAccepted)
+Result<void> check(const StoreWrite &write, Condition isAccepted)
 {
     const auto isRevisionAccepted = [&](const StoreRevision &revision) { return revision.isNone() || isAccepted(revision.era_); };
-    return isRevisionAccepted(write.expectedRevision_) && (write.lease_.isEmpty() || isAccepted(eraOf(write.lease_)))
-        && std::all_of(write.guards_.begin(), write.guards_.end(), [&](const KeyRevision &guard) { return isRevisionAccepted(guard.revision_); });
+    const bool areGuardsAccepted =
+        std::all_of(write.guards_.begin(), write.guards_.end(), [&](const KeyRevision &guard) { return isRevisionAccepted(guard.revision_); });
+    if (!isRevisionAccepted(write.expectedRevision_) || !areGuardsAccepted) {
+        return failure(ErrorCode::StoreConflict);
+    }
+    if (!write.lease_.isEmpty() && !isAccepted(eraOf(write.lease_))) {
+        return failure(ErrorCode::StoreLeaseUnknown);
+    }
+    return {};
 }
 
 } // namespace
@@ -27,9 +34,9 @@
     newest_ = std::max(newest_, era);
 }
 
-bool StoreEraTracker::mayWrite(const StoreWrite &write) const
+Result<void> StoreEraTracker::mayWrite(const StoreWrite &write) const
 {
-    return dependsOnlyOn(write, [this](StoreEra era) { return era >= newest_; });
+    return check(write, [this](StoreEra era) { return era >= newest_; });
 }
 
 bool StoreEraTracker::mayName(const LeaseId &lease) const
@@ -39,10 +46,7 @@
 
 Result<StoreRevision> StoreEraTracker::outcomeOf(const StoreWrite &write, const StoreRevision &executedAt)
 {
-    if (!dependsOnlyOn(write, [&executedAt](StoreEra era) { return era == executedAt.era_; })) {
-        return failure(ErrorCode::StoreConflict);
-    }
-    return executedAt;
+    return check(write, [&executedAt](StoreEra era) { return era == executedAt.era_; }).map([&executedAt] { return executedAt; });
 }
 
 bool StoreEraTracker::mayWatch(const StoreRevision &after) const
--- a/src/store/storeeratracker.h
+++ b/src/store/storeeratracker.h
@@ -24,14 +24,15 @@
     /// An answer of the store arrived. Those of two connections may arrive out of order.
     void answered(StoreEra era);
 
-    /// False if a revision or the lease that the write relies on is of an era before the newest known one; the store must not see it then.
-    bool mayWrite(const StoreWrite &write) const;
+    /// Fails if the write relies on an era before the newest known one; the store must not see it then. Errors: StoreConflict if that is the era of a
+    /// revision, StoreLeaseUnknown if it is that of the lease.
+    Result<void> mayWrite(const StoreWrite &write) const;
 
     /// False if the lease was granted in an era before the newest known one: its number may belong to another lease by now.
     bool mayName(const LeaseId &lease) const;
 
-    /// The outcome of a write that the store has executed at the given revision. Errors: StoreConflict if it relied on a revision or on a lease of
-    /// another era, and so may have met the wrong ones. The write has taken effect then.
+    /// The outcome of a write that the store has executed at the given revision. Errors: as mayWrite(), if it relied on another era and so may have met
+    /// the wrong revision or lease. The write has taken effect then.
     static Result<StoreRevision> outcomeOf(const StoreWrite &write, const StoreRevision &executedAt);
 
     /// False if the revision is of an era before the newest known one, whose history the store has no more.
--- a/tests/duty/dutyleasetest.cpp
+++ b/tests/duty/dutyleasetest.cpp
@@ -329,6 +329,82 @@
     site.checkOrder();
 }
 
+BOOST_AUTO_TEST_SUITE(is_not_the_same_tenure)
+
+/// A process that acquires the duty, step by step.
+struct Acquirer {
+    Acquirer(StoreCopies &copies, const VirtualClock &clock, const std::string &name)
+        : store_(copies.store(), clock)
+        , lease_(store_, clock, policy(), "duty/leader", name)
+    {
+    }
+
+    static LeasePolicy policy()
+    {
+        LeasePolicy policy;
+        policy.duration_ = 3000ms;
+        policy.margin_ = 1000ms;
+        policy.renewInterval_ = 750ms;
+        policy.successorWait_ = 300ms;
+        policy.candidateInterval_ = 1ms;
+        return policy;
+    }
+
+    void step()
+    {
+        store_.deliver();
+        lease_.tick();
+    }
+
+    SimulatedStore store_;
+    LeaseHolder<SimulatedStore, VirtualClock> lease_;
+};
+
+BOOST_AUTO_TEST_CASE(if_another_one_held_it_before_an_acquisition_that_a_drill_cut_short)
+{
+    // Guards against a holder that vouches for windows which another process has reported: it had no fencing number yet when the store went away.
+    constexpr auto Step = 50ms;
+    for (int steps = 1; steps < 8; ++steps) {
+        VirtualClock clock;
+        clock.advance(1h);
+        StoreCopies copies(clock);
+        Acquirer holder(copies, clock, "first");
+        Acquirer other(copies, clock, "other");
+        const auto acquire = [&](Acquirer &acquirer) {
+            for (int turn = 0; turn < 200 && !acquirer.lease_.mayAct(); ++turn) {
+                copies.tick();
+                acquirer.step();
+                clock.advance(Step);
+            }
+            BOOST_REQUIRE(acquirer.lease_.mayAct());
+        };
+        const auto resign = [&](Acquirer &acquirer) {
+            acquirer.lease_.resign();
+            acquirer.store_.deliver();
+            clock.advance(4s);
+        };
+        acquire(holder);
+        const auto tenure = holder.lease_.duty().tenure_;
+        resign(holder);
+        acquire(other);
+        resign(other);
+        for (int step = 0; step < steps; ++step) {
+            copies.tick();
+            holder.step();
+            clock.advance(Step);
+        }
+        const bool isAcquired = holder.lease_.duty().tenure_ != tenure;
+        copies.restore(1s);
+        // Another call of the process tells the new era first.
+        holder.store_.read("other", [](const Result<std::optional<StoreEntry>> & /*answer*/) {});
+        acquire(holder);
+        BOOST_TEST(holder.lease_.duty().tenure_ != tenure);
+        BOOST_TEST((isAcquired || holder.lease_.duty().tenure_ == tenure + 1));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(is_held_by_one_process_at_a_time_after_two_drills_within_seconds)
 {
     for (int seed = 0; seed < 50; ++seed) {
--- a/tests/duty/simulatedstore.h
+++ b/tests/duty/simulatedstore.h
@@ -59,8 +59,8 @@
 
     void compareAndSwap(const StoreWrite &write, StoreReply<StoreRevision> reply)
     {
-        if (!eras_.mayWrite(write)) {
-            answer<StoreRevision>(failure(ErrorCode::StoreConflict), std::move(reply));
+        if (const auto isAllowed = eras_.mayWrite(write); !isAllowed) {
+            answer<StoreRevision>(tl::unexpected(isAllowed.error()), std::move(reply));
             return;
         }
         change<StoreRevision>(
--- a/tests/fleet/endpointdrilltest.cpp
+++ b/tests/fleet/endpointdrilltest.cpp
@@ -119,6 +119,14 @@
         case 6:
             member_.directory_.merge(relay.directory_.list());
             break;
+        case 7:
+            // The relay's process is restarted, or is lost and another one takes its place.
+            relay = Node();
+            break;
+        case 8:
+            // The gateway is restarted.
+            member_ = Node();
+            break;
         default:
             relays_[0].directory_.merge(relays_[1].directory_.list());
             break;
@@ -245,7 +253,7 @@
 BOOST_AUTO_TEST_CASE(forget_no_leaving_and_agree_in_the_end)
 {
     const bool holds = rc::check("no leaving is forgotten, and all agree", [] {
-        constexpr int Kinds = 8;
+        constexpr int Kinds = 10;
         DrillHistory history;
         const auto steps = *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(1, 60));
         for (int number = 0; number < steps; ++number) {
--- a/tests/relay/quarantinestoretest.cpp
+++ b/tests/relay/quarantinestoretest.cpp
@@ -188,4 +188,33 @@
     BOOST_TEST(crashes_.size() == 1U);
 }
 
+// Guards against evidence that a store which came back from a copy has lost, and that nobody puts there again.
+BOOST_AUTO_TEST_SUITE(after_the_store_came_back_from_a_copy)
+
+BOOST_AUTO_TEST_CASE(are_read_again_and_then_those_that_are_missing_can_be_put_there)
+{
+    store_.ranges_["quarantine/"](StoreRange{ { { Key, Value, { 1, 9 }, false } }, false, { 1, 100 } });
+    BOOST_TEST(newEras_ == 0);
+    store_.watches_["quarantine/"](failure(ErrorCode::StoreHistoryGone));
+    store_.ranges_.clear();
+    run();
+    BOOST_REQUIRE(store_.ranges_.contains("quarantine/"));
+    store_.ranges_["quarantine/"](StoreRange{ {}, false, { 2, 60 } });
+    BOOST_TEST(newEras_ == 1);
+    BOOST_TEST((store_.watchedAfter_["quarantine/"] == StoreRevision(2, 60)));
+    quarantine_.put(Part, Evidence, SystemClock().now());
+    run();
+    BOOST_TEST(store_.leaseReplies_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(are_read_from_the_start_if_it_came_back_between_two_pages)
+{
+    store_.ranges_["quarantine/"](StoreRange{ { { Key, Value, { 1, 9 }, false } }, true, { 1, 100 } });
+    store_.ranges_["quarantine/"](StoreRange{ {}, false, { 2, 60 } });
+    store_.ranges_["quarantine/"](StoreRange{ {}, false, { 2, 61 } });
+    BOOST_TEST((store_.watchedAfter_["quarantine/"] == StoreRevision(2, 61)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/store/storeeratrackertest.cpp
+++ b/tests/store/storeeratrackertest.cpp
@@ -46,17 +46,18 @@
 {
     StoreEraTracker eras;
     eras.answered(2);
-    BOOST_TEST(eras.mayWrite(writeOf(2, 2, 2)));
-    BOOST_TEST(!eras.mayWrite(writeOf(1, 2, 2)));
-    BOOST_TEST(!eras.mayWrite(writeOf(2, 1, 2)));
-    BOOST_TEST(!eras.mayWrite(writeOf(2, 2, 1)));
-    BOOST_TEST(eras.mayWrite(StoreWrite()));
+    BOOST_TEST(eras.mayWrite(writeOf(2, 2, 2)).has_value());
+    BOOST_TEST(eras.mayWrite(writeOf(1, 2, 2)).error() == ErrorCode::StoreConflict);
+    BOOST_TEST(eras.mayWrite(writeOf(2, 1, 2)).error() == ErrorCode::StoreLeaseUnknown);
+    BOOST_TEST(eras.mayWrite(writeOf(2, 2, 1)).error() == ErrorCode::StoreConflict);
+    BOOST_TEST(eras.mayWrite(StoreWrite()).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(takes_a_write_that_another_era_executed_for_one_that_failed)
 {
     BOOST_TEST(StoreEraTracker::outcomeOf(writeOf(2, 2, 2), { 2, 9 }).has_value());
     BOOST_TEST(StoreEraTracker::outcomeOf(writeOf(1, 1, 1), { 2, 9 }).error() == ErrorCode::StoreConflict);
+    BOOST_TEST(StoreEraTracker::outcomeOf(writeOf(2, 1, 2), { 2, 9 }).error() == ErrorCode::StoreLeaseUnknown);
     BOOST_TEST(StoreEraTracker::outcomeOf(StoreWrite(), { 2, 9 }).has_value());
 }
 
