--- a/tests/relay/relaytaskfleet.cpp
+++ b/tests/relay/relaytaskfleet.cpp
@@ -32,6 +32,27 @@
     gateway.task_->listen();
 }
 
+void RelayTaskFleet::startOldRelay(const std::string &name, const std::string &domain)
+{
+    oldRelay_ = std::make_unique<PeerServer>(loop_, [this](std::string_view /*query*/) { return relaymessagecodec::encode(oldAnswer_); });
+    const auto port = *oldRelay_->listen({ "127.0.0.1", 0 });
+    oldAnswer_.from_ = GatewayMember{ InstanceId(name), FailureDomain(domain), { "127.0.0.1", port } };
+    oldAnswer_.status_.isRelay_ = true;
+    oldAnswer_.status_.isFit_ = true;
+    oldAnswer_.tellsEras_ = false;
+    oldAnswer_.members_ = { oldAnswer_.from_ };
+    oldAnswer_.membersVersion_ = 1;
+    StoreWrite write;
+    write.key_ = relayentrycodec::keyOf(FailureDomain(domain));
+    write.value_ = relayentrycodec::toText(oldAnswer_.from_);
+    content_->compareAndSwap(write, clock_.now());
+}
+
+void RelayTaskFleet::setEra(StoreEra era)
+{
+    content_->setEra(era);
+}
+
 void RelayTaskFleet::kill(const std::string &name)
 {
     gateways_.at(name).task_.reset();
--- a/tests/relay/relaytaskfleet.h
+++ b/tests/relay/relaytaskfleet.h
@@ -27,6 +27,12 @@
     /// Starts the task of a gateway.
     void start(const std::string &name, const std::string &domain);
 
+    /// Starts a gateway of the version before, which knows no eras of the store and is the relay of the failure domain.
+    void startOldRelay(const std::string &name, const std::string &domain);
+
+    /// The store tells an era from now on. Precondition: it has none.
+    void setEra(cowsliphead::StoreEra era);
+
     /// Ends it without notice.
     void kill(const std::string &name);
 
@@ -43,4 +49,6 @@
     cowsliphead::SystemClock clock_;
     std::shared_ptr<cowsliphead::MemoryStore> content_ = std::make_shared<cowsliphead::MemoryStore>();
     std::map<std::string, Gateway> gateways_;
+    std::unique_ptr<cowsliphead::PeerServer> oldRelay_;
+    cowsliphead::RelayAnswer oldAnswer_;
 };
--- a/tests/relay/relaytasktest.cpp
+++ b/tests/relay/relaytasktest.cpp
@@ -101,3 +101,23 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against a gateway that follows one of the version before, which does not notice that the store came back from a copy.
+BOOST_FIXTURE_TEST_SUITE(a_relay_task_beside_a_relay_of_the_version_before, RelayTaskFleet)
+
+BOOST_AUTO_TEST_CASE(reads_the_store_itself_if_the_store_tells_its_era)
+{
+    setEra(1);
+    startOldRelay("old", "a");
+    start("a1", "a");
+    BOOST_TEST(runUntil([this] { return gateway("a1").told_.grantedBy_ == InstanceId("a1"); }));
+}
+
+BOOST_AUTO_TEST_CASE(follows_it_if_the_store_tells_none)
+{
+    startOldRelay("old", "a");
+    start("a1", "a");
+    BOOST_TEST(runUntil([this] { return gateway("a1").told_.grantedBy_ == InstanceId("old"); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/relay/sharedstore.h
+++ b/tests/relay/sharedstore.h
@@ -32,6 +32,11 @@
         answer(std::move(reply), content_->compareAndSwap(write, cowsliphead::SystemClock().now()));
     }
 
+    cowsliphead::StoreEra era() const
+    {
+        return content_->revision().era_;
+    }
+
 private:
     template <typename Reply, typename Result>
     void answer(Reply reply, const Result &result)
