Let no second holder of an era act beside one of an earlier era

Found by reading the change: the first holder of an era waits for holders of earlier ones. If it stopped within that wait, or lost the answer to the write of its number, it erased its key, and the next holder waited only as after any other one.

Change: a holder that has not waited leaves its key to the lease, and waits itself when it acquires the duty again.

Evidence: is_not_taken_at_once_from_a_first_holder_that_stops_before_it_has_acted fails without the change.

--- a/src/duty/leaseholder.h
+++ b/src/duty/leaseholder.h
@@ -55,6 +55,7 @@
         }
         if (state_ == LeaseState::Waiting && now >= holdsFrom_) {
             state_ = LeaseState::Holding;
+            unwaitedEra_ = 0;
         }
         if (isCallPending_) {
             return;
@@ -133,6 +134,12 @@
         endTerm();
     }
 
+    /// False if this process may have written the era's first fencing number and has not waited since for holders of earlier eras.
+    bool hasWaitedIn(StoreEra era) const
+    {
+        return era == 0 || unwaitedEra_ != era;
+    }
+
     /// True if the answer to a step of the acquisition is of the era in which the lease was granted.
     bool isOfSameEra(StoreEra era) const
     {
@@ -159,7 +166,7 @@
         store_.read(name_, ifSameAcquisition<std::optional<StoreEntry>>([this](const Result<std::optional<StoreEntry>> &answer) {
                         if (answer && !*answer) {
                             grant();
-                        } else if (answer && (*answer)->value_ == holder_) {
+                        } else if (answer && (*answer)->value_ == holder_ && hasWaitedIn((*answer)->revision_.era_)) {
                             // Left over from a term that ended with an era.
                             reclaim((*answer)->revision_);
                         }
@@ -217,12 +224,13 @@
     }
 
     /// Erases the key, if it is still the one that this acquisition wrote. The lease is left to expire: its number may by now be that of another
-    /// process's lease.
+    /// process's lease. So is the key if this process has not waited as the first holder of the era, since the next one will not.
     void release()
     {
         const auto revision = keyRevision_;
+        const bool hasWaited = hasWaitedIn(revision.era_);
         dropLease();
-        if (!revision.isNone()) {
+        if (!revision.isNone() && hasWaited) {
             store_.compareAndSwap(eraseOf(revision), [](const Result<StoreRevision> &) {});
         }
     }
@@ -248,6 +256,7 @@
         const FencingNumber last = entry ? std::strtoull(entry->value_.c_str(), nullptr, 10) : 0;
         const auto base = fencingBaseOf(eraOf(lease_));
         const bool isFirstOfEra = last < base;
+        unwaitedEra_ = isFirstOfEra ? eraOf(lease_) : unwaitedEra_;
         const auto next = std::max(last, base) + 1;
         StoreWrite write;
         write.key_ = fencingKey();
@@ -262,7 +271,7 @@
                                   duty_ = { next, { fencingKey(), *answer }, isContinued ? duty_.tenure_ : duty_.tenure_ + 1 };
                                   heldUntilEra_ = 0;
                                   // The lease of the holder before has ended in this era. One of an earlier era may go on for as long as a lease.
-                                  holdsFrom_ = clock_.now() + (isFirstOfEra ? policy_.duration_ : policy_.successorWait_);
+                                  holdsFrom_ = clock_.now() + (hasWaitedIn(answer->era_) ? policy_.successorWait_ : policy_.duration_);
                                   state_ = LeaseState::Waiting;
                                   if (isContinued) {
                                       logEvent(LogEvent::DutyTermContinued, { { "fence", next }, { "era", answer->era_ } });
@@ -300,6 +309,9 @@
 
     /// The era that began within the last term of this process; 0 for none.
     StoreEra heldUntilEra_ = 0;
+
+    /// The era whose first fencing number this process wrote, or may have written, until it has waited for holders of earlier eras; 0 for none.
+    StoreEra unwaitedEra_ = 0;
     MonotonicTime holdsFrom_;
     std::uint64_t acquisition_ = 0;
     bool isCallPending_ = false;
--- a/tests/duty/dutyleasetest.cpp
+++ b/tests/duty/dutyleasetest.cpp
@@ -329,8 +329,6 @@
     site.checkOrder();
 }
 
-BOOST_AUTO_TEST_SUITE(is_not_the_same_tenure)
-
 /// A process that acquires the duty, step by step.
 struct Acquirer {
     Acquirer(StoreCopies &copies, const VirtualClock &clock, const std::string &name)
@@ -360,6 +358,36 @@
     LeaseHolder<SimulatedStore, VirtualClock> lease_;
 };
 
+BOOST_AUTO_TEST_CASE(is_not_taken_at_once_from_a_first_holder_that_stops_before_it_has_acted)
+{
+    // Guards against a second holder of an era that does not wait for holders of earlier ones because the first one was to.
+    constexpr auto Step = 50ms;
+    VirtualClock clock;
+    clock.advance(1h);
+    StoreCopies copies(clock);
+    copies.tick();
+    Acquirer former(copies, clock, "former");
+    Acquirer first(copies, clock, "first");
+    Acquirer second(copies, clock, "second");
+    const auto stepUntil = [&](Acquirer &acquirer, const std::function<bool()> &isReached) {
+        for (int turn = 0; turn < 200 && !isReached(); ++turn) {
+            acquirer.step();
+            clock.advance(Step);
+        }
+        BOOST_REQUIRE(isReached());
+    };
+    stepUntil(former, [&] { return former.lease_.mayAct(); });
+    copies.restore(1h);
+    stepUntil(first, [&] { return first.lease_.fencingNumber() != 0; });
+    first.lease_.resign();
+    BOOST_REQUIRE(former.lease_.mayAct());
+    stepUntil(second, [&] { return second.lease_.mayAct(); });
+    BOOST_TEST(!former.lease_.mayAct());
+    BOOST_TEST(second.lease_.fencingNumber() > first.lease_.fencingNumber());
+}
+
+BOOST_AUTO_TEST_SUITE(is_not_the_same_tenure)
+
 BOOST_AUTO_TEST_CASE(if_another_one_held_it_before_an_acquisition_that_a_drill_cut_short)
 {
     // Guards against a holder that vouches for windows which another process has reported: it had no fencing number yet when the store went away.
